--- /dev/null
+++ b/src/net/Address.cpp
@@ -0,0 +1,63 @@
+#include "net/Address.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace lacewing::net {
+
+namespace {
+
+bool
+IsIpNumber(const std::string& aText)
+{
+  in_addr v4{};
+  in6_addr v6{};
+  return inet_pton(AF_INET, aText.c_str(), &v4) == 1 ||
+         inet_pton(AF_INET6, aText.c_str(), &v6) == 1;
+}
+
+} // namespace
+
+std::string
+Address::ToString() const
+{
+  const std::string portText = std::to_string(m_port);
+  if (m_ip.find(':') != std::string::npos) {
+    return "[" + m_ip + "]:" + portText;
+  }
+  return m_ip + ":" + portText;
+}
+
+Result<Address>
+ParseAddress(std::string_view aText)
+{
+  const auto fail = [&] {
+    return Fail(Verdict::NotRun,
+                ErrorCode::BadInput,
+                "'" + std::string(aText) +
+                  "' is not an address; expected IP:PORT, for example "
+                  "127.0.0.1:7400");
+  };
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return fail();
+  }
+  Address address;
+  address.m_ip = std::string(aText.substr(0, colon));
+  if (address.m_ip.size() > 2 && address.m_ip.front() == '[' &&
+      address.m_ip.back() == ']') {
+    address.m_ip = address.m_ip.substr(1, address.m_ip.size() - 2);
+  }
+  const std::string_view portText = aText.substr(colon + 1);
+  const auto parsed = std::from_chars(
+    portText.data(), portText.data() + portText.size(), address.m_port);
+  const bool wholePort = parsed.ptr == portText.data() + portText.size();
+  if (parsed.ec != std::errc() || !wholePort || address.m_port == 0 ||
+      !IsIpNumber(address.m_ip)) {
+    return fail();
+  }
+  return address;
+}
+
+} // namespace lacewing::net
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,199 @@
+#include "net/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+namespace lacewing::net {
+
+namespace {
+
+std::string
+MethodName(evhttp_cmd_type aCommand)
+{
+  switch (aCommand) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "";
+  }
+}
+
+std::string
+BodyOf(evhttp_request* aRequest)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, body.data(), body.size());
+  return body;
+}
+
+std::string
+DecodedPath(evhttp_request* aRequest)
+{
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = evhttp_uri_get_path(uri);
+  if (path == nullptr) {
+    return "/";
+  }
+  std::size_t length = 0;
+  char* decoded = evhttp_uridecode(path, 0, &length);
+  std::string text(decoded == nullptr ? "" : decoded, length);
+  free(decoded); // NOLINT: allocated by libevent with malloc
+  return text;
+}
+
+std::map<std::string, std::string>
+QueryOf(evhttp_request* aRequest)
+{
+  std::map<std::string, std::string> result;
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* query = evhttp_uri_get_query(uri);
+  if (query == nullptr) {
+    return result;
+  }
+  evkeyvalq values{};
+  if (evhttp_parse_query_str(query, &values) != 0) {
+    return result;
+  }
+  for (const evkeyval* item = values.tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    result[item->key] = item->value;
+  }
+  evhttp_clear_headers(&values);
+  return result;
+}
+
+HttpRequest
+ToRequest(evhttp_request* aRequest)
+{
+  HttpRequest request;
+  request.m_method = MethodName(evhttp_request_get_command(aRequest));
+  request.m_path = DecodedPath(aRequest);
+  request.m_query = QueryOf(aRequest);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* item = headers->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    request.m_headers[item->key] = item->value;
+  }
+  request.m_body = BodyOf(aRequest);
+  return request;
+}
+
+void
+Send(evhttp_request* aRequest, const HttpResponse& aResponse)
+{
+  evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
+  for (const auto& [name, value] : aResponse.m_headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer* output = evbuffer_new();
+  evbuffer_add(output, aResponse.m_body.data(), aResponse.m_body.size());
+  evhttp_send_reply(aRequest, aResponse.m_status, nullptr, output);
+  evbuffer_free(output);
+}
+
+} // namespace
+
+HttpServer::HttpServer(Loop& aLoop,
+                       HttpServerLimits aLimits,
+                       HttpHandler aHandler)
+  : m_limits(aLimits)
+  , m_handler(std::move(aHandler))
+  , m_server(evhttp_new(aLoop.Base()))
+  , m_open(std::make_shared<std::size_t>(0))
+{
+  evhttp_set_max_headers_size(
+    m_server, static_cast<ev_ssize_t>(m_limits.m_maxHeaderBytes));
+  evhttp_set_max_body_size(m_server,
+                           static_cast<ev_ssize_t>(m_limits.m_maxBodyBytes));
+  evhttp_set_timeout(m_server,
+                     static_cast<int>(m_limits.m_idleTimeout.count()));
+  evhttp_set_allowed_methods(m_server,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_DELETE);
+  evhttp_set_gencb(m_server, OnRequest, this);
+}
+
+HttpServer::~HttpServer()
+{
+  evhttp_free(m_server);
+}
+
+Result<void>
+HttpServer::Listen(const Address& aAddress)
+{
+  m_socket = evhttp_bind_socket_with_handle(
+    m_server, aAddress.m_ip.c_str(), aAddress.m_port);
+  if (m_socket == nullptr) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::Unavailable,
+                "cannot listen on " + aAddress.ToString());
+  }
+  return {};
+}
+
+void
+HttpServer::StopListening()
+{
+  if (m_socket != nullptr) {
+    evhttp_del_accept_socket(m_server, m_socket);
+    m_socket = nullptr;
+  }
+}
+
+void
+HttpServer::OnRequest(evhttp_request* aRequest, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  const HttpRequest request = ToRequest(aRequest);
+  if (request.m_headers.size() > self->m_limits.m_maxHeaderCount) {
+    Send(
+      aRequest,
+      ErrorResponse(
+        { Verdict::NotRun,
+          ErrorCode::TooLarge,
+          "request has " + std::to_string(request.m_headers.size()) +
+            " headers; at most " +
+            std::to_string(self->m_limits.m_maxHeaderCount) + " are taken" }));
+    return;
+  }
+  ++*self->m_open;
+  const auto open = self->m_open;
+  self->m_handler(request, [aRequest, open](const HttpResponse& aResponse) {
+    --*open;
+    // A request whose client has gone is freed by evhttp in this call.
+    Send(aRequest, aResponse);
+  });
+}
+
+HttpResponse
+JsonResponse(int aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.m_status = aStatus;
+  response.m_headers["Content-Type"] = "application/json";
+  response.m_body = std::move(aBody);
+  return response;
+}
+
+HttpResponse
+ErrorResponse(const Error& aError)
+{
+  const nlohmann::json body = { { "verdict", NameOf(aError.m_verdict) },
+                                { "error", NameOf(aError.m_code) },
+                                { "message", aError.m_message } };
+  return JsonResponse(HttpStatusOf(aError.m_code), body.dump());
+}
+
+} // namespace lacewing::net
--- /dev/null
+++ b/src/net/HttpServer.h
@@ -0,0 +1,64 @@
+/// HTTP server over evhttp with bounded sizes and asynchronous replies.
+#pragma once
+
+#include "core/Time.h"
+#include "net/Address.h"
+#include "net/HttpMessage.h"
+#include "net/Loop.h"
+
+#include <functional>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace lacewing::net {
+
+struct HttpServerLimits
+{
+  std::size_t m_maxHeaderBytes = 16 * 1024;
+  std::size_t m_maxBodyBytes = 1024 * 1024;
+  std::size_t m_maxHeaderCount = 64;
+  /// A client that neither sends nor reads for this long is disconnected.
+  seconds m_idleTimeout{ 60 };
+};
+
+/// Sends the response; must be called exactly once, at any later time.
+using HttpReply = std::function<void(const HttpResponse&)>;
+using HttpHandler = std::function<void(const HttpRequest&, HttpReply)>;
+
+class HttpServer
+{
+public:
+  HttpServer(Loop& aLoop, HttpServerLimits aLimits, HttpHandler aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Listens on the address. Errors: `Unavailable` naming the address.
+  Result<void> Listen(const Address& aAddress);
+  /// Stops taking connections; open ones go on.
+  void StopListening();
+  /// Requests that were handed to the handler and not yet replied to.
+  std::size_t OpenRequests() const { return *m_open; }
+
+private:
+  static void OnRequest(evhttp_request* aRequest, void* aSelf);
+
+  HttpServerLimits m_limits;
+  HttpHandler m_handler;
+  evhttp* m_server;
+  evhttp_bound_socket* m_socket = nullptr;
+  std::shared_ptr<std::size_t> m_open;
+};
+
+/// A JSON response with the given status.
+HttpResponse
+JsonResponse(int aStatus, std::string aBody);
+
+/// The response for an error, with a body
+/// {"verdict": ..., "error": ..., "message": ...}.
+HttpResponse
+ErrorResponse(const Error& aError);
+
+} // namespace lacewing::net
--- /dev/null
+++ b/src/net/Loop.cpp
@@ -0,0 +1,128 @@
+#include "net/Loop.h"
+
+#include <event2/event.h>
+
+#include <stdexcept>
+
+namespace lacewing::net {
+
+namespace {
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+  const auto count = std::max<std::int64_t>(aDuration.count(), 0);
+  timeval value{};
+  value.tv_sec = count / kMicrosecondsPerSecond;
+  value.tv_usec = count % kMicrosecondsPerSecond;
+  return value;
+}
+
+struct OneShot
+{
+  std::function<void()> m_function;
+};
+
+void
+RunOneShot(evutil_socket_t, short, void* aArgument)
+{
+  const std::unique_ptr<OneShot> shot(static_cast<OneShot*>(aArgument));
+  shot->m_function();
+}
+
+} // namespace
+
+struct Loop::Repeating
+{
+  std::function<void()> m_function;
+  event* m_source = nullptr;
+
+  static void Run(evutil_socket_t, short, void* aArgument)
+  {
+    static_cast<Repeating*>(aArgument)->m_function();
+  }
+
+  ~Repeating()
+  {
+    if (m_source != nullptr) {
+      event_free(m_source);
+    }
+  }
+};
+
+Loop::Loop()
+  : m_base(event_base_new())
+{
+  if (m_base == nullptr) {
+    throw std::runtime_error("libevent could not create an event base");
+  }
+}
+
+Loop::~Loop()
+{
+  m_repeating.clear();
+  event_base_free(m_base);
+}
+
+Time
+Loop::Now()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return Time(std::chrono::duration_cast<Duration>(now));
+}
+
+void
+Loop::Run()
+{
+  event_base_dispatch(m_base);
+}
+
+void
+Loop::Poll()
+{
+  event_base_loop(m_base, EVLOOP_NONBLOCK);
+}
+
+void
+Loop::Stop()
+{
+  event_base_loopbreak(m_base);
+}
+
+void
+Loop::After(Duration aDelay, std::function<void()> aFunction)
+{
+  const timeval delay = ToTimeval(aDelay);
+  auto shot = std::make_unique<OneShot>(OneShot{ std::move(aFunction) });
+  if (event_base_once(m_base, -1, EV_TIMEOUT, RunOneShot, shot.get(), &delay) ==
+      0) {
+    // The callback owns the object from here on.
+    static_cast<void>(shot.release());
+  }
+}
+
+void
+Loop::Every(Duration aPeriod, std::function<void()> aFunction)
+{
+  auto repeating = std::make_unique<Repeating>();
+  repeating->m_function = std::move(aFunction);
+  repeating->m_source =
+    event_new(m_base, -1, EV_PERSIST, Repeating::Run, repeating.get());
+  const timeval period = ToTimeval(aPeriod);
+  event_add(repeating->m_source, &period);
+  m_repeating.push_back(std::move(repeating));
+}
+
+void
+Loop::OnSignal(int aSignal, std::function<void()> aFunction)
+{
+  auto repeating = std::make_unique<Repeating>();
+  repeating->m_function = std::move(aFunction);
+  repeating->m_source =
+    evsignal_new(m_base, aSignal, Repeating::Run, repeating.get());
+  event_add(repeating->m_source, nullptr);
+  m_repeating.push_back(std::move(repeating));
+}
+
+} // namespace lacewing::net
--- /dev/null
+++ b/src/net/Loop.h
@@ -0,0 +1,48 @@
+/// The event loop of a process: one libevent base on one thread, with timers
+/// and signals.
+#pragma once
+
+#include "core/Time.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace lacewing::net {
+
+class Loop
+{
+public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  /// Present time of this process.
+  static Time Now();
+
+  /// Runs until `Stop`.
+  void Run();
+  /// Runs callbacks that are ready, without waiting. For tests.
+  void Poll();
+  void Stop();
+
+  /// Calls the function once after the delay.
+  void After(Duration aDelay, std::function<void()> aFunction);
+  /// Calls the function in every period until the loop ends.
+  void Every(Duration aPeriod, std::function<void()> aFunction);
+  /// Calls the function on each arrival of the signal.
+  void OnSignal(int aSignal, std::function<void()> aFunction);
+
+  event_base* Base() { return m_base; }
+
+private:
+  struct Repeating;
+  event_base* m_base;
+  std::vector<std::unique_ptr<Repeating>> m_repeating;
+};
+
+} // namespace lacewing::net
--- /dev/null
+++ b/src/worker/WorkerMessages.cpp
@@ -0,0 +1,200 @@
+#include "worker/WorkerMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lacewing::worker {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+ToJson(const Resources& aResources)
+{
+  return { { "millicores", aResources.m_millicores },
+           { "memory_mib", aResources.m_memoryMib },
+           { "accelerators", aResources.m_accelerators } };
+}
+
+Resources
+ResourcesFrom(const Json& aJson)
+{
+  return { aJson.at("millicores").get<std::int64_t>(),
+           aJson.at("memory_mib").get<std::int64_t>(),
+           aJson.at("accelerators").get<std::int64_t>() };
+}
+
+TaskId
+TaskFrom(const Json& aJson)
+{
+  return { JobId(aJson.at("job").get<std::string>()),
+           aJson.at("index").get<std::uint32_t>() };
+}
+
+template<typename Enum>
+Enum
+EnumFrom(const Json& aJson)
+{
+  const auto text = aJson.get<std::string>();
+  const auto value = ParseName<Enum>(text);
+  if (!value) {
+    throw Json::other_error::create(600, "unknown name '" + text + "'", &aJson);
+  }
+  return *value;
+}
+
+Json
+ToJson(const Command& aCommand)
+{
+  return { { "kind", NameOf(aCommand.m_kind) },
+           { "job", aCommand.m_task.m_job.Value() },
+           { "index", aCommand.m_task.m_index },
+           { "attempt", aCommand.m_attempt },
+           { "reserved", ToJson(aCommand.m_reserved) },
+           { "run_ms", aCommand.m_runMs } };
+}
+
+Command
+CommandFrom(const Json& aJson)
+{
+  Command command;
+  command.m_kind = EnumFrom<CommandKind>(aJson.at("kind"));
+  command.m_task = TaskFrom(aJson);
+  command.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  command.m_reserved = ResourcesFrom(aJson.at("reserved"));
+  command.m_runMs = aJson.at("run_ms").get<std::int64_t>();
+  return command;
+}
+
+Json
+ToJson(const RunningTask& aTask)
+{
+  return { { "job", aTask.m_task.m_job.Value() },
+           { "index", aTask.m_task.m_index },
+           { "attempt", aTask.m_attempt },
+           { "reserved", ToJson(aTask.m_reserved) },
+           { "used", ToJson(aTask.m_used) },
+           { "throttled", aTask.m_throttled } };
+}
+
+RunningTask
+RunningFrom(const Json& aJson)
+{
+  RunningTask task;
+  task.m_task = TaskFrom(aJson);
+  task.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  task.m_reserved = ResourcesFrom(aJson.at("reserved"));
+  task.m_used = ResourcesFrom(aJson.at("used"));
+  task.m_throttled = aJson.at("throttled").get<bool>();
+  return task;
+}
+
+Json
+ToJson(const EndedTask& aTask)
+{
+  return { { "sequence", aTask.m_sequence },
+           { "job", aTask.m_task.m_job.Value() },
+           { "index", aTask.m_task.m_index },
+           { "attempt", aTask.m_attempt },
+           { "outcome", NameOf(aTask.m_outcome) } };
+}
+
+EndedTask
+EndedFrom(const Json& aJson)
+{
+  EndedTask task;
+  task.m_sequence = aJson.at("sequence").get<std::uint64_t>();
+  task.m_task = TaskFrom(aJson);
+  task.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  task.m_outcome = EnumFrom<TaskOutcome>(aJson.at("outcome"));
+  return task;
+}
+
+/// Runs a decoder and turns the JSON library's exceptions into results.
+template<typename Decode>
+auto
+Guarded(const std::string& aBody, Decode aDecode)
+  -> Result<decltype(aDecode(Json()))>
+{
+  try {
+    return aDecode(Json::parse(aBody));
+  } catch (const Json::exception& error) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::BadInput,
+                std::string("worker message is malformed: ") + error.what());
+  }
+}
+
+} // namespace
+
+std::string
+EncodeRequest(const ControlRequest& aRequest)
+{
+  Json commands = Json::array();
+  for (const Command& command : aRequest.m_commands) {
+    commands.push_back(ToJson(command));
+  }
+  const Json body = { { "slice", aRequest.m_slice.Value() },
+                      { "epoch", aRequest.m_epoch },
+                      { "token", aRequest.m_token },
+                      { "commands", commands },
+                      { "ended_seen", aRequest.m_endedSeen } };
+  return body.dump();
+}
+
+std::string
+EncodeReply(const ControlReply& aReply)
+{
+  Json running = Json::array();
+  for (const RunningTask& task : aReply.m_running) {
+    running.push_back(ToJson(task));
+  }
+  Json ended = Json::array();
+  for (const EndedTask& task : aReply.m_ended) {
+    ended.push_back(ToJson(task));
+  }
+  const Json body = { { "accepted", aReply.m_accepted },
+                      { "epoch", aReply.m_epoch },
+                      { "token", aReply.m_token },
+                      { "capacity", ToJson(aReply.m_capacity) },
+                      { "running", running },
+                      { "ended", ended } };
+  return body.dump();
+}
+
+Result<ControlRequest>
+DecodeRequest(const std::string& aBody)
+{
+  return Guarded(aBody, [](const Json& aJson) {
+    ControlRequest request;
+    request.m_slice = SliceId(aJson.at("slice").get<std::string>());
+    request.m_epoch = aJson.at("epoch").get<Epoch>();
+    request.m_token = aJson.at("token").get<std::uint64_t>();
+    request.m_endedSeen = aJson.at("ended_seen").get<std::uint64_t>();
+    for (const Json& command : aJson.at("commands")) {
+      request.m_commands.push_back(CommandFrom(command));
+    }
+    return request;
+  });
+}
+
+Result<ControlReply>
+DecodeReply(const std::string& aBody)
+{
+  return Guarded(aBody, [](const Json& aJson) {
+    ControlReply reply;
+    reply.m_accepted = aJson.at("accepted").get<bool>();
+    reply.m_epoch = aJson.at("epoch").get<Epoch>();
+    reply.m_token = aJson.at("token").get<std::uint64_t>();
+    reply.m_capacity = ResourcesFrom(aJson.at("capacity"));
+    for (const Json& task : aJson.at("running")) {
+      reply.m_running.push_back(RunningFrom(task));
+    }
+    for (const Json& task : aJson.at("ended")) {
+      reply.m_ended.push_back(EndedFrom(task));
+    }
+    return reply;
+  });
+}
+
+} // namespace lacewing::worker
--- /dev/null
+++ b/src/worker/WorkerMessages.h
@@ -0,0 +1,121 @@
+/// The control exchange between the owner of a slice and a worker: the owner
+/// sends commands under its epoch, the worker answers with its inventory.
+#pragma once
+
+#include "core/EnumNames.h"
+#include "core/Ids.h"
+#include "core/Resources.h"
+#include "core/Verdict.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lacewing::worker {
+
+enum class CommandKind : std::uint8_t
+{
+  Start,
+  Stop,
+  Checkpoint, ///< Checkpoints and stops the task.
+  Throttle,
+  Unthrottle,
+};
+
+struct Command
+{
+  CommandKind m_kind = CommandKind::Start;
+  TaskId m_task;
+  std::uint32_t m_attempt = 0;
+  Resources m_reserved;     ///< for `Start`
+  std::int64_t m_runMs = 0; ///< for `Start`: work of the task
+};
+
+/// One message from the owner. An empty list of commands renews the lease; a
+/// higher epoch adopts the worker.
+struct ControlRequest
+{
+  SliceId m_slice;
+  Epoch m_epoch = 0;
+  /// The token of the worker's latest answer; 0 for adoption. The worker's
+  /// lease runs from the time it issued this token.
+  std::uint64_t m_token = 0;
+  std::vector<Command> m_commands;
+  /// Ended tasks up to this sequence number have been taken note of.
+  std::uint64_t m_endedSeen = 0;
+};
+
+enum class TaskOutcome : std::uint8_t
+{
+  Succeeded,
+  Failed,
+  Stopped,
+  Checkpointed,
+  LeaseExpired,
+};
+
+struct RunningTask
+{
+  TaskId m_task;
+  std::uint32_t m_attempt = 0;
+  Resources m_reserved;
+  Resources m_used; ///< measured, lags behind
+  bool m_throttled = false;
+};
+
+struct EndedTask
+{
+  std::uint64_t m_sequence = 0;
+  TaskId m_task;
+  std::uint32_t m_attempt = 0;
+  TaskOutcome m_outcome = TaskOutcome::Succeeded;
+};
+
+struct ControlReply
+{
+  /// False when the epoch or the token is too old; no command was carried out.
+  bool m_accepted = false;
+  Epoch m_epoch = 0; ///< highest epoch seen
+  std::uint64_t m_token = 0;
+  Resources m_capacity;
+  std::vector<RunningTask> m_running;
+  std::vector<EndedTask> m_ended; ///< in the order of sequence numbers
+};
+
+std::string
+EncodeRequest(const ControlRequest& aRequest);
+std::string
+EncodeReply(const ControlReply& aReply);
+/// Errors: `BadInput` with what is wrong in the body.
+Result<ControlRequest>
+DecodeRequest(const std::string& aBody);
+Result<ControlReply>
+DecodeReply(const std::string& aBody);
+
+} // namespace lacewing::worker
+
+template<>
+struct lacewing::EnumNames<lacewing::worker::CommandKind>
+{
+  using Kind = lacewing::worker::CommandKind;
+  static constexpr std::array kTable = {
+    std::pair{ Kind::Start, std::string_view("start") },
+    std::pair{ Kind::Stop, std::string_view("stop") },
+    std::pair{ Kind::Checkpoint, std::string_view("checkpoint") },
+    std::pair{ Kind::Throttle, std::string_view("throttle") },
+    std::pair{ Kind::Unthrottle, std::string_view("unthrottle") },
+  };
+};
+
+template<>
+struct lacewing::EnumNames<lacewing::worker::TaskOutcome>
+{
+  using Outcome = lacewing::worker::TaskOutcome;
+  static constexpr std::array kTable = {
+    std::pair{ Outcome::Succeeded, std::string_view("succeeded") },
+    std::pair{ Outcome::Failed, std::string_view("failed") },
+    std::pair{ Outcome::Stopped, std::string_view("stopped") },
+    std::pair{ Outcome::Checkpointed, std::string_view("checkpointed") },
+    std::pair{ Outcome::LeaseExpired, std::string_view("lease_expired") },
+  };
+};
--- /dev/null
+++ b/standins/Main.cpp
@@ -0,0 +1,88 @@
+/// Command line of the stand-ins.
+#include "Servers.h"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr const char* kUsage =
+  R"(Stand-ins for the platform, each a process of its own.
+
+Usage:
+  lacewing-standin table --listen=ADDR
+  lacewing-standin vmlist --listen=ADDR --file=FILE [--lag-ms=MS]
+  lacewing-standin worker --listen=ADDR [--millicores=N] [--memory-mib=N]
+                   [--accelerators=N] [--lease-ms=MS] [--fail]
+  lacewing-standin endpoint --listen=ADDR [--name=NAME] [--slots=N]
+                   [--service-ms=MS]
+
+Options:
+  --listen=ADDR      IP:PORT to listen on.
+  --file=FILE        JSON file with the initial VM list.
+  --lag-ms=MS        Lag of the VM list [default: 0].
+  --millicores=N     Processors of the worker in 1/1000 core [default: 32000].
+  --memory-mib=N     Memory of the worker in MiB [default: 131072].
+  --accelerators=N   Accelerators of the worker [default: 0].
+  --lease-ms=MS      Lease of the worker [default: 20000].
+  --fail             Every task on the worker fails.
+  --name=NAME        Name in the endpoint's answers [default: endpoint].
+  --slots=N          Requests that the endpoint runs at once [default: 8].
+  --service-ms=MS    Time to answer a request [default: 5].
+)";
+
+using lacewing::milliseconds;
+
+int
+Run(std::map<std::string, docopt::value>& aOptions)
+{
+  lacewing::net::Loop loop;
+  loop.OnSignal(SIGTERM, [&] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&] { loop.Stop(); });
+  return lacewing::leaf::try_handle_all(
+    [&]() -> lacewing::Result<int> {
+      BOOST_LEAF_AUTO(
+        listen, lacewing::net::ParseAddress(aOptions["--listen"].asString()));
+      if (aOptions["table"].asBool()) {
+        return lacewing::standin::RunTable(loop, listen);
+      }
+      if (aOptions["vmlist"].asBool()) {
+        return lacewing::standin::RunVmList(
+          loop,
+          listen,
+          aOptions["--file"].asString(),
+          milliseconds(aOptions["--lag-ms"].asLong()));
+      }
+      if (aOptions["worker"].asBool()) {
+        lacewing::standin::WorkerOptions worker;
+        worker.m_capacity = { aOptions["--millicores"].asLong(),
+                              aOptions["--memory-mib"].asLong(),
+                              aOptions["--accelerators"].asLong() };
+        worker.m_lease = milliseconds(aOptions["--lease-ms"].asLong());
+        worker.m_failEverything = aOptions["--fail"].asBool();
+        return lacewing::standin::RunWorker(loop, listen, worker);
+      }
+      lacewing::standin::EndpointOptions endpoint;
+      endpoint.m_name = aOptions["--name"].asString();
+      endpoint.m_slots = static_cast<int>(aOptions["--slots"].asLong());
+      endpoint.m_serviceTime = milliseconds(aOptions["--service-ms"].asLong());
+      return lacewing::standin::RunEndpoint(loop, listen, endpoint);
+    },
+    [](const lacewing::Error& aError) {
+      std::cerr << aError.m_message << "\n";
+      return 2;
+    },
+    [] { return 1; });
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  auto options =
+    docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "0.1.0");
+  return Run(options);
+}
--- /dev/null
+++ b/standins/Servers.h
@@ -0,0 +1,40 @@
+/// The stand-in processes: each serves one peer's protocol until it is stopped.
+#pragma once
+
+#include "WorkerModel.h"
+#include "net/Address.h"
+#include "net/Loop.h"
+
+#include <string>
+
+namespace lacewing::standin {
+
+/// Table service and, below /v1/objects/, object store.
+int
+RunTable(net::Loop& aLoop, const net::Address& aListen);
+
+/// VM list; starts with the list in the file (the body of GET /v1/vms).
+int
+RunVmList(net::Loop& aLoop,
+          const net::Address& aListen,
+          const std::string& aFile,
+          Duration aLag);
+
+int
+RunWorker(net::Loop& aLoop,
+          const net::Address& aListen,
+          const WorkerOptions& aOptions);
+
+struct EndpointOptions
+{
+  std::string m_name;
+  int m_slots = 8;
+  Duration m_serviceTime = milliseconds(5);
+};
+
+int
+RunEndpoint(net::Loop& aLoop,
+            const net::Address& aListen,
+            const EndpointOptions& aOptions);
+
+} // namespace lacewing::standin
--- /dev/null
+++ b/standins/WorkerModel.cpp
@@ -0,0 +1,174 @@
+#include "WorkerModel.h"
+
+#include <algorithm>
+
+namespace lacewing::standin {
+
+using worker::Command;
+using worker::CommandKind;
+using worker::ControlReply;
+using worker::ControlRequest;
+using worker::EndedTask;
+using worker::TaskOutcome;
+
+WorkerModel::WorkerModel(WorkerOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+ControlReply
+WorkerModel::Control(Time aNow, const ControlRequest& aRequest)
+{
+  Advance(aNow);
+  if (!Accepts(aNow, aRequest)) {
+    return Reply(false);
+  }
+  if (aRequest.m_epoch > m_epoch) {
+    // Adoption by the next owner: tokens of the previous one are void, so that
+    // its delayed commands cannot extend the lease.
+    m_epoch = aRequest.m_epoch;
+    m_issued.clear();
+    m_leaseEnd = std::max(m_leaseEnd, aNow + m_options.m_lease);
+  } else if (const auto issued = m_issued.find(aRequest.m_token);
+             issued != m_issued.end()) {
+    m_leaseEnd = std::max(m_leaseEnd, issued->second + m_options.m_lease);
+    m_issued.erase(m_issued.begin(), issued);
+  }
+  std::erase_if(m_ended, [&](const EndedTask& aTask) {
+    return aTask.m_sequence <= aRequest.m_endedSeen;
+  });
+  for (const Command& command : aRequest.m_commands) {
+    Carry(aNow, command);
+  }
+  m_issued[++m_token] = aNow;
+  return Reply(true);
+}
+
+void
+WorkerModel::Advance(Time aNow)
+{
+  std::vector<std::pair<TaskId, TaskOutcome>> ends;
+  for (const auto& [id, task] : m_tasks) {
+    if (task.m_end <= aNow && task.m_end <= m_leaseEnd) {
+      ends.emplace_back(id,
+                        m_options.m_failEverything ? TaskOutcome::Failed
+                                                   : TaskOutcome::Succeeded);
+    } else if (m_leaseEnd <= aNow) {
+      ends.emplace_back(id, TaskOutcome::LeaseExpired);
+    }
+  }
+  for (const auto& [id, outcome] : ends) {
+    End(id, outcome);
+  }
+}
+
+Resources
+WorkerModel::Reserved() const
+{
+  Resources sum;
+  for (const auto& [id, task] : m_tasks) {
+    sum += task.m_running.m_reserved;
+  }
+  return sum;
+}
+
+bool
+WorkerModel::LeaseValid(Time aNow) const
+{
+  return aNow < m_leaseEnd;
+}
+
+bool
+WorkerModel::Accepts(Time aNow, const ControlRequest& aRequest) const
+{
+  if (aRequest.m_epoch < m_epoch) {
+    return false;
+  }
+  if (aRequest.m_epoch > m_epoch) {
+    return true;
+  }
+  const auto issued = m_issued.find(aRequest.m_token);
+  return issued != m_issued.end() && aNow < issued->second + m_options.m_lease;
+}
+
+void
+WorkerModel::Carry(Time aNow, const Command& aCommand)
+{
+  if (aCommand.m_kind == CommandKind::Start) {
+    Start(aNow, aCommand);
+    return;
+  }
+  const auto found = m_tasks.find(aCommand.m_task);
+  if (found == m_tasks.end() ||
+      found->second.m_running.m_attempt != aCommand.m_attempt) {
+    return;
+  }
+  switch (aCommand.m_kind) {
+    case CommandKind::Stop:
+      End(aCommand.m_task, TaskOutcome::Stopped);
+      break;
+    case CommandKind::Checkpoint:
+      End(aCommand.m_task, TaskOutcome::Checkpointed);
+      break;
+    case CommandKind::Throttle:
+      found->second.m_running.m_throttled = true;
+      break;
+    case CommandKind::Unthrottle:
+      found->second.m_running.m_throttled = false;
+      break;
+    case CommandKind::Start:
+      break;
+  }
+}
+
+void
+WorkerModel::Start(Time aNow, const Command& aCommand)
+{
+  if (m_tasks.contains(aCommand.m_task)) {
+    return;
+  }
+  ++m_starts[aCommand.m_task];
+  Task task;
+  task.m_running.m_task = aCommand.m_task;
+  task.m_running.m_attempt = aCommand.m_attempt;
+  task.m_running.m_reserved = aCommand.m_reserved;
+  task.m_running.m_used = aCommand.m_reserved;
+  task.m_end = aNow;
+  if (!m_options.m_failEverything) {
+    task.m_end += milliseconds(aCommand.m_runMs);
+  }
+  m_tasks[aCommand.m_task] = task;
+}
+
+void
+WorkerModel::End(const TaskId& aTask, TaskOutcome aOutcome)
+{
+  const auto found = m_tasks.find(aTask);
+  EndedTask ended;
+  ended.m_sequence = ++m_endedSequence;
+  ended.m_task = aTask;
+  ended.m_attempt = found->second.m_running.m_attempt;
+  ended.m_outcome = aOutcome;
+  m_ended.push_back(ended);
+  m_tasks.erase(found);
+}
+
+ControlReply
+WorkerModel::Reply(bool aAccepted) const
+{
+  ControlReply reply;
+  reply.m_accepted = aAccepted;
+  reply.m_epoch = m_epoch;
+  if (!aAccepted) {
+    return reply;
+  }
+  reply.m_token = m_token;
+  reply.m_capacity = m_options.m_capacity;
+  for (const auto& [id, task] : m_tasks) {
+    reply.m_running.push_back(task.m_running);
+  }
+  reply.m_ended = m_ended;
+  return reply;
+}
+
+} // namespace lacewing::standin
--- /dev/null
+++ b/tests/fakes/FaultyNetwork.h
@@ -0,0 +1,90 @@
+/// Message passing between processes in a test, with faults on every link:
+/// loss, delay, duplication, reordering and cuts in one or both directions.
+#pragma once
+
+#include "fakes/ProcessSet.h"
+
+#include <random>
+#include <set>
+#include <utility>
+
+namespace lacewing::fakes {
+
+struct LinkFaults
+{
+  double m_loss = 0.0;        ///< probability that a message is lost
+  double m_duplication = 0.0; ///< probability that it arrives twice
+  Duration m_baseDelay = milliseconds(1);
+  /// A random extra delay up to this bound, which also reorders messages.
+  Duration m_jitter{};
+};
+
+class FaultyNetwork
+{
+public:
+  FaultyNetwork(EventQueue& aQueue, ProcessSet& aProcesses, std::uint64_t aSeed)
+    : m_queue(aQueue)
+    , m_processes(aProcesses)
+    , m_random(aSeed)
+  {
+  }
+
+  LinkFaults& Faults() { return m_faults; }
+
+  /// Cuts or restores the direction from one VM to another.
+  void SetCut(const VmId& aFrom, const VmId& aTo, bool aCut)
+  {
+    if (aCut) {
+      m_cuts.emplace(aFrom, aTo);
+    } else {
+      m_cuts.erase({ aFrom, aTo });
+    }
+  }
+
+  bool IsCut(const VmId& aFrom, const VmId& aTo) const
+  {
+    return m_cuts.contains({ aFrom, aTo });
+  }
+
+  /// Calls the function in the receiving process when the message arrives. A
+  /// message that is under way when the link is cut is lost.
+  void Send(const VmId& aFrom,
+            const VmId& aTo,
+            const std::function<void()>& aArrive)
+  {
+    const int copies = Chance(m_faults.m_duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (Chance(m_faults.m_loss)) {
+        continue;
+      }
+      m_queue.After(NextDelay(), [this, aFrom, aTo, aArrive] {
+        if (!IsCut(aFrom, aTo)) {
+          m_processes.Deliver(
+            aTo, m_processes.CurrentIncarnation(aTo), aArrive);
+        }
+      });
+    }
+  }
+
+private:
+  bool Chance(double aProbability)
+  {
+    return std::uniform_real_distribution<>(0.0, 1.0)(m_random) < aProbability;
+  }
+
+  Duration NextDelay()
+  {
+    const auto bound = m_faults.m_jitter.count();
+    const auto extra =
+      std::uniform_int_distribution<Duration::rep>(0, bound)(m_random);
+    return m_faults.m_baseDelay + Duration(extra);
+  }
+
+  EventQueue& m_queue;
+  ProcessSet& m_processes;
+  std::mt19937_64 m_random;
+  LinkFaults m_faults;
+  std::set<std::pair<VmId, VmId>> m_cuts;
+};
+
+} // namespace lacewing::fakes
