Add load tool with both users' mixes

Cause: nothing drove the running processes under load or checked their answers. Change: lacewing-load sends seeded open-loop arrivals, repeats by idempotency key through other entry daemons, compares answers and verdicts with what the stand-in endpoints and workers counted, and writes text, JSON and an SVG plot.

--- /dev/null
+++ b/src/load/LoadRunner.h
@@ -0,0 +1,106 @@
+/// Sends one user's mix to the running entry daemons, open loop with seeded
+/// arrivals, and checks every answer and verdict against what the stand-ins
+/// counted.
+#pragma once
+
+#include "load/LoadReport.h"
+#include "load/Mix.h"
+#include "net/HttpClient.h"
+
+#include <random>
+#include <unordered_map>
+
+namespace lacewing::load {
+
+struct LoadOptions
+{
+  std::vector<net::Address> m_entries;
+  /// Stand-in endpoints, whose counts of executions are checked at the end.
+  std::vector<net::Address> m_endpoints;
+  /// Stand-in workers, whose counts of task starts are checked at the end.
+  std::vector<net::Address> m_workers;
+  /// Sends service requests straight to the endpoints, as a baseline.
+  bool m_direct = false;
+  std::string m_key;
+  double m_requestsPerSecond = 100.0;
+  double m_jobsPerSecond = 0.0;
+  Duration m_duration = seconds(10);
+  std::uint64_t m_seed = 1;
+};
+
+class LoadRunner
+{
+public:
+  LoadRunner(net::Loop& aLoop, Mix aMix, LoadOptions aOptions);
+
+  /// Runs until every request has ended and every job is over or was waited
+  /// for long enough.
+  LoadReport Run();
+
+private:
+  enum class Ending : std::uint8_t
+  {
+    Open,
+    Answered,
+    NotRun,
+    MayHaveRun,
+  };
+
+  struct RequestState
+  {
+    const RequestKind* m_kind = nullptr;
+    Time m_sent{};
+    int m_sends = 0;
+    Ending m_ending = Ending::Open;
+  };
+
+  struct JobState
+  {
+    const JobKindShare* m_kind = nullptr;
+    Time m_sent{};
+    int m_sends = 0;
+    std::string m_id; ///< empty until accepted
+    bool m_over = false;
+  };
+
+  void ScheduleArrivals();
+  void StartRequest();
+  void SendRequest(const std::string& aToken);
+  void OnAnswer(const std::string& aToken, const net::HttpOutcome& aOutcome);
+  void FinishAnswered(const std::string& aToken,
+                      const net::HttpResponse& aResponse);
+  void FinishFailed(const std::string& aToken, const Error& aError);
+  bool MayRepeat(const RequestState& aRequest, const Error& aError) const;
+
+  void StartJob();
+  void SendJob(const std::string& aToken);
+  void OnJobAnswer(const std::string& aToken, const net::HttpOutcome& aOutcome);
+  void PollJobs();
+  void OnJobStatus(const std::string& aToken, const net::HttpOutcome& aOutcome);
+
+  void FinishWhenDone();
+  void CheckExecutions();
+  void CheckTaskStarts();
+  void CheckToken(const std::string& aToken,
+                  const RequestState& aRequest,
+                  int aExecutions);
+  void Violation(std::uint64_t& aCounter, std::string aDetail);
+  const net::Address& NextTarget(bool aDirect);
+  double Uniform();
+
+  net::Loop& m_loop;
+  net::HttpClient m_http;
+  Mix m_mix;
+  LoadOptions m_options;
+  LoadReport m_report;
+  std::mt19937_64 m_random;
+  Time m_start{};
+  bool m_arrivalsOver = false;
+  std::uint64_t m_nextToken = 1;
+  std::size_t m_openRequests = 0;
+  std::size_t m_openJobs = 0;
+  std::unordered_map<std::string, RequestState> m_requests;
+  std::unordered_map<std::string, JobState> m_jobs;
+};
+
+} // namespace lacewing::load
--- a/standins/EndpointServer.cpp
+++ b/standins/EndpointServer.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
+constexpr std::size_t kMaxCountedBytes = 64;
+
 /// A service's runner: answers each request after the service time and counts
-/// the executions of each request id.
+/// the executions of each request body.
 class EndpointServer
 {
 public:
@@ -62,7 +64,8 @@
     }
     ++m_busy;
     m_maxBusy = std::max(m_maxBusy, m_busy);
-    ++m_executions[aRequest.Header("X-Request-Id")];
+    // Counted by the body, which stays the same over all attempts.
+    ++m_executions[aRequest.m_body.substr(0, kMaxCountedBytes)];
     const nlohmann::json body = { { "endpoint", m_options.m_name },
                                   { "path", aRequest.m_path },
                                   { "echo", aRequest.m_body } };
