--- a/src/caller/CallerRequest.h
+++ b/src/caller/CallerRequest.h
@@ -2,8 +2,8 @@
 /// class.
 #pragma once
 
-#include "core/EnumNames.h"
 #include "core/Ids.h"
+#include "core/RequestClass.h"
 #include "core/Time.h"
 #include "core/Verdict.h"
 #include "net/HttpMessage.h"
@@ -13,13 +13,6 @@
 
 namespace lacewing::caller {
 
-enum class RequestClass : std::uint8_t
-{
-  Urgent,
-  Interactive,
-  Patient,
-};
-
 /// What every request of a caller carries in its headers.
 struct CallerContext
 {
@@ -42,14 +35,3 @@
 ParseContext(const net::HttpRequest& aRequest);
 
 } // namespace lacewing::caller
-
-template<>
-struct lacewing::EnumNames<lacewing::caller::RequestClass>
-{
-  using Class = lacewing::caller::RequestClass;
-  static constexpr std::array kTable = {
-    std::pair{ Class::Urgent, std::string_view("urgent") },
-    std::pair{ Class::Interactive, std::string_view("interactive") },
-    std::pair{ Class::Patient, std::string_view("patient") },
-  };
-};
--- a/src/caller/JobSpec.h
+++ b/src/caller/JobSpec.h
@@ -30,6 +30,8 @@
   Resources m_perTask{ 1000, 1024, 0 };
   std::int64_t m_runMs = 1000; ///< declared run time of a task
   RegionId m_region;           ///< preferred region; empty for any
+
+  bool operator==(const JobSpec&) const = default;
 };
 
 inline constexpr std::uint32_t kMaxTasksPerJob = 10'000;
--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -1,427 +1,751 @@
 #include "daemon/EntryDaemon.h"
 
+#include "daemon/PeerPayloads.h"
+
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
-#include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 
 namespace lacewing::daemon {
 
 namespace {
 
-constexpr Duration kCallTimeout = seconds(5);
-constexpr Duration kPollPeriod = seconds(1);
-constexpr Duration kControlPeriod = milliseconds(100);
+using observe::EventKind;
+using observe::Metric;
+
+constexpr Duration kOwnershipPeriod = milliseconds(50);
+constexpr Duration kOwnerPeriod = milliseconds(5);
+constexpr Duration kAllotmentPeriod = milliseconds(200);
+constexpr Duration kHeartbeatPeriod = milliseconds(500);
+constexpr Duration kSlowPeriod = seconds(1);
+constexpr Duration kVmListTimeout = seconds(1);
+/// How long a drained slice is reported as free to its next owner.
+constexpr int kDrainReports = 6;
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+/// Requests beyond the present ones for which a team with traffic keeps an
+/// allotment, so that the next request need not wait for the table.
+constexpr int kRequestHeadroom = 4;
+constexpr std::int64_t kMillicoresPerCore = 1000;
+
+peer::HandshakeConfig
+HandshakeOf(const Runtime& aRuntime,
+            const settings::Bootstrap& aConfig,
+            const std::string& aSecret)
+{
+  peer::HandshakeConfig config;
+  config.m_cluster = aConfig.m_cluster;
+  config.m_secret = aSecret;
+  config.m_self = { aConfig.m_vm, aRuntime.ProcessIncarnation() };
+  return config;
+}
+
+peer::PeerClientOptions
+ClientOptions(Runtime& aRuntime, const std::string& aSecret)
+{
+  peer::PeerClientOptions options;
+  options.m_handshake = HandshakeOf(aRuntime, aRuntime.Config(), aSecret);
+  options.m_jitterSeed = aRuntime.Random();
+  return options;
+}
+
+peer::PeerServerOptions
+ServerOptions(const Runtime& aRuntime,
+              const settings::Bootstrap& aConfig,
+              const std::string& aSecret)
+{
+  peer::PeerServerOptions options;
+  options.m_handshake = HandshakeOf(aRuntime, aConfig, aSecret);
+  return options;
+}
+
+std::set<VmId>
+WorkersOf(const vmlist::Slice& aSlice)
+{
+  std::set<VmId> workers;
+  if (aSlice.m_kind == vmlist::SliceKind::Workers) {
+    for (const vmlist::Vm& vm : aSlice.m_vms) {
+      workers.insert(vm.m_vm);
+    }
+  }
+  return workers;
+}
 
-std::string
-Sha256Hex(const std::string& aText)
+ownership::VmListView
+ToView(Time aAsked,
+       const std::vector<vmlist::Vm>& aVms,
+       const std::map<SliceId, vmlist::Slice>& aSlices)
 {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  EVP_Digest(
-    aText.data(), aText.size(), digest.data(), &size, EVP_sha256(), nullptr);
-  std::string hex;
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  for (unsigned int i = 0; i < size; ++i) {
-    hex.push_back(kDigits[digest.at(i) >> 4U]);
-    hex.push_back(kDigits[digest.at(i) & 0xFU]);
+  ownership::VmListView view;
+  view.m_asked = aAsked;
+  for (const vmlist::Vm& vm : aVms) {
+    if (vm.m_kind == vmlist::VmKind::Entry) {
+      view.m_entryVms.insert(vm.m_vm);
+    }
   }
-  return hex;
+  for (const auto& [id, slice] : aSlices) {
+    view.m_slices.push_back({ id, slice.m_region, WorkersOf(slice) });
+  }
+  return view;
 }
 
-std::string
-Hex(std::uint64_t aValue)
+std::map<std::string, std::int64_t>
+ToRowCounts(const routing::BusyCounts& aCounts)
 {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%016llx",
-                static_cast<unsigned long long>(aValue));
-  return text.data();
+  std::map<std::string, std::int64_t> busy;
+  for (const auto& [vm, count] : aCounts.m_byEndpoint) {
+    busy[vm.Value()] = count;
+  }
+  return busy;
 }
 
 } // namespace
 
-EntryDaemon::EntryDaemon(net::Loop& aLoop, DaemonConfig aConfig)
-  : m_loop(aLoop)
-  , m_config(std::move(aConfig))
-  , m_http(aLoop)
-  , m_table(m_http, m_config.m_table)
-  , m_vmList(m_http, m_config.m_vmList)
-  , m_workers(m_http)
-  , m_callers(
+EntryDaemon::EntryDaemon(net::Loop& aLoop,
+                         const settings::Bootstrap& aBootstrap,
+                         const std::string& aClusterSecret)
+  : m_runtime(aLoop, aBootstrap)
+  , m_peerClient(aLoop, ClientOptions(m_runtime, aClusterSecret))
+  , m_membership(
+      m_runtime,
+      m_peerClient,
+      { [this](const auto& aEvent) { OnOwnershipEvent(aEvent); },
+        [this](const ownership::WorkerSend& aSend) {
+          const auto owner = m_workerOwners.find(aSend.m_request.m_slice);
+          if (owner != m_workerOwners.end()) {
+            owner->second->SendControl(aSend.m_worker, aSend.m_request);
+          }
+        },
+        [this] { return m_settings.GivePromise(); },
+        [this](Time aSentAt, const VmId& aFrom, const auto& aPromise) {
+          m_settings.OnPromise(aSentAt, aFrom, aPromise);
+        } })
+  , m_settings(m_runtime,
+               m_membership,
+               [this](const auto& aEffect) { OnSettingsInForce(aEffect); })
+  , m_requests({ m_runtime, m_membership, m_settings, m_loads, m_slices },
+               [this](const SliceId& aSlice) -> ServiceSliceOwner* {
+                 const auto owner = m_serviceOwners.find(aSlice);
+                 return owner == m_serviceOwners.end() ? nullptr
+                                                       : owner->second.get();
+               })
+  , m_jobs({ m_runtime, m_membership, m_settings, m_loads, m_slices },
+           [this](const SliceId& aSlice) {
+             const auto owner = m_workerOwners.find(aSlice);
+             return owner == m_workerOwners.end() ? nullptr : owner->second;
+           })
+  , m_operators({ m_runtime, m_membership, m_settings, m_loads, m_slices },
+                [this] { BeginDrain(); })
+  , m_limits({ m_runtime, m_membership, m_settings, m_loads, m_slices })
+  , m_callerServer(
       aLoop,
       {},
       [this](const net::HttpRequest& aRequest, const net::HttpReply& aReply) {
         HandleCaller(aRequest, aReply);
       })
-  , m_peers(
+  , m_peerServer(
       aLoop,
-      {},
-      [this](const net::HttpRequest& aRequest, const net::HttpReply& aReply) {
-        HandlePeer(aRequest, aReply);
+      ServerOptions(m_runtime, aBootstrap, aClusterSecret),
+      [this](const peer::PeerIdentity& aFrom,
+             const peer::PeerMessage& aMessage,
+             const peer::PeerReply& aReply) {
+        HandlePeer(aFrom, aMessage, aReply);
       })
-  , m_random(std::random_device()())
 {
 }
 
 Result<void>
 EntryDaemon::Start()
 {
-  BOOST_LEAF_CHECK(m_peers.Listen(m_config.m_peerListen));
-  BOOST_LEAF_CHECK(m_callers.Listen(m_config.m_listen));
+  BOOST_LEAF_CHECK(m_peerServer.Listen(m_runtime.Config().m_peers));
+  BOOST_LEAF_CHECK(m_callerServer.Listen(m_runtime.Config().m_callers));
+  net::Loop& loop = m_runtime.Loop();
   PollVmList();
-  m_loop.Every(kPollPeriod, [this] { PollVmList(); });
-  m_loop.Every(kControlPeriod, [this] {
-    PlaceTasks();
-    ControlWorkers();
+  m_settings.Start();
+  loop.Every(kOwnershipPeriod, [this] { TickOwnership(); });
+  loop.Every(kOwnerPeriod, [this] { TickOwners(); });
+  loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
+  loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
+  loop.Every(kSlowPeriod, [this] {
+    PollVmList();
+    m_jobs.Tick();
+    m_limits.Tick();
+    UpdateMetrics();
+    LogState();
   });
   return {};
 }
 
+void
+EntryDaemon::BeginDrain()
+{
+  if (!m_stopping) {
+    m_stopping = true;
+    m_membership.RequestShutdown();
+  }
+}
+
 void
 EntryDaemon::HandleCaller(const net::HttpRequest& aRequest,
                           const net::HttpReply& aReply)
 {
+  if (RouteProbe(aRequest, aReply)) {
+    return;
+  }
   leaf::try_handle_all(
     [&] { return Route(aRequest, aReply); },
     [&](const Error& aError) { aReply(net::ErrorResponse(aError)); },
     [&] { aReply(net::ErrorResponse({})); });
 }
 
+bool
+EntryDaemon::RouteProbe(const net::HttpRequest& aRequest,
+                        const net::HttpReply& aReply) const
+{
+  if (aRequest.m_path == "/healthz") {
+    aReply(net::JsonResponse(kOk, "{}"));
+    return true;
+  }
+  if (aRequest.m_path == "/readyz") {
+    aReply(net::JsonResponse(IsReady() ? kOk : kUnavailable, "{}"));
+    return true;
+  }
+  if (aRequest.m_path == "/metrics") {
+    net::HttpResponse response;
+    response.m_headers["Content-Type"] = "text/plain; version=0.0.4";
+    response.m_body =
+      const_cast<EntryDaemon*>(this)->m_runtime.Metrics().Text();
+    aReply(response);
+    return true;
+  }
+  return false;
+}
+
+bool
+EntryDaemon::IsReady() const
+{
+  return !m_stopping && m_membership.Machine().IsActive() &&
+         m_settings.Store().Ready() && !m_slices.empty();
+}
+
 Result<void>
 EntryDaemon::Route(const net::HttpRequest& aRequest,
                    const net::HttpReply& aReply)
+{
+  if (OperatorApi::Handles(aRequest)) {
+    return m_operators.Serve(aRequest, aReply);
+  }
+  if (!m_settings.Store().Ready()) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::Unavailable,
+                "this entry daemon is starting and has no settings yet");
+  }
+  const auto parts = aRequest.PathParts();
+  const bool isV1 = parts.size() >= 2 && parts[0] == "v1";
+  if (isV1 && parts[1] == "services" && parts.size() == 4 &&
+      aRequest.m_method == "POST") {
+    return m_requests.Serve(aRequest, aReply);
+  }
+  if (isV1 && parts[1] == "jobs") {
+    return RouteJob(aRequest, aReply);
+  }
+  return Fail(Verdict::NotRun,
+              ErrorCode::NotFound,
+              "no such path: " + aRequest.m_method + " " + aRequest.m_path);
+}
+
+Result<void>
+EntryDaemon::RouteJob(const net::HttpRequest& aRequest,
+                      const net::HttpReply& aReply)
 {
   const auto parts = aRequest.PathParts();
-  if (aRequest.m_path == "/healthz" || aRequest.m_path == "/readyz") {
-    aReply(net::JsonResponse(m_slices.empty() ? 503 : 200, "{}"));
-    return {};
+  const std::string& method = aRequest.m_method;
+  if (parts.size() == 2 && method == "POST") {
+    return m_jobs.Submit(aRequest, aReply);
+  }
+  if (parts.size() == 3 && method == "GET") {
+    return m_jobs.Ask(aRequest, JobQuestion::Status, aReply);
   }
-  if (parts.size() == 4 && parts[1] == "services") {
-    return ServeRequest(aRequest, aReply);
+  if (parts.size() == 3 && method == "DELETE") {
+    return m_jobs.Ask(aRequest, JobQuestion::Cancel, aReply);
   }
-  if (parts.size() == 2 && parts[1] == "jobs" && aRequest.m_method == "POST") {
-    return ServeSubmit(aRequest, aReply);
+  if (parts.size() == 4 && parts[3] == "explain") {
+    return m_jobs.Ask(aRequest, JobQuestion::Explain, aReply);
   }
-  if (parts.size() == 3 && parts[1] == "jobs") {
-    return ServeStatus(aRequest, aReply);
+  if (parts.size() == 4 && parts[3] == "run-again" && method == "POST") {
+    return m_jobs.Ask(aRequest, JobQuestion::RunAgain, aReply);
   }
-  return Fail(
-    Verdict::NotRun, ErrorCode::NotFound, "no such path: " + aRequest.m_path);
+  if (parts.size() == 4 && parts[3] == "give-up" && method == "POST") {
+    return m_jobs.Ask(aRequest, JobQuestion::GiveUp, aReply);
+  }
+  return Fail(Verdict::NotRun,
+              ErrorCode::NotFound,
+              "no such path: " + method + " " + aRequest.m_path);
 }
 
-Result<TeamId>
-EntryDaemon::TeamOf(const std::string& aKey) const
+void
+EntryDaemon::HandlePeer(const peer::PeerIdentity& aFrom,
+                        const peer::PeerMessage& aMessage,
+                        const peer::PeerReply& aReply)
 {
-  const std::string digest = Sha256Hex(aKey);
-  for (const TeamKeyDigest& key : m_config.m_keys) {
-    if (key.m_sha256 == digest) {
-      return key.m_team;
+  if (const auto* opaque = std::get_if<peer::Opaque>(&aMessage)) {
+    HandleOpaque(aFrom.m_vm, *opaque);
+    aReply(peer::Acknowledgement());
+  } else if (const auto* beat = std::get_if<peer::Heartbeat>(&aMessage)) {
+    m_loads.OnHeartbeat(net::Loop::Now(), *beat);
+    for (const peer::EarlierOwnerBusy& busy : beat->m_busy) {
+      const auto owner = m_serviceOwners.find(busy.m_slice);
+      if (owner != m_serviceOwners.end()) {
+        owner->second->OnEarlierOwner(busy.m_endpoint, busy.m_slots);
+      }
     }
+    aReply(peer::Acknowledgement());
+  } else if (const auto* forward =
+               std::get_if<peer::ForwardRequest>(&aMessage)) {
+    HandleForward(aFrom, *forward, aReply);
+  } else if (const auto* submit = std::get_if<peer::SubmitJob>(&aMessage)) {
+    aReply(m_jobs.OnSubmitJob(*submit));
+  } else if (const auto* query = std::get_if<peer::QueryJob>(&aMessage)) {
+    aReply(m_jobs.OnQuestion(query->m_body));
+  } else {
+    aReply(peer::Refusal{ { Verdict::NotRun,
+                            ErrorCode::BadInput,
+                            "no daemon handles messages of this kind" } });
   }
-  return Fail(Verdict::NotRun,
-              ErrorCode::Unauthenticated,
-              "the request's key is missing or unknown");
 }
 
-Result<void>
-EntryDaemon::ServeRequest(const net::HttpRequest& aRequest,
-                          const net::HttpReply& aReply)
+void
+EntryDaemon::HandleOpaque(const VmId& aFrom, const peer::Opaque& aMessage)
 {
-  BOOST_LEAF_AUTO(context, caller::ParseContext(aRequest));
-  BOOST_LEAF_CHECK(TeamOf(context.m_key));
-  const auto parts = aRequest.PathParts();
-  std::vector<SliceId> candidates;
-  for (const auto& [id, slice] : m_slices) {
-    if (slice.m_kind == vmlist::SliceKind::Service &&
-        slice.m_service.Value() == parts[2]) {
-      candidates.push_back(id);
+  leaf::try_handle_all(
+    [&]() -> Result<void> {
+      if (aMessage.m_kind == kOwnershipKind) {
+        BOOST_LEAF_AUTO(message, UnpackOwnership(aMessage.m_text));
+        m_membership.OnPeerMessage(aFrom, message);
+      } else if (aMessage.m_kind == kSettingsKind) {
+        BOOST_LEAF_AUTO(message, UnpackSettings(aMessage.m_text));
+        m_settings.OnPeerMessage(aFrom, message);
+      } else {
+        m_runtime.Metrics().Add(Metric::PeerRefusals, { "unknown_kind" });
+      }
+      return {};
+    },
+    [&] {
+      m_runtime.Metrics().Add(Metric::PeerRefusals, { "malformed_payload" });
+    });
+}
+
+void
+EntryDaemon::HandleForward(const peer::PeerIdentity& aFrom,
+                           const peer::ForwardRequest& aMessage,
+                           const peer::PeerReply& aReply)
+{
+  const auto owner = m_serviceOwners.find(aMessage.m_slice);
+  if (owner == m_serviceOwners.end() ||
+      !m_membership.Machine().MayAct(net::Loop::Now(), aMessage.m_slice)) {
+    aReply(peer::Refusal{ { Verdict::NotRun,
+                            ErrorCode::NotOwner,
+                            "slice " + aMessage.m_slice.Value() +
+                              " is not owned here" } });
+    return;
+  }
+  OwnedRequest owned;
+  owned.m_request.m_id = { aFrom.m_vm,
+                           aFrom.m_incarnation,
+                           aMessage.m_number };
+  owned.m_request.m_team = aMessage.m_team;
+  owned.m_request.m_class = aMessage.m_class;
+  owned.m_request.m_deadline = net::Loop::Now() + aMessage.m_remaining;
+  owned.m_request.m_idempotent = aMessage.m_idempotent;
+  owned.m_method = aMessage.m_method;
+  owned.m_body = aMessage.m_body;
+  owner->second->Admit(owned, [aReply](const routing::OwnerReply& aOwnerReply) {
+    aReply(ToPeerAnswer(aOwnerReply));
+  });
+}
+
+void
+EntryDaemon::PollVmList()
+{
+  const Time asked = net::Loop::Now();
+  m_runtime.VmList().Fetch(
+    kVmListTimeout,
+    [this, asked](const std::optional<std::vector<vmlist::Vm>>& aVms) {
+      if (aVms) {
+        TakeVmList(asked, *aVms);
+      }
+    });
+}
+
+void
+EntryDaemon::TakeVmList(Time aAsked, const std::vector<vmlist::Vm>& aVms)
+{
+  m_slices = vmlist::DivideIntoSlices(aVms, {});
+  m_membership.OnVmList(ToView(aAsked, aVms, m_slices));
+  for (const auto& [id, owner] : m_workerOwners) {
+    const auto slice = m_slices.find(id);
+    if (slice != m_slices.end()) {
+      owner->UpdateWorkers(slice->second.m_vms);
     }
   }
-  if (candidates.empty()) {
-    return Fail(
-      Verdict::NotRun, ErrorCode::NotFound, "no such service: " + parts[2]);
+  for (const auto& [id, owner] : m_serviceOwners) {
+    const auto slice = m_slices.find(id);
+    owner->UpdateEndpoints(slice == m_slices.end()
+                             ? std::vector<vmlist::Vm>()
+                             : slice->second.m_vms);
   }
-  const auto isRemote = [this](const SliceId& aSlice) {
-    return m_slices.at(aSlice).m_region != m_config.m_region;
-  };
-  const auto own =
-    std::partition(candidates.begin(), candidates.end(), std::not_fn(isRemote));
-  const auto count = own == candidates.begin()
-                       ? candidates.size()
-                       : static_cast<std::size_t>(own - candidates.begin());
-  const SliceId& slice = candidates[m_random() % count];
-  net::HttpRequest forward;
-  forward.m_method = "POST";
-  forward.m_path = "/peer/service/" + slice.Value() + "/" + parts[3];
-  forward.m_headers["X-Request-Id"] = context.m_idempotencyKey.empty()
-                                        ? Hex(m_random())
-                                        : context.m_idempotencyKey;
-  forward.m_body = aRequest.m_body;
-  ForwardTo(slice, forward, aReply);
-  return {};
 }
 
-Result<void>
-EntryDaemon::ServeSubmit(const net::HttpRequest& aRequest,
-                         const net::HttpReply& aReply)
-{
-  BOOST_LEAF_AUTO(context, caller::ParseContext(aRequest));
-  BOOST_LEAF_CHECK(TeamOf(context.m_key));
-  BOOST_LEAF_AUTO(spec, caller::DecodeJobSpec(aRequest.m_body));
-  SliceId slice;
-  for (const auto& [id, candidate] : m_slices) {
-    if (candidate.m_kind == vmlist::SliceKind::Workers) {
-      slice = id;
+void
+EntryDaemon::OnOwnershipEvent(const ownership::OwnershipEvent& aEvent)
+{
+  using ownership::EventKind;
+  m_runtime.Record({ {},
+                     0,
+                     "",
+                     observe::EventKind::MemberState,
+                     {},
+                     "",
+                     {},
+                     aEvent.m_worker,
+                     std::string(NameOf(aEvent.m_kind)) + " " +
+                       aEvent.m_slice.Value() + " epoch " +
+                       std::to_string(aEvent.m_epoch) });
+  switch (aEvent.m_kind) {
+    case EventKind::SliceClaimed:
+      Claim(aEvent.m_slice, aEvent.m_epoch);
+      break;
+    case EventKind::SliceOpened: {
+      const auto owner = m_workerOwners.find(aEvent.m_slice);
+      if (owner != m_workerOwners.end()) {
+        owner->second->OnOpened();
+      }
       break;
     }
-  }
-  if (slice.empty()) {
-    return Fail(Verdict::NotRun, ErrorCode::Unavailable, "no workers known");
-  }
-  const std::string id = slice.Value() + "." + Hex(m_random());
-  net::HttpRequest forward;
-  forward.m_method = "POST";
-  forward.m_path = "/peer/jobs/" + slice.Value() + "/" + id;
-  forward.m_body = caller::EncodeJobSpec(spec);
-  table::Commit commit;
-  const std::string row = "job/" + slice.Value() + "/" + id;
-  commit.m_checks.push_back({ row, 0 });
-  commit.m_puts.push_back({ row, forward.m_body });
-  m_table.Submit(
-    commit,
-    kCallTimeout,
-    [this, slice, forward, aReply](const table::CommitResult& aResult) {
-      if (aResult.m_state == table::CommitState::Committed) {
-        ForwardTo(slice, forward, aReply);
-        return;
+    case EventKind::SliceLost:
+      DropSlice(aEvent.m_slice);
+      break;
+    case EventKind::WorkerLost: {
+      const auto owner = m_workerOwners.find(aEvent.m_slice);
+      if (owner != m_workerOwners.end()) {
+        owner->second->OnWorkerLost(aEvent.m_worker);
       }
-      aReply(net::ErrorResponse({ Verdict::MayHaveRun,
-                                  ErrorCode::StoreUnavailable,
-                                  "the job was not recorded" }));
-    });
-  return {};
+      break;
+    }
+    case EventKind::VmListWanted:
+      PollVmList();
+      break;
+    case EventKind::Stopped:
+      m_stopped = true;
+      break;
+    case EventKind::BecameActive:
+    case EventKind::AuthorityEnded:
+    case EventKind::Deposed:
+    case EventKind::WorkerAdopted:
+      break;
+  }
 }
 
-Result<void>
-EntryDaemon::ServeStatus(const net::HttpRequest& aRequest,
-                         const net::HttpReply& aReply)
-{
-  const std::string id = aRequest.PathParts()[2];
-  const SliceId slice(id.substr(0, id.find('.')));
-  net::HttpRequest forward;
-  forward.m_method = "GET";
-  forward.m_path = "/peer/jobs/" + slice.Value() + "/" + id;
-  ForwardTo(slice, forward, aReply);
-  return {};
+void
+EntryDaemon::Claim(const SliceId& aSlice, Epoch aEpoch)
+{
+  const auto slice = m_slices.find(aSlice);
+  if (slice == m_slices.end()) {
+    return;
+  }
+  m_runtime.Metrics().Add(Metric::OwnershipChanges, { "claimed" });
+  if (slice->second.m_kind == vmlist::SliceKind::Workers) {
+    ClaimWorkers(slice->second, aEpoch);
+  } else {
+    ClaimService(slice->second, aEpoch);
+  }
+  ApplyTeams();
 }
 
 void
-EntryDaemon::HandlePeer(const net::HttpRequest& aRequest,
-                        const net::HttpReply& aReply)
+EntryDaemon::ClaimWorkers(const vmlist::Slice& aSlice, Epoch aEpoch)
 {
-  const auto parts = aRequest.PathParts();
-  if (parts.size() == 4 && parts[1] == "service") {
-    Dispatch(aRequest, aReply);
-    return;
+  const SliceId id = aSlice.m_id;
+  SliceAuthority authority;
+  authority.m_mayAct = [this, id] {
+    return m_membership.Machine().MayAct(net::Loop::Now(), id);
+  };
+  authority.m_workerToken = [this, id](const VmId& aWorker) {
+    return m_membership.Machine().WorkerToken(id, aWorker);
+  };
+  authority.m_onReply = [this, id](const VmId& aWorker,
+                                   const worker::ControlReply& aReply) {
+    m_membership.OnWorkerReply(id, aWorker, aReply);
+  };
+  auto owner =
+    std::make_shared<WorkerSliceOwner>(m_runtime, id, aEpoch, authority);
+  m_workerOwners[id] = owner;
+  owner->UpdateWorkers(aSlice.m_vms);
+  owner->LoadJobs();
+}
+
+void
+EntryDaemon::ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch)
+{
+  auto owner = std::make_shared<ServiceSliceOwner>(
+    m_runtime, aSlice.m_id, aEpoch, routing::RouterOptions());
+  m_serviceOwners[aSlice.m_id] = owner;
+  routing::BusyCounts inherited;
+  for (const auto& [vm, count] :
+       m_membership.Machine().InheritedBusy(aSlice.m_id)) {
+    inherited.m_byEndpoint[VmId(vm)] = static_cast<int>(count);
   }
-  const JobId id(parts.back());
-  if (aRequest.m_method == "POST") {
-    const auto spec = caller::DecodeJobSpec(aRequest.m_body);
-    m_jobs[id] = JobState{ *spec };
-    for (std::uint32_t index = 0; index < spec->m_tasks; ++index) {
-      m_queue.push_back({ id, index });
+  owner->SetAuthorityEnd(m_membership.Machine().Authority(net::Loop::Now()));
+  owner->Adopt(inherited);
+  owner->UpdateEndpoints(aSlice.m_vms);
+}
+
+void
+EntryDaemon::DropSlice(const SliceId& aSlice)
+{
+  m_runtime.Metrics().Add(Metric::OwnershipChanges, { "lost" });
+  m_workerOwners.erase(aSlice);
+  auto service = m_serviceOwners.extract(aSlice);
+  if (!service.empty()) {
+    service.mapped()->BeginDrain();
+    m_draining.push_back({ service.mapped(), kDrainReports });
+  }
+}
+
+void
+EntryDaemon::ApplyTeams()
+{
+  const auto& tree = m_settings.Tree();
+  for (const TeamId& team : tree.Teams()) {
+    const auto settings = tree.Team(team);
+    if (!settings) {
+      continue;
+    }
+    for (const auto& [id, owner] : m_workerOwners) {
+      owner->SetTeam(team, *settings);
+    }
+    for (const auto& [id, owner] : m_serviceOwners) {
+      owner->SetTeam(team, *settings);
     }
-    const nlohmann::json body = { { "job", id.Value() } };
-    aReply(net::JsonResponse(202, body.dump()));
-    return;
   }
-  const auto job = m_jobs.find(id);
-  if (job == m_jobs.end()) {
-    aReply(net::ErrorResponse(
-      { Verdict::NotRun, ErrorCode::NotFound, "no such job" }));
-    return;
+}
+
+void
+EntryDaemon::OnSettingsInForce(const settings::InForceEffect& aEffect)
+{
+  if (aEffect.m_subtree.starts_with(settings::kTeamPrefix)) {
+    m_limits.OnTeamChanged(
+      TeamId(aEffect.m_subtree.substr(settings::kTeamPrefix.size())));
+    ApplyTeams();
   }
-  const nlohmann::json body = { { "job", id.Value() },
-                                { "tasks", job->second.m_spec.m_tasks },
-                                { "started", job->second.m_started },
-                                { "ended", job->second.m_ended } };
-  aReply(net::JsonResponse(200, body.dump()));
 }
 
 void
-EntryDaemon::Dispatch(const net::HttpRequest& aRequest,
-                      const net::HttpReply& aReply)
+EntryDaemon::TickOwnership()
 {
-  const auto parts = aRequest.PathParts();
-  const auto slice = m_slices.find(SliceId(parts[2]));
-  const vmlist::Vm* chosen = nullptr;
-  if (slice != m_slices.end()) {
-    for (const vmlist::Vm& vm : slice->second.m_vms) {
-      const bool free =
-        m_busy[vm.m_vm] < vm.m_slots && vm.m_state == vmlist::VmState::Live;
-      if (free &&
-          (chosen == nullptr || m_busy[vm.m_vm] < m_busy[chosen->m_vm])) {
-        chosen = &vm;
-      }
+  auto& machine = m_membership.Machine();
+  for (const auto& [id, owner] : m_serviceOwners) {
+    machine.SetBusy(id, ToRowCounts(owner->CountBusy()));
+  }
+  machine.SetOpenRequests(m_requests.OpenCalls() + RunningRequests());
+  m_membership.Tick();
+  const Time now = net::Loop::Now();
+  for (const auto& [id, owner] : m_serviceOwners) {
+    if (!machine.MayAct(now, id)) {
+      owner->SetAuthorityEnd(now);
+    } else {
+      owner->SetAuthorityEnd(machine.Authority(now));
     }
   }
-  if (chosen == nullptr) {
-    aReply(net::ErrorResponse(
-      { Verdict::NotRun, ErrorCode::QueueFull, "all endpoints are busy" }));
-    return;
+  m_settings.Tick();
+  m_runtime.Table().SetMembers(
+    std::max<int>(static_cast<int>(m_membership.Members().size()), 1));
+  TickDrain();
+}
+
+std::size_t
+EntryDaemon::RunningRequests() const
+{
+  std::size_t count = 0;
+  for (const auto& [id, owner] : m_serviceOwners) {
+    count += owner->RunningCount();
   }
-  net::HttpRequest request;
-  request.m_method = "POST";
-  request.m_path = "/" + parts[3];
-  request.m_headers["X-Request-Id"] = aRequest.Header("X-Request-Id");
-  request.m_body = aRequest.m_body;
-  const VmId vm = chosen->m_vm;
-  ++m_busy[vm];
-  m_http.Send(chosen->m_address,
-              request,
-              kCallTimeout,
-              [this, vm, aReply](const net::HttpOutcome& aOutcome) {
-                --m_busy[vm];
-                aReply(aOutcome.m_response
-                         ? net::JsonResponse(aOutcome.m_response->m_status,
-                                             aOutcome.m_response->m_body)
-                         : net::ErrorResponse(aOutcome.m_error));
-              });
+  for (const Draining& draining : m_draining) {
+    count += draining.m_owner->RunningCount();
+  }
+  return count;
 }
 
 void
-EntryDaemon::PollVmList()
+EntryDaemon::TickOwners()
 {
-  m_vmList.Fetch(kCallTimeout,
-                 [this](const std::optional<std::vector<vmlist::Vm>>& aVms) {
-                   if (aVms) {
-                     m_slices = vmlist::DivideIntoSlices(*aVms, {});
-                   }
-                 });
+  for (const auto& [id, owner] : m_workerOwners) {
+    owner->Tick();
+  }
+  for (const auto& [id, owner] : m_serviceOwners) {
+    owner->Tick();
+  }
+  for (const Draining& draining : m_draining) {
+    draining.m_owner->Tick();
+  }
+  m_requests.Tick();
 }
 
 void
-EntryDaemon::PlaceTasks()
-{
-  while (!m_queue.empty()) {
-    const TaskId task = m_queue.front();
-    const caller::JobSpec& spec = m_jobs[task.m_job].m_spec;
-    const auto fits = std::find_if(
-      m_workerStates.begin(), m_workerStates.end(), [&](const auto& aWorker) {
-        return aWorker.second.m_adopted &&
-               spec.m_perTask.FitsIn(aWorker.second.m_free);
-      });
-    if (fits == m_workerStates.end()) {
-      return;
-    }
-    worker::Command start;
-    start.m_task = task;
-    start.m_reserved = spec.m_perTask;
-    start.m_runMs = spec.m_runMs;
-    fits->second.m_commands.push_back(start);
-    fits->second.m_free -= spec.m_perTask;
-    ++m_jobs[task.m_job].m_started;
-    m_queue.pop_front();
+EntryDaemon::TickAllotments()
+{
+  for (const auto& [id, owner] : m_workerOwners) {
+    TickWorkerAllotment(*owner);
+  }
+  for (const auto& [id, owner] : m_serviceOwners) {
+    TickServiceAllotment(*owner);
   }
 }
 
 void
-EntryDaemon::ControlWorkers()
+EntryDaemon::TickWorkerAllotment(WorkerSliceOwner& aOwner)
 {
-  for (const auto& [id, slice] : m_slices) {
-    if (slice.m_kind != vmlist::SliceKind::Workers ||
-        OwnerOf(id) != m_config.m_vm) {
+  auto& machine = m_membership.Machine();
+  const Time now = net::Loop::Now();
+  for (const sched::TeamUsage& usage : aOwner.Usages()) {
+    const auto settings = m_settings.Tree().Team(usage.m_team);
+    if (!settings || !settings->m_limitMillicores) {
       continue;
     }
-    for (const vmlist::Vm& vm : slice.m_vms) {
-      WorkerState& state = m_workerStates[vm.m_vm];
-      if (state.m_waiting) {
-        continue;
-      }
-      worker::ControlRequest request;
-      request.m_slice = id;
-      request.m_epoch = 1;
-      request.m_token = state.m_token;
-      request.m_endedSeen = state.m_endedSeen;
-      request.m_commands = std::move(state.m_commands);
-      state.m_commands.clear();
-      state.m_waiting = true;
-      m_workers.Control(
-        vm.m_address,
-        request,
-        kCallTimeout,
-        [this, worker = vm.m_vm](const worker::ControlOutcome& aOutcome) {
-          OnControl(worker, aOutcome);
-        });
+    const ownership::LimitId limit{ usage.m_team,
+                                    ownership::LimitUnit::Millicores };
+    machine.SetDemand(now,
+                      aOwner.Id(),
+                      limit,
+                      usage.m_runningMillicores,
+                      usage.m_waitingMillicores);
+    aOwner.SetAllotment(usage.m_team, machine.Allotment(aOwner.Id(), limit));
+  }
+}
+
+void
+EntryDaemon::TickServiceAllotment(ServiceSliceOwner& aOwner)
+{
+  auto& machine = m_membership.Machine();
+  const Time now = net::Loop::Now();
+  for (const TeamId& team : m_settings.Tree().Teams()) {
+    const auto settings = m_settings.Tree().Team(team);
+    if (!settings || !settings->m_limitRequests) {
+      continue;
     }
+    const ownership::LimitId limit{ team, ownership::LimitUnit::Requests };
+    const int running = aOwner.RunningOf(team);
+    const int waiting = aOwner.WaitingOf(team);
+    const int headroom = running + waiting > 0 ? kRequestHeadroom : 0;
+    machine.SetDemand(now, aOwner.Id(), limit, running, waiting + headroom);
+    aOwner.SetAllotment(team, machine.Allotment(aOwner.Id(), limit));
   }
 }
 
 void
-EntryDaemon::OnControl(const VmId& aWorker,
-                       const worker::ControlOutcome& aOutcome)
+EntryDaemon::TickDrain()
 {
-  WorkerState& state = m_workerStates[aWorker];
-  state.m_waiting = false;
-  if (!aOutcome.m_reply || !aOutcome.m_reply->m_accepted) {
-    return;
+  std::erase_if(m_draining, [](const Draining& aDraining) {
+    return aDraining.m_owner->IsDrained() && aDraining.m_reportsLeft <= 0;
+  });
+  if (m_stopped && m_requests.OpenCalls() == 0) {
+    m_runtime.Loop().Stop();
   }
-  const worker::ControlReply& reply = *aOutcome.m_reply;
-  state.m_adopted = true;
-  state.m_token = reply.m_token;
-  state.m_free = reply.m_capacity;
-  for (const worker::RunningTask& task : reply.m_running) {
-    state.m_free -= task.m_reserved;
-  }
-  for (const worker::EndedTask& task : reply.m_ended) {
-    if (task.m_sequence > state.m_endedSeen) {
-      state.m_endedSeen = task.m_sequence;
-      ++m_jobs[task.m_task.m_job].m_ended;
+}
+
+void
+EntryDaemon::SendHeartbeats()
+{
+  const peer::Heartbeat beat = OwnHeartbeat();
+  m_loads.OnHeartbeat(net::Loop::Now(), beat);
+  for (const MemberInfo& member : m_membership.Members()) {
+    if (member.m_vm != m_runtime.Self()) {
+      m_membership.Notify(member.m_vm, beat);
+    }
+  }
+  for (Draining& draining : m_draining) {
+    if (draining.m_owner->IsDrained()) {
+      --draining.m_reportsLeft;
     }
   }
 }
 
-VmId
-EntryDaemon::OwnerOf(const SliceId& aSlice) const
+peer::Heartbeat
+EntryDaemon::OwnHeartbeat() const
 {
-  VmId owner;
-  std::uint64_t best = 0;
-  for (const auto& [vm, address] : m_config.m_peers) {
-    const std::string text = aSlice.Value() + "\n" + vm.Value();
-    const std::uint64_t score = XXH64(text.data(), text.size(), 0);
-    if (owner.empty() || score > best) {
-      owner = vm;
-      best = score;
+  peer::Heartbeat beat;
+  beat.m_vm = m_runtime.Self();
+  beat.m_incarnation = m_runtime.ProcessIncarnation();
+  beat.m_settingsVersion = m_settings.Store().Fleet();
+  std::map<TeamId, peer::TeamUsage> teams;
+  for (const auto& [id, owner] : m_workerOwners) {
+    std::int64_t waiting = 0;
+    for (const sched::TeamUsage& usage : owner->Usages()) {
+      peer::TeamUsage& team = teams[usage.m_team];
+      team.m_millicores += usage.m_runningMillicores;
+      team.m_waitingMillicores += usage.m_waitingMillicores;
+      waiting += usage.m_waitingMillicores;
     }
+    const auto capacity = std::max<std::int64_t>(owner->CapacityMillicores(), 1);
+    const auto free = owner->FreeMillicores();
+    beat.m_slices.push_back(
+      { id,
+        1.0 - static_cast<double>(free) / static_cast<double>(capacity),
+        free,
+        static_cast<std::uint64_t>(waiting / kMillicoresPerCore) });
   }
-  return owner;
+  for (const auto& [id, owner] : m_serviceOwners) {
+    beat.m_slices.push_back({ id, owner->Load(), 0, owner->QueuedCount() });
+    for (const TeamId& team : m_settings.Tree().Teams()) {
+      teams[team].m_requests +=
+        static_cast<std::uint64_t>(owner->RunningOf(team));
+    }
+  }
+  for (auto& [team, usage] : teams) {
+    usage.m_team = team;
+    beat.m_teams.push_back(usage);
+  }
+  for (const Draining& draining : m_draining) {
+    for (const auto& [vm, count] : draining.m_owner->CountBusy().m_byEndpoint) {
+      beat.m_busy.push_back({ draining.m_owner->Id(),
+                              vm,
+                              static_cast<std::uint32_t>(count) });
+    }
+  }
+  return beat;
 }
 
 void
-EntryDaemon::ForwardTo(const SliceId& aSlice,
-                       const net::HttpRequest& aRequest,
-                       const net::HttpReply& aReply)
-{
-  const auto peer = m_config.m_peers.find(OwnerOf(aSlice));
-  if (peer == m_config.m_peers.end()) {
-    aReply(net::ErrorResponse({ Verdict::NotRun,
-                                ErrorCode::Unavailable,
-                                "no owner for slice " + aSlice.Value() }));
-    return;
+EntryDaemon::UpdateMetrics()
+{
+  auto& metrics = m_runtime.Metrics();
+  metrics.Set(
+    Metric::SlicesOwned,
+    static_cast<double>(m_workerOwners.size() + m_serviceOwners.size()));
+  std::size_t queued = 0;
+  for (const auto& [id, owner] : m_serviceOwners) {
+    queued += owner->QueuedCount();
   }
-  m_http.Send(peer->second,
-              aRequest,
-              kCallTimeout,
-              [aReply](const net::HttpOutcome& aOutcome) {
-                aReply(aOutcome.m_response
-                         ? net::JsonResponse(aOutcome.m_response->m_status,
-                                             aOutcome.m_response->m_body)
-                         : net::ErrorResponse(aOutcome.m_error));
-              });
+  metrics.Set(
+    Metric::RequestQueueLength, static_cast<double>(queued), { "all" });
+}
+
+void
+EntryDaemon::LogState()
+{
+  const bool ready = IsReady();
+  m_runtime.Log().WriteOnChange("readiness",
+                                ready ? "ready" : "not_ready",
+                                settings::LogLevel::Info,
+                                "readiness",
+                                { { "ready", ready } });
+  const bool down = m_membership.Machine().IsTableDown(net::Loop::Now());
+  m_runtime.Log().WriteOnChange("table",
+                                down ? "down" : "up",
+                                down ? settings::LogLevel::Warn
+                                     : settings::LogLevel::Info,
+                                "table_state",
+                                { { "down", down } });
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -1,88 +1,95 @@
-/// The entry daemon: serves callers, forwards their work to the owner of a
-/// slice, and owns slices itself.
+/// The entry daemon: front for callers and operators, owner of slices, reader
+/// of settings.
 #pragma once
 
-#include "caller/CallerRequest.h"
-#include "caller/JobSpec.h"
-#include "daemon/DaemonConfig.h"
-#include "net/HttpClient.h"
-#include "net/HttpServer.h"
-#include "table/TableClient.h"
-#include "vmlist/Fleet.h"
-#include "vmlist/VmListClient.h"
-#include "worker/WorkerClient.h"
-
-#include <deque>
-#include <random>
+#include "daemon/JobFront.h"
+#include "daemon/LimitReconciler.h"
+#include "daemon/OperatorApi.h"
+#include "daemon/RequestFront.h"
+#include "peer/PeerServer.h"
 
 namespace lacewing::daemon {
 
 class EntryDaemon
 {
 public:
-  EntryDaemon(net::Loop& aLoop, DaemonConfig aConfig);
+  EntryDaemon(net::Loop& aLoop,
+              const settings::Bootstrap& aBootstrap,
+              const std::string& aClusterSecret);
 
-  /// Listens and starts the periodic work.
+  /// Listens and starts the periodic work. Errors: `Unavailable` naming the
+  /// address that is taken.
   Result<void> Start();
+  /// Starts the planned stop; the loop ends when it is complete.
+  void BeginDrain();
 
 private:
-  struct JobState
-  {
-    caller::JobSpec m_spec;
-    std::uint32_t m_started = 0;
-    std::uint32_t m_ended = 0;
-  };
-
-  struct WorkerState
+  /// The owner of a released slice whose dispatched requests still run. Its
+  /// counts are reported to the next owner, a few times after the last has
+  /// ended.
+  struct Draining
   {
-    std::uint64_t m_token = 0;
-    std::uint64_t m_endedSeen = 0;
-    Resources m_free;
-    bool m_adopted = false;
-    bool m_waiting = false;
-    std::vector<worker::Command> m_commands;
+    std::shared_ptr<ServiceSliceOwner> m_owner;
+    int m_reportsLeft = 0;
   };
 
   void HandleCaller(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply);
   Result<void> Route(const net::HttpRequest& aRequest,
                      const net::HttpReply& aReply);
-  Result<void> ServeRequest(const net::HttpRequest& aRequest,
-                            const net::HttpReply& aReply);
-  Result<void> ServeSubmit(const net::HttpRequest& aRequest,
-                           const net::HttpReply& aReply);
-  Result<void> ServeStatus(const net::HttpRequest& aRequest,
-                           const net::HttpReply& aReply);
-  Result<TeamId> TeamOf(const std::string& aKey) const;
+  bool RouteProbe(const net::HttpRequest& aRequest,
+                  const net::HttpReply& aReply) const;
+  Result<void> RouteJob(const net::HttpRequest& aRequest,
+                        const net::HttpReply& aReply);
+  bool IsReady() const;
 
-  void HandlePeer(const net::HttpRequest& aRequest,
-                  const net::HttpReply& aReply);
-  void Dispatch(const net::HttpRequest& aRequest, const net::HttpReply& aReply);
+  void HandlePeer(const peer::PeerIdentity& aFrom,
+                  const peer::PeerMessage& aMessage,
+                  const peer::PeerReply& aReply);
+  void HandleOpaque(const VmId& aFrom, const peer::Opaque& aMessage);
+  void HandleForward(const peer::PeerIdentity& aFrom,
+                     const peer::ForwardRequest& aMessage,
+                     const peer::PeerReply& aReply);
 
   void PollVmList();
-  void ControlWorkers();
-  void PlaceTasks();
-  void OnControl(const VmId& aWorker, const worker::ControlOutcome& aOutcome);
+  void TakeVmList(Time aAsked, const std::vector<vmlist::Vm>& aVms);
+  void OnOwnershipEvent(const ownership::OwnershipEvent& aEvent);
+  void Claim(const SliceId& aSlice, Epoch aEpoch);
+  void ClaimWorkers(const vmlist::Slice& aSlice, Epoch aEpoch);
+  void ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch);
+  void DropSlice(const SliceId& aSlice);
+  void ApplyTeams();
+  void OnSettingsInForce(const settings::InForceEffect& aEffect);
 
-  VmId OwnerOf(const SliceId& aSlice) const;
-  void ForwardTo(const SliceId& aSlice,
-                 const net::HttpRequest& aRequest,
-                 const net::HttpReply& aReply);
+  void TickOwnership();
+  void TickOwners();
+  void TickAllotments();
+  void TickWorkerAllotment(WorkerSliceOwner& aOwner);
+  void TickServiceAllotment(ServiceSliceOwner& aOwner);
+  void TickDrain();
+  std::size_t RunningRequests() const;
+  void SendHeartbeats();
+  peer::Heartbeat OwnHeartbeat() const;
+  void UpdateMetrics();
+  void LogState();
 
-  net::Loop& m_loop;
-  DaemonConfig m_config;
-  net::HttpClient m_http;
-  table::TableClient m_table;
-  vmlist::VmListClient m_vmList;
-  worker::WorkerClient m_workers;
-  net::HttpServer m_callers;
-  net::HttpServer m_peers;
-  std::mt19937_64 m_random;
+  Runtime m_runtime;
+  peer::PeerClient m_peerClient;
+  Membership m_membership;
+  SettingsService m_settings;
+  LoadView m_loads;
   std::map<SliceId, vmlist::Slice> m_slices;
-  std::map<VmId, int> m_busy;
-  std::map<VmId, WorkerState> m_workerStates;
-  std::map<JobId, JobState> m_jobs;
-  std::deque<TaskId> m_queue;
+  std::map<SliceId, std::shared_ptr<WorkerSliceOwner>> m_workerOwners;
+  std::map<SliceId, std::shared_ptr<ServiceSliceOwner>> m_serviceOwners;
+  std::vector<Draining> m_draining;
+  RequestFront m_requests;
+  JobFront m_jobs;
+  OperatorApi m_operators;
+  LimitReconciler m_limits;
+  net::HttpServer m_callerServer;
+  peer::PeerServer m_peerServer;
+  bool m_stopping = false;
+  bool m_stopped = false;
 };
 
 } // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/JobFront.cpp
@@ -0,0 +1,482 @@
+#include "daemon/JobFront.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lacewing::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+using observe::EventKind;
+
+constexpr Duration kRecordDeadline = seconds(8);
+constexpr Duration kOwnerTimeout = seconds(3);
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+
+/// True if a worker of the slice can hold one task, and the slice a whole gang.
+bool
+CanHold(const vmlist::Slice& aSlice, const caller::JobSpec& aSpec)
+{
+  std::uint32_t room = 0;
+  for (const vmlist::Vm& vm : aSlice.m_vms) {
+    Resources left = vm.m_capacity;
+    while (aSpec.m_perTask.FitsIn(left) && room < aSpec.m_tasks) {
+      left -= aSpec.m_perTask;
+      ++room;
+    }
+  }
+  const bool isGang = aSpec.m_kind == caller::JobKind::Gang;
+  return room >= (isGang ? aSpec.m_tasks : 1);
+}
+
+std::string
+Describe(const caller::JobSpec& aSpec)
+{
+  const Resources& need = aSpec.m_perTask;
+  return std::to_string(aSpec.m_tasks) + " tasks of " +
+         std::to_string(need.m_millicores) + " millicores, " +
+         std::to_string(need.m_memoryMib) + " MiB and " +
+         std::to_string(need.m_accelerators) + " accelerators";
+}
+
+std::string
+EncodeSubmission(const jobs::JobRecord& aRecord, const std::string& aNonce)
+{
+  const Json body = { { "job", aRecord.m_id.Value() },
+                      { "record", jobs::EncodeRecord(aRecord) },
+                      { "nonce", aNonce } };
+  return body.dump();
+}
+
+Result<jobs::JobRecord>
+DecodeSubmission(const std::string& aText)
+{
+  const Json body = Json::parse(aText, nullptr, false);
+  if (!body.is_object() || !body.contains("job") || !body.contains("record")) {
+    return Fail(Verdict::MayHaveRun,
+                ErrorCode::Internal,
+                "the submission's row is malformed");
+  }
+  return jobs::DecodeRecord(JobId(body.value("job", "")),
+                            body.value("record", ""));
+}
+
+Error
+NotRecorded(table::CommitState aState)
+{
+  const bool unknown = aState == table::CommitState::Unknown;
+  return { unknown ? Verdict::MayHaveRun : Verdict::NotRun,
+           ErrorCode::StoreUnavailable,
+           unknown ? "the job may have been accepted; repeat the submission "
+                     "with the same idempotency key"
+                   : "the job was not accepted: the table is unavailable" };
+}
+
+net::HttpResponse
+NoOwner(const SliceId& aSlice)
+{
+  return net::ErrorResponse({ Verdict::NotRun,
+                              ErrorCode::Unavailable,
+                              "slice " + aSlice.Value() +
+                                " has no reachable owner at present" });
+}
+
+Json
+StatusJson(const jobs::JobRecord& aRecord,
+           const std::optional<sched::JobSummary>& aSummary)
+{
+  Json body = { { "job", aRecord.m_id.Value() },
+                { "name", aRecord.m_spec.m_name },
+                { "team", aRecord.m_team.Value() },
+                { "tasks", aRecord.m_spec.m_tasks } };
+  if (aRecord.m_ending != jobs::JobEnding::Open || !aSummary) {
+    const bool open = aRecord.m_ending == jobs::JobEnding::Open;
+    body["state"] = open ? "queued" : NameOf(aRecord.m_ending);
+    body["succeeded"] = aRecord.m_succeeded.size();
+    return body;
+  }
+  body["state"] = NameOf(aSummary->m_state);
+  body["waiting"] = aSummary->m_pending;
+  body["running"] = aSummary->m_running;
+  body["succeeded"] = aSummary->m_succeeded;
+  body["failed"] = aSummary->m_failed;
+  body["may_have_run"] = aSummary->m_mayHaveRun;
+  return body;
+}
+
+} // namespace
+
+JobFront::JobFront(CellState aCell, LocalWorkerOwner aLocalOwner)
+  : m_cell(aCell)
+  , m_localOwner(std::move(aLocalOwner))
+{
+}
+
+Result<TeamId>
+JobFront::TeamOf(const caller::CallerContext& aContext) const
+{
+  return m_cell.m_settings.Authenticate(aContext.m_key, aContext.m_queue);
+}
+
+Result<void>
+JobFront::Submit(const net::HttpRequest& aRequest, const net::HttpReply& aReply)
+{
+  BOOST_LEAF_AUTO(context, caller::ParseContext(aRequest));
+  BOOST_LEAF_AUTO(team, TeamOf(context));
+  const auto submission = std::make_shared<Submission>();
+  submission->m_record.m_team = team;
+  BOOST_LEAF_ASSIGN(submission->m_record.m_spec,
+                    caller::DecodeJobSpec(aRequest.m_body));
+  BOOST_LEAF_AUTO(slice, ChooseSlice(submission->m_record.m_spec));
+  submission->m_record.m_id =
+    jobs::MakeJobId(slice, m_cell.m_runtime.Random());
+  submission->m_record.m_nonce = submission->m_record.m_id.Value();
+  submission->m_reply = aReply;
+  if (context.m_idempotencyKey.empty()) {
+    WriteJob(submission);
+    return {};
+  }
+  submission->m_row = jobs::SubmissionRow(team, context.m_idempotencyKey);
+  WriteSubmission(submission);
+  return {};
+}
+
+Result<SliceId>
+JobFront::ChooseSlice(const caller::JobSpec& aSpec) const
+{
+  const Time now = net::Loop::Now();
+  SliceId best;
+  double bestScore = 0.0;
+  bool anyWorkers = false;
+  for (const auto& [id, slice] : m_cell.m_slices) {
+    if (slice.m_kind != vmlist::SliceKind::Workers) {
+      continue;
+    }
+    anyWorkers = true;
+    if (!CanHold(slice, aSpec)) {
+      continue;
+    }
+    const VmId owner = m_cell.m_membership.Machine().OwnerOf(id);
+    const auto load = m_cell.m_loads.Find(now, owner, id);
+    // An idle slice scores 1, one whose queue is as long as it is large less
+    // than 0; a slice in the preferred region goes before all others.
+    const auto capacity = std::max<std::int64_t>(
+      slice.Capacity().m_millicores, 1);
+    double score =
+      load ? static_cast<double>(load->m_freeMillicores) /
+                 static_cast<double>(capacity) -
+               static_cast<double>(load->m_queueLength) /
+                 static_cast<double>(slice.m_vms.size())
+           : -1.0;
+    const RegionId& wanted = aSpec.m_region.empty()
+                               ? m_cell.m_runtime.Config().m_region
+                               : aSpec.m_region;
+    constexpr double kRegionBonus = 1000.0;
+    score += slice.m_region == wanted ? kRegionBonus : 0.0;
+    if (best.empty() || score > bestScore) {
+      best = id;
+      bestScore = score;
+    }
+  }
+  if (!anyWorkers) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::Unavailable,
+                "no workers are known at present");
+  }
+  if (best.empty()) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::NeverRunnable,
+                "the job can never run: " + Describe(aSpec) +
+                  " fit in no slice of the fleet");
+  }
+  return best;
+}
+
+void
+JobFront::WriteSubmission(const std::shared_ptr<Submission>& aSubmission)
+{
+  table::RecordWrite write;
+  write.m_key = aSubmission->m_row;
+  write.m_expected = 0;
+  write.m_value = EncodeSubmission(aSubmission->m_record,
+                                   aSubmission->m_record.m_nonce);
+  write.m_deadline = net::Loop::Now() + kRecordDeadline;
+  m_cell.m_runtime.Table().WriteRecord(
+    std::move(write), [this, aSubmission](const table::RecordResult& aResult) {
+      switch (aResult.m_state) {
+        case table::CommitState::Committed:
+          WriteJob(aSubmission);
+          return;
+        case table::CommitState::Conflict:
+          ReadSubmission(aSubmission);
+          return;
+        default:
+          aSubmission->m_reply(net::ErrorResponse(NotRecorded(aResult.m_state)));
+      }
+    });
+}
+
+void
+JobFront::ReadSubmission(const std::shared_ptr<Submission>& aSubmission)
+{
+  table::Read read;
+  read.m_keys.push_back(aSubmission->m_row);
+  m_cell.m_runtime.Table().Fetch(
+    "records", read, [this, aSubmission](const table::ReadResult& aResult) {
+      const auto row = aResult.m_rows.find(aSubmission->m_row);
+      if (row == aResult.m_rows.end()) {
+        aSubmission->m_reply(
+          net::ErrorResponse(NotRecorded(table::CommitState::Unknown)));
+        return;
+      }
+      leaf::try_handle_all(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(first, DecodeSubmission(row->second.m_value));
+          if (first.m_spec != aSubmission->m_record.m_spec) {
+            return Fail(Verdict::NotRun,
+                        ErrorCode::Conflict,
+                        "the idempotency key was used for another job, '" +
+                          first.m_id.Value() + "'");
+          }
+          aSubmission->m_record = first;
+          // The first front may have died before it wrote the job's row.
+          WriteJob(aSubmission);
+          return {};
+        },
+        [&](const Error& aError) {
+          aSubmission->m_reply(net::ErrorResponse(aError));
+        },
+        [&] { aSubmission->m_reply(net::ErrorResponse({})); });
+    });
+}
+
+void
+JobFront::WriteJob(const std::shared_ptr<Submission>& aSubmission)
+{
+  table::RecordWrite write;
+  write.m_key = jobs::JobRow(aSubmission->m_record.m_id);
+  write.m_expected = 0;
+  write.m_value = jobs::EncodeRecord(aSubmission->m_record);
+  write.m_deadline = net::Loop::Now() + kRecordDeadline;
+  m_cell.m_runtime.Table().WriteRecord(
+    std::move(write), [this, aSubmission](const table::RecordResult& aResult) {
+      if (aResult.m_state == table::CommitState::Committed) {
+        const Announcement announcement{ aSubmission->m_record,
+                                         aResult.m_version };
+        m_unconfirmed[aSubmission->m_record.m_id] = announcement;
+        Accept(*aSubmission);
+        Announce(announcement);
+        return;
+      }
+      if (aResult.m_state == table::CommitState::Conflict) {
+        // The row exists: the submission is a repeat of an accepted one.
+        Accept(*aSubmission);
+        return;
+      }
+      aSubmission->m_reply(net::ErrorResponse(NotRecorded(aResult.m_state)));
+    });
+}
+
+void
+JobFront::Accept(const Submission& aSubmission)
+{
+  observe::Event event;
+  event.m_kind = EventKind::JobAccepted;
+  event.m_job = aSubmission.m_record.m_id;
+  event.m_team = aSubmission.m_record.m_team;
+  m_cell.m_runtime.Record(event);
+  const Json body = { { "job", aSubmission.m_record.m_id.Value() } };
+  aSubmission.m_reply(net::JsonResponse(kAccepted, body.dump()));
+}
+
+void
+JobFront::Tick()
+{
+  for (const auto& [job, announcement] : m_unconfirmed) {
+    m_cell.m_runtime.Loop().After(
+      Duration::zero(), [this, announcement = announcement] {
+        Announce(announcement);
+      });
+  }
+}
+
+void
+JobFront::Announce(const Announcement& aAnnouncement)
+{
+  const JobId& job = aAnnouncement.m_record.m_id;
+  const auto owner = m_cell.OwnerOf(jobs::SliceOf(job));
+  if (!owner || !m_unconfirmed.contains(job)) {
+    return;
+  }
+  const Json body = { { "job", job.Value() },
+                      { "record", jobs::EncodeRecord(aAnnouncement.m_record) },
+                      { "version", aAnnouncement.m_version } };
+  const peer::SubmitJob message{ body.dump() };
+  const auto confirm = [this, job](const peer::PeerMessage& aReply) {
+    const auto* reply = std::get_if<peer::JobReply>(&aReply);
+    if (reply != nullptr && reply->m_status == kOk) {
+      m_unconfirmed.erase(job);
+    }
+  };
+  if (owner->m_vm == m_cell.m_runtime.Self()) {
+    confirm(OnSubmitJob(message));
+    return;
+  }
+  m_cell.m_membership.Peers().Call(
+    owner->m_vm,
+    owner->m_address.m_peers,
+    message,
+    kOwnerTimeout,
+    [confirm](const peer::PeerOutcome& aOutcome) {
+      if (aOutcome.m_reply) {
+        confirm(*aOutcome.m_reply);
+      }
+    });
+}
+
+peer::PeerMessage
+JobFront::OnSubmitJob(const peer::SubmitJob& aMessage)
+{
+  const Json body = Json::parse(aMessage.m_body, nullptr, false);
+  if (!body.is_object()) {
+    return peer::Refusal{ { Verdict::NotRun,
+                            ErrorCode::BadInput,
+                            "the submitted job is not JSON" } };
+  }
+  const JobId job(body.value("job", ""));
+  const auto owner = m_localOwner(jobs::SliceOf(job));
+  if (!owner) {
+    return peer::Refusal{ { Verdict::NotRun,
+                            ErrorCode::NotOwner,
+                            "the slice of job " + job.Value() +
+                              " is not owned here" } };
+  }
+  return leaf::try_handle_all(
+    [&]() -> Result<peer::PeerMessage> {
+      BOOST_LEAF_AUTO(record,
+                      jobs::DecodeRecord(job, body.value("record", "")));
+      owner->Submit(record, body.value("version", RowVersion{ 0 }));
+      return peer::PeerMessage(peer::JobReply{ kOk, "{}" });
+    },
+    [](const Error& aError) {
+      return peer::PeerMessage(peer::Refusal{ aError });
+    },
+    [] { return peer::PeerMessage(peer::Refusal{ {} }); });
+}
+
+Result<void>
+JobFront::Ask(const net::HttpRequest& aRequest,
+              JobQuestion aQuestion,
+              const net::HttpReply& aReply)
+{
+  BOOST_LEAF_AUTO(context, caller::ParseContext(aRequest));
+  TeamId team;
+  // Operators may ask about the jobs of all teams, which an empty team means.
+  if (!settings::IsAdminKey(m_cell.m_runtime.Config().m_adminKeyDigest,
+                            context.m_key)) {
+    BOOST_LEAF_ASSIGN(team, TeamOf(context));
+  }
+  const JobId job(aRequest.PathParts()[2]);
+  const SliceId slice = jobs::SliceOf(job);
+  if (!m_cell.m_slices.contains(slice)) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::NotFound,
+                "there is no job '" + job.Value() + "'");
+  }
+  const auto owner = m_cell.OwnerOf(slice);
+  if (!owner) {
+    aReply(NoOwner(slice));
+    return {};
+  }
+  if (owner->m_vm == m_cell.m_runtime.Self()) {
+    aReply(Answer(job, team, aQuestion));
+    return {};
+  }
+  const Json body = { { "job", job.Value() },
+                      { "team", team.Value() },
+                      { "question", NameOf(aQuestion) } };
+  m_cell.m_membership.Peers().Call(
+    owner->m_vm,
+    owner->m_address.m_peers,
+    peer::QueryJob{ body.dump() },
+    kOwnerTimeout,
+    [aReply](const peer::PeerOutcome& aOutcome) {
+      const auto* reply = aOutcome.m_reply
+                            ? std::get_if<peer::JobReply>(&*aOutcome.m_reply)
+                            : nullptr;
+      aReply(reply != nullptr
+               ? net::JsonResponse(reply->m_status, reply->m_body)
+               : net::ErrorResponse(aOutcome.m_error));
+    });
+  return {};
+}
+
+peer::PeerMessage
+JobFront::OnQuestion(const std::string& aBody)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  const auto question =
+    body.is_object() ? ParseName<JobQuestion>(body.value("question", ""))
+                     : std::nullopt;
+  if (!question) {
+    return peer::Refusal{ { Verdict::NotRun,
+                            ErrorCode::BadInput,
+                            "the question about a job is malformed" } };
+  }
+  const auto response = Answer(
+    JobId(body.value("job", "")), TeamId(body.value("team", "")), *question);
+  return peer::JobReply{ response.m_status, response.m_body };
+}
+
+net::HttpResponse
+JobFront::Answer(const JobId& aJob, const TeamId& aTeam, JobQuestion aQuestion)
+{
+  const auto owner = m_localOwner(jobs::SliceOf(aJob));
+  if (!owner) {
+    return NoOwner(jobs::SliceOf(aJob));
+  }
+  const jobs::JobRecord* record = owner->Find(aJob);
+  if (record == nullptr) {
+    const bool mayAppear = !owner->IsOpen();
+    return net::ErrorResponse({ Verdict::NotRun,
+                                mayAppear ? ErrorCode::Unavailable
+                                          : ErrorCode::NotFound,
+                                mayAppear ? "the owner is still reading its jobs"
+                                          : "there is no job '" + aJob.Value() +
+                                              "'" });
+  }
+  if (!aTeam.empty() && record->m_team != aTeam) {
+    return net::ErrorResponse({ Verdict::NotRun,
+                                ErrorCode::Forbidden,
+                                "job '" + aJob.Value() +
+                                  "' belongs to another team" });
+  }
+  switch (aQuestion) {
+    case JobQuestion::Status:
+      break;
+    case JobQuestion::Explain: {
+      const auto explanation = owner->ExplanationOf(aJob);
+      const Json body = {
+        { "job", aJob.Value() },
+        { "state", explanation ? NameOf(explanation->m_state) : "ended" },
+        { "message",
+          explanation ? explanation->m_message : "the job has ended" }
+      };
+      return net::JsonResponse(kOk, body.dump());
+    }
+    case JobQuestion::Cancel:
+      owner->Cancel(aJob);
+      break;
+    case JobQuestion::RunAgain:
+    case JobQuestion::GiveUp:
+      owner->Resolve(aJob, aQuestion == JobQuestion::RunAgain);
+      break;
+  }
+  return net::JsonResponse(
+    kOk, StatusJson(*record, owner->StatusOf(aJob)).dump());
+}
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/JobFront.h
@@ -0,0 +1,90 @@
+/// The front's side of jobs: checks, durable acceptance, and queries that the
+/// owner of the job's slice answers.
+#pragma once
+
+#include "caller/CallerRequest.h"
+#include "daemon/CellState.h"
+#include "daemon/WorkerSliceOwner.h"
+#include "net/HttpServer.h"
+
+#include <deque>
+
+namespace lacewing::daemon {
+
+/// Finds the owner of a worker slice in this process, if it is here.
+using LocalWorkerOwner =
+  std::function<std::shared_ptr<WorkerSliceOwner>(const SliceId& aSlice)>;
+
+/// What a caller asks of a job's owner.
+enum class JobQuestion : std::uint8_t
+{
+  Status,
+  Explain,
+  Cancel,
+  RunAgain, ///< run tasks again that may have run
+  GiveUp,   ///< count tasks that may have run as failed
+};
+
+class JobFront
+{
+public:
+  JobFront(CellState aCell, LocalWorkerOwner aLocalOwner);
+
+  /// Both reply exactly once, or return an error and do not reply.
+  Result<void> Submit(const net::HttpRequest& aRequest,
+                      const net::HttpReply& aReply);
+  Result<void> Ask(const net::HttpRequest& aRequest,
+                   JobQuestion aQuestion,
+                   const net::HttpReply& aReply);
+  /// Tells owners of jobs that they do not know yet; to be called every second.
+  void Tick();
+
+  /// Messages of other fronts to an owner in this process.
+  peer::PeerMessage OnSubmitJob(const peer::SubmitJob& aMessage);
+  peer::PeerMessage OnQuestion(const std::string& aBody);
+
+private:
+  struct Submission
+  {
+    jobs::JobRecord m_record;
+    std::string m_row; ///< row of the submission; empty without a key
+    net::HttpReply m_reply;
+  };
+
+  /// An accepted job whose owner has not confirmed that it knows it.
+  struct Announcement
+  {
+    jobs::JobRecord m_record;
+    RowVersion m_version = 0;
+  };
+
+  Result<TeamId> TeamOf(const caller::CallerContext& aContext) const;
+  Result<SliceId> ChooseSlice(const caller::JobSpec& aSpec) const;
+  void WriteSubmission(const std::shared_ptr<Submission>& aSubmission);
+  void ReadSubmission(const std::shared_ptr<Submission>& aSubmission);
+  void WriteJob(const std::shared_ptr<Submission>& aSubmission);
+  void Accept(const Submission& aSubmission);
+  void Announce(const Announcement& aAnnouncement);
+  net::HttpResponse Answer(const JobId& aJob,
+                           const TeamId& aTeam,
+                           JobQuestion aQuestion);
+
+  CellState m_cell;
+  LocalWorkerOwner m_localOwner;
+  std::map<JobId, Announcement> m_unconfirmed;
+};
+
+} // namespace lacewing::daemon
+
+template<>
+struct lacewing::EnumNames<lacewing::daemon::JobQuestion>
+{
+  using Question = lacewing::daemon::JobQuestion;
+  static constexpr std::array kTable = {
+    std::pair{ Question::Status, std::string_view("status") },
+    std::pair{ Question::Explain, std::string_view("explain") },
+    std::pair{ Question::Cancel, std::string_view("cancel") },
+    std::pair{ Question::RunAgain, std::string_view("run_again") },
+    std::pair{ Question::GiveUp, std::string_view("give_up") },
+  };
+};
--- /dev/null
+++ b/src/daemon/LoadView.cpp
@@ -0,0 +1,61 @@
+#include "daemon/LoadView.h"
+
+namespace lacewing::daemon {
+
+void
+LoadView::OnHeartbeat(Time aNow, const peer::Heartbeat& aHeartbeat)
+{
+  m_members[aHeartbeat.m_vm] = { aNow, aHeartbeat };
+}
+
+bool
+LoadView::IsFresh(Time aNow, const Seen& aSeen) const
+{
+  return aNow - aSeen.m_at <= kLoadMaxAge;
+}
+
+std::optional<peer::SliceLoad>
+LoadView::Find(Time aNow, const VmId& aOwner, const SliceId& aSlice) const
+{
+  const auto member = m_members.find(aOwner);
+  if (member == m_members.end() || !IsFresh(aNow, member->second)) {
+    return std::nullopt;
+  }
+  for (const peer::SliceLoad& load : member->second.m_heartbeat.m_slices) {
+    if (load.m_slice == aSlice) {
+      return load;
+    }
+  }
+  return std::nullopt;
+}
+
+peer::TeamUsage
+LoadView::UsageOf(Time aNow, const TeamId& aTeam) const
+{
+  peer::TeamUsage sum;
+  sum.m_team = aTeam;
+  for (const auto& [vm, seen] : m_members) {
+    if (!IsFresh(aNow, seen)) {
+      continue;
+    }
+    for (const peer::TeamUsage& usage : seen.m_heartbeat.m_teams) {
+      if (usage.m_team == aTeam) {
+        sum.m_millicores += usage.m_millicores;
+        sum.m_waitingMillicores += usage.m_waitingMillicores;
+        sum.m_requests += usage.m_requests;
+      }
+    }
+  }
+  return sum;
+}
+
+std::uint64_t
+LoadView::SettingsVersionOf(const VmId& aVm) const
+{
+  const auto member = m_members.find(aVm);
+  return member == m_members.end()
+           ? 0
+           : member->second.m_heartbeat.m_settingsVersion;
+}
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/LoadView.h
@@ -0,0 +1,43 @@
+/// Loads of the slices and settings versions of the members, as their
+/// heartbeats tell them.
+#pragma once
+
+#include "core/Ids.h"
+#include "core/Time.h"
+#include "peer/PeerMessages.h"
+
+#include <map>
+#include <optional>
+
+namespace lacewing::daemon {
+
+/// A heartbeat older than this says nothing about loads.
+inline constexpr Duration kLoadMaxAge = seconds(5);
+
+class LoadView
+{
+public:
+  /// Takes a heartbeat of a member, or the own one.
+  void OnHeartbeat(Time aNow, const peer::Heartbeat& aHeartbeat);
+
+  /// The load of the slice as told by the member, unless it is too old.
+  std::optional<peer::SliceLoad> Find(Time aNow,
+                                      const VmId& aOwner,
+                                      const SliceId& aSlice) const;
+  /// Usage of a team by all members.
+  peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
+  std::uint64_t SettingsVersionOf(const VmId& aVm) const;
+
+private:
+  struct Seen
+  {
+    Time m_at{};
+    peer::Heartbeat m_heartbeat;
+  };
+
+  bool IsFresh(Time aNow, const Seen& aSeen) const;
+
+  std::map<VmId, Seen> m_members;
+};
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -0,0 +1,510 @@
+#include "daemon/WorkerSliceOwner.h"
+
+#include <algorithm>
+
+namespace lacewing::daemon {
+
+namespace {
+
+using observe::EventKind;
+using observe::Metric;
+
+constexpr Duration kLoadRetryDelay = seconds(1);
+/// Bounds the length of one decision, so that the loop stays responsive.
+constexpr std::size_t kMaxStartsPerTick = 256;
+/// Allotment of a team without an upper limit, in millicores.
+constexpr std::int64_t kUnlimitedMillicores = 1'000'000'000'000;
+/// The kind of all accelerators; callers cannot name kinds yet.
+constexpr const char* kAcceleratorKind = "accelerator";
+
+sched::JobKind
+KindOf(const caller::JobSpec& aSpec)
+{
+  switch (aSpec.m_kind) {
+    case caller::JobKind::Service:
+      return sched::JobKind::Service;
+    case caller::JobKind::Gang:
+      return sched::JobKind::Gang;
+    case caller::JobKind::Batch:
+      break;
+  }
+  return aSpec.m_urgent ? sched::JobKind::Urgent : sched::JobKind::Batch;
+}
+
+jobs::JobEnding
+EndingOf(sched::JobState aState)
+{
+  switch (aState) {
+    case sched::JobState::Succeeded:
+      return jobs::JobEnding::Succeeded;
+    case sched::JobState::Failed:
+      return jobs::JobEnding::Failed;
+    case sched::JobState::MayHaveRun:
+      return jobs::JobEnding::MayHaveRun;
+    case sched::JobState::Cancelled:
+      return jobs::JobEnding::Cancelled;
+    case sched::JobState::Queued:
+    case sched::JobState::Running:
+      break;
+  }
+  return jobs::JobEnding::Open;
+}
+
+sched::WorkerSpec
+ToWorkerSpec(const vmlist::Vm& aVm, const Resources& aCapacity)
+{
+  sched::WorkerSpec spec;
+  spec.m_id = aVm.m_vm;
+  spec.m_domain = aVm.m_domain;
+  spec.m_rack = sched::RackId(aVm.m_rack);
+  spec.m_capacity = aCapacity;
+  if (aCapacity.m_accelerators > 0) {
+    spec.m_accelerator = kAcceleratorKind;
+  }
+  return spec;
+}
+
+template<typename Indices>
+std::vector<std::uint32_t>
+ToVector(const Indices& aIndices)
+{
+  return { aIndices.begin(), aIndices.end() };
+}
+
+} // namespace
+
+sched::JobSpec
+ToSchedSpec(const jobs::JobRecord& aRecord)
+{
+  const caller::JobSpec& spec = aRecord.m_spec;
+  sched::JobSpec result;
+  result.m_id = aRecord.m_id;
+  result.m_team = aRecord.m_team;
+  result.m_kind = KindOf(spec);
+  result.m_tasks = spec.m_tasks;
+  result.m_perTask = spec.m_perTask;
+  result.m_runMs = spec.m_runMs;
+  result.m_patient = spec.m_patient;
+  result.m_checkpointable = spec.m_patient && !spec.m_atMostOnce;
+  result.m_atMostOnce = spec.m_atMostOnce;
+  if (spec.m_perTask.m_accelerators > 0) {
+    result.m_accelerator = kAcceleratorKind;
+  }
+  return result;
+}
+
+WorkerSliceOwner::WorkerSliceOwner(Runtime& aRuntime,
+                                   SliceId aSlice,
+                                   Epoch aEpoch,
+                                   SliceAuthority aAuthority)
+  : m_runtime(aRuntime)
+  , m_slice(std::move(aSlice))
+  , m_authority(std::move(aAuthority))
+  , m_epoch(aEpoch)
+  , m_store(std::make_shared<JobStore>(aRuntime, m_slice, aEpoch))
+{
+}
+
+WorkerSliceOwner::~WorkerSliceOwner()
+{
+  for (auto& [vm, worker] : m_workers) {
+    worker.m_session->Close();
+  }
+}
+
+void
+WorkerSliceOwner::LoadJobs()
+{
+  m_store->Load(
+    [weak = weak_from_this()](const jobs::JobRecord& aRecord) {
+      if (const auto self = weak.lock()) {
+        self->Recover(aRecord);
+      }
+    },
+    [weak = weak_from_this()](bool aDone) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      if (aDone) {
+        self->m_loaded = true;
+        self->OpenIfReady();
+        return;
+      }
+      self->m_runtime.Loop().After(kLoadRetryDelay, [weak] {
+        if (const auto again = weak.lock()) {
+          again->LoadJobs();
+        }
+      });
+    });
+}
+
+void
+WorkerSliceOwner::Recover(const jobs::JobRecord& aRecord)
+{
+  if (aRecord.m_ending != jobs::JobEnding::Open) {
+    return;
+  }
+  sched::RecoveredTasks tasks;
+  tasks.m_marked = ToVector(aRecord.m_marked);
+  tasks.m_succeeded = ToVector(aRecord.m_succeeded);
+  m_scheduler.Recover(net::Loop::Now(), ToSchedSpec(aRecord), tasks);
+}
+
+void
+WorkerSliceOwner::UpdateWorkers(const std::vector<vmlist::Vm>& aVms)
+{
+  m_capacityMillicores = 0;
+  for (const vmlist::Vm& vm : aVms) {
+    WorkerOf(vm).m_vm = vm;
+    m_capacityMillicores += vm.m_capacity.m_millicores;
+  }
+}
+
+WorkerSliceOwner::Worker&
+WorkerSliceOwner::WorkerOf(const vmlist::Vm& aVm)
+{
+  Worker& worker = m_workers[aVm.m_vm];
+  if (worker.m_session) {
+    return worker;
+  }
+  worker.m_vm = aVm;
+  worker.m_session = std::make_shared<WorkerSession>(
+    m_runtime,
+    m_slice,
+    aVm.m_address,
+    [this, vm = aVm.m_vm]() -> std::optional<Credentials> {
+      const std::uint64_t token =
+        m_authority.m_mayAct() ? m_authority.m_workerToken(vm) : 0;
+      if (token == 0) {
+        return std::nullopt;
+      }
+      return Credentials{ m_epoch, token };
+    },
+    [this, vm = aVm.m_vm](const worker::ControlOutcome& aOutcome,
+                          const std::vector<worker::Command>& aCommands) {
+      OnControl(vm, aOutcome, aCommands);
+    });
+  return worker;
+}
+
+void
+WorkerSliceOwner::SetTeam(const TeamId& aTeam,
+                          const settings::TeamSettings& aSettings)
+{
+  const Time now = net::Loop::Now();
+  if (aSettings.m_limitMillicores) {
+    m_scheduler.SetTeam(
+      now, aTeam, aSettings.m_weight, *aSettings.m_limitMillicores);
+    return;
+  }
+  m_scheduler.SetTeam(now, aTeam, aSettings.m_weight);
+  m_scheduler.SetAllotment(aTeam, kUnlimitedMillicores);
+}
+
+void
+WorkerSliceOwner::SetAllotment(const TeamId& aTeam, std::int64_t aMillicores)
+{
+  m_scheduler.SetAllotment(aTeam, aMillicores);
+}
+
+void
+WorkerSliceOwner::SendControl(const VmId& aWorker,
+                              const worker::ControlRequest& aRequest)
+{
+  const auto found = m_workers.find(aWorker);
+  if (found != m_workers.end()) {
+    found->second.m_session->Request(aRequest);
+  }
+}
+
+void
+WorkerSliceOwner::OnControl(const VmId& aWorker,
+                            const worker::ControlOutcome& aOutcome,
+                            const std::vector<worker::Command>& aCommands)
+{
+  Worker& worker = m_workers.at(aWorker);
+  for (const worker::Command& command : aCommands) {
+    worker.m_startsUnderWay.erase(command.m_task);
+  }
+  if (!aOutcome.m_reply) {
+    return;
+  }
+  m_authority.m_onReply(aWorker, *aOutcome.m_reply);
+  if (!aOutcome.m_reply->m_accepted || !m_authority.m_mayAct()) {
+    return;
+  }
+  if (!worker.m_adopted) {
+    Adopt(worker, *aOutcome.m_reply);
+  } else {
+    TakeEnds(worker, *aOutcome.m_reply);
+    Reconcile(worker, *aOutcome.m_reply);
+  }
+}
+
+void
+WorkerSliceOwner::Adopt(Worker& aWorker, const worker::ControlReply& aReply)
+{
+  const Time now = net::Loop::Now();
+  aWorker.m_adopted = true;
+  m_scheduler.UpsertWorker(now, ToWorkerSpec(aWorker.m_vm, aReply.m_capacity));
+  // Tasks that ended under the former owner are taken over as running and ended
+  // at once, so that their ends are counted like all others.
+  auto inventory = aReply.m_running;
+  for (const worker::EndedTask& ended : aReply.m_ended) {
+    const jobs::JobRecord* job = m_store->Find(ended.m_task.m_job);
+    if (job != nullptr && !job->m_succeeded.contains(ended.m_task.m_index)) {
+      worker::RunningTask task;
+      task.m_task = ended.m_task;
+      task.m_attempt = ended.m_attempt;
+      task.m_reserved = job->m_spec.m_perTask;
+      inventory.push_back(task);
+    }
+  }
+  m_scheduler.Adopt(now, aWorker.m_vm.m_vm, inventory);
+  TakeEnds(aWorker, aReply);
+  m_runtime.Record({ {}, 0, "", EventKind::SliceAdopted, {}, "", {},
+                     aWorker.m_vm.m_vm, m_slice.Value() });
+}
+
+void
+WorkerSliceOwner::Reconcile(Worker& aWorker, const worker::ControlReply& aReply)
+{
+  // Starts that are decided but not sent yet are not in the inventory.
+  auto inventory = aReply.m_running;
+  for (const auto& [id, task] : aWorker.m_startsUnderWay) {
+    inventory.push_back(task);
+  }
+  m_scheduler.Adopt(net::Loop::Now(), aWorker.m_vm.m_vm, inventory);
+}
+
+void
+WorkerSliceOwner::TakeEnds(Worker& aWorker, const worker::ControlReply& aReply)
+{
+  for (const worker::EndedTask& ended : aReply.m_ended) {
+    if (aWorker.m_session->NoteEnd(ended.m_sequence)) {
+      TakeEnd(aWorker, ended);
+    }
+  }
+  sched::WorkerReport report;
+  report.m_worker = aWorker.m_vm.m_vm;
+  report.m_running = aReply.m_running;
+  m_scheduler.OnReport(net::Loop::Now(), report);
+  StoreFinished();
+}
+
+void
+WorkerSliceOwner::TakeEnd(Worker& aWorker, const worker::EndedTask& aTask)
+{
+  m_scheduler.OnTaskEnd(net::Loop::Now(),
+                        aWorker.m_vm.m_vm,
+                        aTask.m_task,
+                        aTask.m_attempt,
+                        aTask.m_outcome);
+  RecordTask(EventKind::TaskEnded,
+             aTask.m_task,
+             aWorker.m_vm.m_vm,
+             std::string(NameOf(aTask.m_outcome)));
+  if (aTask.m_outcome != worker::TaskOutcome::Succeeded) {
+    aWorker.m_session->OnEndDurable(aTask.m_sequence);
+    return;
+  }
+  m_store->Succeed(aTask.m_task,
+                   [session = aWorker.m_session,
+                    sequence = aTask.m_sequence](bool aDurable) {
+                     if (aDurable) {
+                       session->OnEndDurable(sequence);
+                     }
+                   });
+}
+
+void
+WorkerSliceOwner::StoreFinished()
+{
+  for (const JobId& job : m_scheduler.TakeFinished()) {
+    const auto status = m_scheduler.JobStatus(job);
+    if (status) {
+      m_store->End(job, EndingOf(status->m_state), [](bool) {});
+    }
+  }
+}
+
+void
+WorkerSliceOwner::OnWorkerLost(const VmId& aWorker)
+{
+  const auto found = m_workers.find(aWorker);
+  if (found == m_workers.end()) {
+    return;
+  }
+  found->second.m_adopted = false;
+  found->second.m_startsUnderWay.clear();
+  m_scheduler.RemoveWorker(net::Loop::Now(), aWorker);
+  StoreFinished();
+}
+
+void
+WorkerSliceOwner::OnOpened()
+{
+  m_opened = true;
+  OpenIfReady();
+}
+
+void
+WorkerSliceOwner::OpenIfReady()
+{
+  if (IsOpen()) {
+    m_scheduler.SetOpen(true);
+    StoreFinished();
+  }
+}
+
+void
+WorkerSliceOwner::Tick()
+{
+  if (!IsOpen() || !m_authority.m_mayAct()) {
+    return;
+  }
+  for (const sched::Action& action :
+       m_scheduler.Decide(net::Loop::Now(), kMaxStartsPerTick)) {
+    CarryOut(action);
+  }
+  StoreFinished();
+  for (auto& [vm, worker] : m_workers) {
+    worker.m_session->Flush();
+  }
+}
+
+void
+WorkerSliceOwner::CarryOut(const sched::Action& aAction)
+{
+  if (aAction.m_kind == sched::ActionKind::MarkStarted) {
+    MarkStarted(aAction.m_task);
+    return;
+  }
+  const auto found = m_workers.find(aAction.m_worker);
+  if (found == m_workers.end()) {
+    return;
+  }
+  found->second.m_session->Enqueue(sched::ToCommand(aAction));
+  if (aAction.m_kind != sched::ActionKind::Start) {
+    m_runtime.Metrics().Add(Metric::Preemptions, { NameOf(aAction.m_kind) });
+    RecordTask(EventKind::TaskPreempted,
+               aAction.m_task,
+               aAction.m_worker,
+               std::string(NameOf(aAction.m_kind)));
+    return;
+  }
+  worker::RunningTask& start =
+    found->second.m_startsUnderWay[aAction.m_task];
+  start.m_task = aAction.m_task;
+  start.m_attempt = aAction.m_attempt;
+  start.m_reserved = aAction.m_reserved;
+  const jobs::JobRecord* job = m_store->Find(aAction.m_task.m_job);
+  const bool urgent = job != nullptr && job->m_spec.m_urgent;
+  m_runtime.Metrics().Add(Metric::TaskStarts, { urgent ? "urgent" : "other" });
+  RecordTask(EventKind::TaskStarted, aAction.m_task, aAction.m_worker, "");
+}
+
+void
+WorkerSliceOwner::MarkStarted(const TaskId& aTask)
+{
+  m_store->Mark(aTask, [weak = weak_from_this(), aTask](bool aDurable) {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    if (aDurable) {
+      self->m_scheduler.OnMarked(net::Loop::Now(), aTask);
+    } else {
+      self->m_scheduler.OnMarkFailed(net::Loop::Now(), aTask);
+    }
+  });
+}
+
+std::optional<std::string>
+WorkerSliceOwner::Submit(const jobs::JobRecord& aRecord, RowVersion aVersion)
+{
+  if (!m_store->Add(aRecord, aVersion)) {
+    return std::nullopt;
+  }
+  const Time now = net::Loop::Now();
+  const auto never = m_scheduler.Submit(now, ToSchedSpec(aRecord));
+  observe::Event event;
+  event.m_kind = EventKind::JobQueued;
+  event.m_job = aRecord.m_id;
+  event.m_team = aRecord.m_team;
+  event.m_detail = m_slice.Value();
+  m_runtime.Record(event);
+  if (!never) {
+    return std::nullopt;
+  }
+  m_store->End(aRecord.m_id, jobs::JobEnding::Failed, [](bool) {});
+  return never->m_message;
+}
+
+bool
+WorkerSliceOwner::Cancel(const JobId& aJob)
+{
+  const bool known = m_scheduler.Cancel(net::Loop::Now(), aJob);
+  if (known) {
+    m_store->End(aJob, jobs::JobEnding::Cancelled, [](bool) {});
+    observe::Event event;
+    event.m_kind = EventKind::JobCancelled;
+    event.m_job = aJob;
+    m_runtime.Record(event);
+  }
+  return known;
+}
+
+std::uint32_t
+WorkerSliceOwner::Resolve(const JobId& aJob, bool aRunAgain)
+{
+  return m_scheduler.Resolve(net::Loop::Now(), aJob, aRunAgain);
+}
+
+const jobs::JobRecord*
+WorkerSliceOwner::Find(const JobId& aJob) const
+{
+  return m_store->Find(aJob);
+}
+
+std::optional<sched::JobSummary>
+WorkerSliceOwner::StatusOf(const JobId& aJob) const
+{
+  return m_scheduler.JobStatus(aJob);
+}
+
+std::optional<sched::Explanation>
+WorkerSliceOwner::ExplanationOf(const JobId& aJob) const
+{
+  return m_scheduler.Explain(net::Loop::Now(), aJob);
+}
+
+std::int64_t
+WorkerSliceOwner::FreeMillicores() const
+{
+  std::int64_t running = 0;
+  for (const sched::TeamUsage& usage : m_scheduler.Usages()) {
+    running += usage.m_runningMillicores;
+  }
+  return std::max<std::int64_t>(m_capacityMillicores - running, 0);
+}
+
+void
+WorkerSliceOwner::RecordTask(EventKind aKind,
+                             const TaskId& aTask,
+                             const VmId& aWorker,
+                             std::string aDetail)
+{
+  observe::Event event;
+  event.m_kind = aKind;
+  event.m_job = aTask.m_job;
+  event.m_vm = aWorker;
+  event.m_detail = "task " + std::to_string(aTask.m_index);
+  if (!aDetail.empty()) {
+    event.m_detail += " " + aDetail;
+  }
+  m_runtime.Record(std::move(event));
+}
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/WorkerSliceOwner.h
@@ -0,0 +1,112 @@
+/// The owner of one slice of workers: carries out what its scheduler decides
+/// and keeps the jobs' rows durable.
+#pragma once
+
+#include "daemon/JobStore.h"
+#include "daemon/WorkerSession.h"
+#include "sched/SliceScheduler.h"
+#include "settings/SettingsTree.h"
+#include "vmlist/Fleet.h"
+
+namespace lacewing::daemon {
+
+/// What the owner asks of the ownership of its slice.
+struct SliceAuthority
+{
+  /// True while the owner may act.
+  std::function<bool()> m_mayAct;
+  /// The token for a worker; 0 while no command may be sent to it.
+  std::function<std::uint64_t(const VmId&)> m_workerToken;
+  /// Takes each answer of a worker.
+  std::function<void(const VmId&, const worker::ControlReply&)> m_onReply;
+};
+
+class WorkerSliceOwner : public std::enable_shared_from_this<WorkerSliceOwner>
+{
+public:
+  using Scheduler =
+    sched::SliceScheduler<sched::FairOrder, sched::BestFitPlacement>;
+
+  WorkerSliceOwner(Runtime& aRuntime,
+                   SliceId aSlice,
+                   Epoch aEpoch,
+                   SliceAuthority aAuthority);
+  ~WorkerSliceOwner();
+  WorkerSliceOwner(const WorkerSliceOwner&) = delete;
+  WorkerSliceOwner& operator=(const WorkerSliceOwner&) = delete;
+
+  /// Reads the slice's jobs; repeats until it succeeds.
+  void LoadJobs();
+  void UpdateWorkers(const std::vector<vmlist::Vm>& aVms);
+  void SetTeam(const TeamId& aTeam, const settings::TeamSettings& aSettings);
+  void SetAllotment(const TeamId& aTeam, std::int64_t aMillicores);
+
+  /// From the ownership of the slice.
+  void SendControl(const VmId& aWorker, const worker::ControlRequest& aRequest);
+  void OnWorkerLost(const VmId& aWorker);
+  void OnOpened();
+  /// Decides and sends; to be called every few milliseconds.
+  void Tick();
+
+  /// A job that a front has made durable. A reason if it can never run here.
+  std::optional<std::string> Submit(const jobs::JobRecord& aRecord,
+                                    RowVersion aVersion);
+  bool Cancel(const JobId& aJob);
+  /// Decides about tasks that may have run; the number of tasks.
+  std::uint32_t Resolve(const JobId& aJob, bool aRunAgain);
+
+  const jobs::JobRecord* Find(const JobId& aJob) const;
+  std::optional<sched::JobSummary> StatusOf(const JobId& aJob) const;
+  std::optional<sched::Explanation> ExplanationOf(const JobId& aJob) const;
+  std::vector<sched::TeamUsage> Usages() const { return m_scheduler.Usages(); }
+  const SliceId& Id() const { return m_slice; }
+  bool IsOpen() const { return m_opened && m_loaded; }
+  /// Processors of the adopted workers that no task holds.
+  std::int64_t FreeMillicores() const;
+  std::int64_t CapacityMillicores() const { return m_capacityMillicores; }
+
+private:
+  struct Worker
+  {
+    vmlist::Vm m_vm;
+    std::shared_ptr<WorkerSession> m_session;
+    bool m_adopted = false;
+    /// Starts that were decided and whose exchange has not ended.
+    std::map<TaskId, worker::RunningTask> m_startsUnderWay;
+  };
+
+  Worker& WorkerOf(const vmlist::Vm& aVm);
+  void OnControl(const VmId& aWorker,
+                 const worker::ControlOutcome& aOutcome,
+                 const std::vector<worker::Command>& aCommands);
+  void Adopt(Worker& aWorker, const worker::ControlReply& aReply);
+  void Reconcile(Worker& aWorker, const worker::ControlReply& aReply);
+  void TakeEnds(Worker& aWorker, const worker::ControlReply& aReply);
+  void TakeEnd(Worker& aWorker, const worker::EndedTask& aTask);
+  void CarryOut(const sched::Action& aAction);
+  void MarkStarted(const TaskId& aTask);
+  void StoreFinished();
+  void Recover(const jobs::JobRecord& aRecord);
+  void OpenIfReady();
+  void RecordTask(observe::EventKind aKind,
+                  const TaskId& aTask,
+                  const VmId& aWorker,
+                  std::string aDetail);
+
+  Runtime& m_runtime;
+  SliceId m_slice;
+  SliceAuthority m_authority;
+  Epoch m_epoch;
+  std::shared_ptr<JobStore> m_store;
+  Scheduler m_scheduler;
+  std::map<VmId, Worker> m_workers;
+  std::int64_t m_capacityMillicores = 0;
+  bool m_loaded = false;
+  bool m_opened = false;
+};
+
+/// The scheduler's form of a submitted job.
+sched::JobSpec
+ToSchedSpec(const jobs::JobRecord& aRecord);
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/jobs/JobRecord.h
@@ -0,0 +1,74 @@
+/// The durable row of a job, `job/<slice>/<id>`, and the row
+/// `submission/<team>/<idempotency key>` that names the job of a submission.
+#pragma once
+
+#include "caller/JobSpec.h"
+#include "core/EnumNames.h"
+#include "core/Verdict.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace lacewing::jobs {
+
+/// How a job ended; `Open` while it has not.
+enum class JobEnding : std::uint8_t
+{
+  Open,
+  Succeeded,
+  Failed,
+  MayHaveRun, ///< a task that must not run twice was lost
+  Cancelled,
+};
+
+struct JobRecord
+{
+  JobId m_id;
+  TeamId m_team;
+  caller::JobSpec m_spec;
+  JobEnding m_ending = JobEnding::Open;
+  /// Tasks with a `started` mark, written before an at-most-once start.
+  std::set<std::uint32_t> m_marked;
+  std::set<std::uint32_t> m_succeeded;
+  std::string m_nonce; ///< of the last write
+
+  bool operator==(const JobRecord&) const = default;
+};
+
+/// Key of the job's row. The id begins with the slice and a '.'.
+std::string
+JobRow(const JobId& aJob);
+/// Prefix of the rows of all jobs of a slice.
+std::string
+JobRowPrefix(const SliceId& aSlice);
+std::string
+SubmissionRow(const TeamId& aTeam, const std::string& aIdempotencyKey);
+
+/// A new id in the slice; `aRandom` makes it unique.
+JobId
+MakeJobId(const SliceId& aSlice, std::uint64_t aRandom);
+/// The slice in a job's id; empty if the id is malformed.
+SliceId
+SliceOf(const JobId& aJob);
+
+std::string
+EncodeRecord(const JobRecord& aRecord);
+/// Errors: `Internal` with what is wrong in the row.
+Result<JobRecord>
+DecodeRecord(const JobId& aJob, const std::string& aText);
+
+} // namespace lacewing::jobs
+
+template<>
+struct lacewing::EnumNames<lacewing::jobs::JobEnding>
+{
+  using Ending = lacewing::jobs::JobEnding;
+  static constexpr std::array kTable = {
+    std::pair{ Ending::Open, std::string_view("open") },
+    std::pair{ Ending::Succeeded, std::string_view("succeeded") },
+    std::pair{ Ending::Failed, std::string_view("failed") },
+    std::pair{ Ending::MayHaveRun, std::string_view("may_have_run") },
+    std::pair{ Ending::Cancelled, std::string_view("cancelled") },
+  };
+};
--- a/src/load/Mix.cpp
+++ b/src/load/Mix.cpp
@@ -6,7 +6,6 @@
 
 using caller::JobKind;
 using caller::JobSpec;
-using caller::RequestClass;
 
 JobSpec
 MakeJob(std::string aName, std::uint32_t aTasks, Resources aPerTask)
--- a/src/load/Mix.h
+++ b/src/load/Mix.h
@@ -15,7 +15,7 @@
 {
   std::string m_method;
   double m_share = 0.0; ///< part of all requests; the shares add up to 1
-  caller::RequestClass m_class = caller::RequestClass::Interactive;
+  RequestClass m_class = RequestClass::Interactive;
   bool m_idempotent = true;
   Duration m_deadline{};
 };
--- a/src/worker/WorkerMessages.cpp
+++ b/src/worker/WorkerMessages.cpp
@@ -137,6 +137,7 @@
   const Json body = { { "slice", aRequest.m_slice.Value() },
                       { "epoch", aRequest.m_epoch },
                       { "token", aRequest.m_token },
+                      { "sequence", aRequest.m_sequence },
                       { "commands", commands },
                       { "ended_seen", aRequest.m_endedSeen } };
   return body.dump();
@@ -170,6 +171,7 @@
     request.m_slice = SliceId(aJson.at("slice").get<std::string>());
     request.m_epoch = aJson.at("epoch").get<Epoch>();
     request.m_token = aJson.at("token").get<std::uint64_t>();
+    request.m_sequence = aJson.at("sequence").get<std::uint64_t>();
     request.m_endedSeen = aJson.at("ended_seen").get<std::uint64_t>();
     for (const Json& command : aJson.at("commands")) {
       request.m_commands.push_back(CommandFrom(command));
--- a/src/worker/WorkerMessages.h
+++ b/src/worker/WorkerMessages.h
@@ -40,6 +40,11 @@
   /// The token of the worker's latest answer; 0 for adoption. The worker's
   /// lease runs from the time it issued this token.
   std::uint64_t m_token = 0;
+  /// Grows with each request of the sender under the epoch. A worker refuses a
+  /// request that was overtaken by a later one, so that a delayed start cannot
+  /// take effect after its sender has concluded that it did not. 0 is accepted
+  /// only from senders that never number their requests.
+  std::uint64_t m_sequence = 0;
   std::vector<Command> m_commands;
   /// Ended tasks up to this sequence number have been taken note of.
   std::uint64_t m_endedSeen = 0;
