Add the decision core for workers

The slices of workers need a scheduler that decides without I/O. Compiles; not yet covered by tests.

--- /dev/null
+++ b/src/sched/GangPlacement.h
@@ -0,0 +1,28 @@
+/// Places for all tasks of a gang at once, on as few racks and failure domains
+/// as the free resources allow.
+#pragma once
+
+#include "sched/FreeTable.h"
+
+namespace lacewing::sched {
+
+/// How many tasks of the request the worker can take now.
+std::uint32_t
+CountThatFit(const FreeTable& aTable,
+             std::uint32_t aWorker,
+             const Request& aRequest);
+
+/// How often the need goes into the amounts.
+std::uint32_t
+CountThatFit(const Resources& aAvailable, const Resources& aNeed);
+
+/// A worker for each of the tasks, or an empty list if not all of them fit.
+/// The failure domain with the most free processors is tried first, then each
+/// other one alone, then all together; within a domain, the racks with the most
+/// free processors come first.
+std::vector<std::uint32_t>
+PlaceGangByRack(const FreeTable& aTable,
+                const Request& aRequest,
+                std::uint32_t aTasks);
+
+} // namespace lacewing::sched
--- /dev/null
+++ b/src/sched/SliceScheduler.cpp
@@ -0,0 +1,7 @@
+#include "sched/SliceScheduler.h"
+
+namespace lacewing::sched {
+
+template class SliceScheduler<FairOrder, BestFitPlacement>;
+
+} // namespace lacewing::sched
--- /dev/null
+++ b/src/sched/WorkerHealth.h
@@ -0,0 +1,38 @@
+/// Suspicion of a worker, raised by failures of different jobs and decaying
+/// over time.
+#pragma once
+
+#include "core/Time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace lacewing::sched {
+
+struct HealthOptions
+{
+  double m_suspectScore = 3;
+  Duration m_halfLife = std::chrono::minutes(10);
+};
+
+class WorkerHealth
+{
+public:
+  /// Counts a failure; further failures of a job that was counted recently
+  /// change nothing. `aJobSequence` is unique for each job and not zero.
+  void OnFailure(Time aNow,
+                 const HealthOptions& aOptions,
+                 std::uint64_t aJobSequence);
+  /// A success halves the score and forgets which jobs failed.
+  void OnSuccess(Time aNow, const HealthOptions& aOptions);
+  double Score(Time aNow, const HealthOptions& aOptions) const;
+  bool IsSuspect(Time aNow, const HealthOptions& aOptions) const;
+
+private:
+  std::array<std::uint64_t, 4> m_failedJobs{}; ///< latest different jobs
+  std::size_t m_nextPlace = 0;
+  float m_score = 0;
+  Time m_scoredAt{};
+};
+
+} // namespace lacewing::sched
