Worker model: adoption extends no lease and carries no command

Cause: an adoption has no token. The model extended the lease from the arrival of an adoption and carried out its commands. Trace: A owns the slice with task T on W; A dies; B claims and its Adopt to W is delayed; B dies; C claims, cannot reach W, waits 20.4 s and starts T elsewhere; B's Adopt reaches W just before W's lease ends and T runs on W for 20 s more. Also, an owner cut off from a worker for longer than the lease could never command it again under its epoch, and a start repeated by the network after the task's end ran it again.

The fakes hold single commits and single messages, for the fault matrix.

Conclusion: the first start must carry the token of the adoption's answer.

--- a/src/ownership/AllotmentBook.cpp
+++ b/src/ownership/AllotmentBook.cpp
@@ -225,6 +225,7 @@
     }
   }
   std::vector<std::string> keys;
+  keys.reserve(ids.size());
   for (const LimitId& id : ids) {
     keys.push_back(LimitKey(id));
   }
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -23,17 +23,7 @@
   if (!Accepts(aNow, aRequest)) {
     return Reply(false);
   }
-  if (aRequest.m_epoch > m_epoch) {
-    // Adoption by the next owner: tokens of the previous one are void, so that
-    // its delayed commands cannot extend the lease.
-    m_epoch = aRequest.m_epoch;
-    m_issued.clear();
-    m_leaseEnd = std::max(m_leaseEnd, aNow + m_options.m_lease);
-  } else if (const auto issued = m_issued.find(aRequest.m_token);
-             issued != m_issued.end()) {
-    m_leaseEnd = std::max(m_leaseEnd, issued->second + m_options.m_lease);
-    m_issued.erase(m_issued.begin(), issued);
-  }
+  TakeEpochAndToken(aNow, aRequest);
   std::erase_if(m_ended, [&](const EndedTask& aTask) {
     return aTask.m_sequence <= aRequest.m_endedSeen;
   });
@@ -58,7 +48,7 @@
     }
   }
   for (const auto& [id, outcome] : ends) {
-    End(id, outcome);
+    End(aNow, id, outcome);
   }
 }
 
@@ -78,19 +68,69 @@
   return aNow < m_leaseEnd;
 }
 
+std::vector<worker::RunningTask>
+WorkerModel::Running() const
+{
+  std::vector<worker::RunningTask> running;
+  running.reserve(m_tasks.size());
+  for (const auto& [id, task] : m_tasks) {
+    running.push_back(task.m_running);
+  }
+  return running;
+}
+
+Time
+WorkerModel::NextChange() const
+{
+  Time next = m_tasks.empty() ? Time::max() : m_leaseEnd;
+  for (const auto& [id, task] : m_tasks) {
+    next = std::min(next, task.m_end);
+  }
+  return next;
+}
+
 bool
 WorkerModel::Accepts(Time aNow, const ControlRequest& aRequest) const
 {
-  if (aRequest.m_epoch < m_epoch) {
+  if (aRequest.m_epoch < m_epoch && m_options.m_checkEpoch) {
     return false;
   }
-  if (aRequest.m_epoch > m_epoch) {
+  // Adoption, also a repeated one by the same owner: it yields a token.
+  if ((aRequest.m_token == 0 && aRequest.m_commands.empty()) ||
+      !m_options.m_tokenRule) {
     return true;
   }
+  if (aRequest.m_epoch > m_epoch) {
+    return false;
+  }
   const auto issued = m_issued.find(aRequest.m_token);
   return issued != m_issued.end() && aNow < issued->second + m_options.m_lease;
 }
 
+void
+WorkerModel::TakeEpochAndToken(Time aNow, const ControlRequest& aRequest)
+{
+  if (aRequest.m_epoch > m_epoch) {
+    // Tokens of the previous owner are void, so that its delayed commands
+    // cannot extend the lease.
+    m_epoch = aRequest.m_epoch;
+    if (m_options.m_checkEpoch) {
+      m_issued.clear();
+    }
+  }
+  if (!m_options.m_tokenRule) {
+    m_leaseEnd = aNow + m_options.m_lease;
+    return;
+  }
+  // An adoption carries no token and leaves the lease as it is: it may have
+  // been delayed for so long that yet another owner has given up this worker.
+  const auto issued = m_issued.find(aRequest.m_token);
+  if (issued != m_issued.end()) {
+    m_leaseEnd = std::max(m_leaseEnd, issued->second + m_options.m_lease);
+    m_issued.erase(m_issued.begin(), issued);
+  }
+}
+
 void
 WorkerModel::Carry(Time aNow, const Command& aCommand)
 {
@@ -105,10 +145,10 @@
   }
   switch (aCommand.m_kind) {
     case CommandKind::Stop:
-      End(aCommand.m_task, TaskOutcome::Stopped);
+      End(aNow, aCommand.m_task, TaskOutcome::Stopped);
       break;
     case CommandKind::Checkpoint:
-      End(aCommand.m_task, TaskOutcome::Checkpointed);
+      End(aNow, aCommand.m_task, TaskOutcome::Checkpointed);
       break;
     case CommandKind::Throttle:
       found->second.m_running.m_throttled = true;
@@ -124,7 +164,13 @@
 void
 WorkerModel::Start(Time aNow, const Command& aCommand)
 {
-  if (m_tasks.contains(aCommand.m_task)) {
+  // A repetition of a start carries a token from before the task ended, so that
+  // the token's age refuses it once the end is forgotten.
+  std::erase_if(m_recentEnds, [&](const auto& aEnd) {
+    return aEnd.second + m_options.m_lease < aNow;
+  });
+  if (m_tasks.contains(aCommand.m_task) ||
+      m_recentEnds.contains({ aCommand.m_task, aCommand.m_attempt })) {
     return;
   }
   ++m_starts[aCommand.m_task];
@@ -141,7 +187,7 @@
 }
 
 void
-WorkerModel::End(const TaskId& aTask, TaskOutcome aOutcome)
+WorkerModel::End(Time aNow, const TaskId& aTask, TaskOutcome aOutcome)
 {
   const auto found = m_tasks.find(aTask);
   EndedTask ended;
@@ -150,6 +196,7 @@
   ended.m_attempt = found->second.m_running.m_attempt;
   ended.m_outcome = aOutcome;
   m_ended.push_back(ended);
+  m_recentEnds[{ aTask, ended.m_attempt }] = aNow;
   m_tasks.erase(found);
 }
 
--- a/standins/WorkerModel.h
+++ b/standins/WorkerModel.h
@@ -15,6 +15,9 @@
   Duration m_lease = seconds(20);
   /// Every task fails at once, as on a broken worker.
   bool m_failEverything = false;
+  /// Switched off only by the mutation tests of the ownership protocol.
+  bool m_checkEpoch = true;
+  bool m_tokenRule = true;
 };
 
 class WorkerModel
@@ -31,6 +34,9 @@
   /// Starts of each task, for the detection of duplicates.
   const std::map<TaskId, int>& Starts() const { return m_starts; }
   Resources Reserved() const;
+  std::vector<worker::RunningTask> Running() const;
+  /// When `Advance` next ends a task, unless a command changes that.
+  Time NextChange() const;
   bool LeaseValid(Time aNow) const;
 
 private:
@@ -41,9 +47,10 @@
   };
 
   bool Accepts(Time aNow, const worker::ControlRequest& aRequest) const;
+  void TakeEpochAndToken(Time aNow, const worker::ControlRequest& aRequest);
   void Carry(Time aNow, const worker::Command& aCommand);
   void Start(Time aNow, const worker::Command& aCommand);
-  void End(const TaskId& aTask, worker::TaskOutcome aOutcome);
+  void End(Time aNow, const TaskId& aTask, worker::TaskOutcome aOutcome);
   worker::ControlReply Reply(bool aAccepted) const;
 
   WorkerOptions m_options;
@@ -53,6 +60,8 @@
   Time m_leaseEnd{};
   std::map<TaskId, Task> m_tasks;
   std::vector<worker::EndedTask> m_ended;
+  /// Ends within the last lease, for the refusal of repeated starts.
+  std::map<std::pair<TaskId, std::uint32_t>, Time> m_recentEnds;
   std::uint64_t m_endedSequence = 0;
   std::map<TaskId, int> m_starts;
 };
--- a/tests/fakes/FaultyNetwork.h
+++ b/tests/fakes/FaultyNetwork.h
@@ -2,7 +2,7 @@
 /// loss, delay, duplication, reordering and cuts in one or both directions.
 #pragma once
 
-#include "fakes/ProcessSet.h"
+#include "ProcessSet.h"
 
 #include <random>
 #include <set>
@@ -19,6 +19,14 @@
   Duration m_jitter{};
 };
 
+/// A fault of the next message only.
+struct MessageFault
+{
+  bool m_lose = false;
+  bool m_duplicate = false;
+  Duration m_delay{};
+};
+
 class FaultyNetwork
 {
 public:
@@ -30,6 +38,7 @@
   }
 
   LinkFaults& Faults() { return m_faults; }
+  MessageFault& NextMessage() { return m_next; }
 
   /// Cuts or restores the direction from one VM to another.
   void SetCut(const VmId& aFrom, const VmId& aTo, bool aCut)
@@ -52,12 +61,14 @@
             const VmId& aTo,
             const std::function<void()>& aArrive)
   {
-    const int copies = Chance(m_faults.m_duplication) ? 2 : 1;
+    const MessageFault fault = std::exchange(m_next, {});
+    const bool twice = fault.m_duplicate || Chance(m_faults.m_duplication);
+    const int copies = twice ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-      if (Chance(m_faults.m_loss)) {
+      if (fault.m_lose || Chance(m_faults.m_loss)) {
         continue;
       }
-      m_queue.After(NextDelay(), [this, aFrom, aTo, aArrive] {
+      m_queue.After(fault.m_delay + NextDelay(), [this, aFrom, aTo, aArrive] {
         if (!IsCut(aFrom, aTo)) {
           m_processes.Deliver(
             aTo, m_processes.CurrentIncarnation(aTo), aArrive);
@@ -84,6 +95,7 @@
   ProcessSet& m_processes;
   std::mt19937_64 m_random;
   LinkFaults m_faults;
+  MessageFault m_next;
   std::set<std::pair<VmId, VmId>> m_cuts;
 };
 
--- a/tests/fakes/FaultyTable.h
+++ b/tests/fakes/FaultyTable.h
@@ -2,7 +2,7 @@
 /// write took effect, stale reads, and unreachable from single processes.
 #pragma once
 
-#include "fakes/ProcessSet.h"
+#include "ProcessSet.h"
 #include "table/MemoryTable.h"
 
 #include <memory>
@@ -18,6 +18,8 @@
   /// Reads answer from a copy that is this old; zero for the present state.
   Duration m_readLag{};
   std::set<VmId> m_unreachableFrom;
+  /// The next commit takes effect this much later, also after its timeout.
+  Duration m_holdNextCommit{};
 };
 
 class FaultyTable
@@ -37,6 +39,24 @@
   const table::MemoryTable& Table() const { return m_table; }
   std::uint64_t Writes() const { return m_writes; }
   std::uint64_t Reads() const { return m_reads; }
+  /// Without copies of former states there are no stale reads, and commits are
+  /// cheaper.
+  void KeepCopies(bool aKeep) { m_keepsCopies = aKeep; }
+  /// Called with each commit that takes effect.
+  void OnApplied(std::function<void(const table::Commit&)> aHook)
+  {
+    m_onApplied = std::move(aHook);
+  }
+  /// Applies a commit at once, without faults.
+  table::CommitResult ApplyNow(const table::Commit& aCommit)
+  {
+    const auto result = m_table.Apply(aCommit);
+    KeepCopy();
+    if (m_onApplied && result.m_state == table::CommitState::Committed) {
+      m_onApplied(aCommit);
+    }
+    return result;
+  }
 
   /// Calls back exactly once in the calling incarnation; `Unknown` after the
   /// timeout.
@@ -47,15 +67,15 @@
   {
     ++m_writes;
     const auto answer = Answer<table::CommitResult>(aFrom, aTimeout, aDone);
+    const Duration hold = std::exchange(m_faults.m_holdNextCommit, {});
     if (IsLost(aFrom)) {
       return;
     }
-    m_queue.After(m_faults.m_delay, [this, aFrom, aCommit, answer] {
+    m_queue.After(hold + m_faults.m_delay, [this, aFrom, aCommit, answer] {
       if (IsLost(aFrom)) {
         return;
       }
-      const auto result = m_table.Apply(aCommit);
-      KeepCopy();
+      const auto result = ApplyNow(aCommit);
       if (!m_faults.m_loseAnswers) {
         m_queue.After(m_faults.m_delay, [answer, result] { answer(result); });
       }
@@ -113,6 +133,9 @@
 
   void KeepCopy()
   {
+    if (!m_keepsCopies) {
+      return;
+    }
     m_copies.insert_or_assign(m_queue.Now(), m_table);
     while (m_copies.size() > kMaxCopies) {
       m_copies.erase(m_copies.begin());
@@ -121,7 +144,7 @@
 
   const table::MemoryTable& Source() const
   {
-    if (m_faults.m_readLag == Duration::zero()) {
+    if (m_faults.m_readLag == Duration::zero() || !m_keepsCopies) {
       return m_table;
     }
     auto copy = m_copies.upper_bound(m_queue.Now() - m_faults.m_readLag);
@@ -135,6 +158,8 @@
   table::MemoryTable m_table;
   std::map<Time, table::MemoryTable> m_copies;
   TableFaults m_faults;
+  bool m_keepsCopies = true;
+  std::function<void(const table::Commit&)> m_onApplied;
   std::uint64_t m_writes = 0;
   std::uint64_t m_reads = 0;
 };
--- a/tests/fakes/ProcessSet.h
+++ b/tests/fakes/ProcessSet.h
@@ -2,8 +2,8 @@
 /// clock of its own rate.
 #pragma once
 
+#include "EventQueue.h"
 #include "core/Ids.h"
-#include "fakes/EventQueue.h"
 
 #include <map>
 #include <vector>
@@ -100,6 +100,15 @@
            Scale(m_queue.Now() - process.m_started, process.m_rate);
   }
 
+  /// The queue's time at which the process's clock shows the local time,
+  /// rounded up.
+  Time QueueTimeOf(const VmId& aVm, Time aLocal) const
+  {
+    const Process& process = m_processes.at(aVm);
+    return process.m_started + microseconds(1) +
+           Scale(aLocal - Time() - process.m_offset, 1 / process.m_rate);
+  }
+
 private:
   struct Process
   {
