--- a/src/ownership/AllotmentBook.cpp
+++ b/src/ownership/AllotmentBook.cpp
@@ -79,23 +79,28 @@
 }
 
 void
-AllotmentBook::SetDemand(Time aNow,
-                         const SliceId& aSlice,
-                         const LimitId& aLimit,
-                         std::int64_t aRunning,
-                         std::int64_t aWaiting)
+AllotmentBook::SetDemands(Time aNow,
+                          const SliceId& aSlice,
+                          const std::map<LimitId, Demand>& aDemands)
 {
-  const auto slice = m_slices.find(aSlice);
-  if (slice == m_slices.end()) {
+  const auto found = m_slices.find(aSlice);
+  if (found == m_slices.end()) {
     return;
   }
-  Entry& entry = slice->second.m_entries[aLimit];
-  const bool wasBusy = entry.m_waiting > 0;
-  if (wasBusy || aRunning > entry.m_running || aWaiting > 0) {
-    entry.m_idleSince = aNow;
+  Slice& slice = found->second;
+  slice.m_demandKnown = true;
+  for (const auto& [id, demand] : aDemands) {
+    slice.m_entries.try_emplace(id);
+  }
+  for (auto& [id, entry] : slice.m_entries) {
+    const auto given = aDemands.find(id);
+    const Demand demand = given == aDemands.end() ? Demand() : given->second;
+    if (demand.m_waiting > 0 || entry.m_demand.m_waiting > 0 ||
+        demand.m_running > entry.m_demand.m_running) {
+      entry.m_idleSince = aNow;
+    }
+    entry.m_demand = demand;
   }
-  entry.m_running = aRunning;
-  entry.m_waiting = aWaiting;
 }
 
 std::int64_t
@@ -107,7 +112,10 @@
       seen == m_rows.end()) {
     return 0;
   }
-  std::int64_t amount = seen->second.m_row.Of(aSlice);
+  // Above a lowered limit no slice starts more than its fair part.
+  std::int64_t amount = m_options.m_mechanisms.m_allotmentSum
+                          ? FairPart(seen->second.m_row, aSlice)
+                          : seen->second.m_row.Of(aSlice);
   const auto entry = slice->second.m_entries.find(aLimit);
   if (entry != slice->second.m_entries.end()) {
     for (const Pending& pending : entry->second.m_pending) {
@@ -126,7 +134,8 @@
   table::Commit commit;
   const auto found = m_slices.find(aSlice);
   if (found == m_slices.end() || !found->second.m_confirmed ||
-      found->second.m_inFlight || aNow < found->second.m_next) {
+      !found->second.m_demandKnown || found->second.m_inFlight ||
+      aNow < found->second.m_next) {
     return commit;
   }
   Slice& slice = found->second;
@@ -137,8 +146,8 @@
       continue;
     }
     const LimitRow& row = seen->second.m_row;
-    const bool above =
-      row.Sum() > row.m_limit && entry.m_running > FairPart(row, aSlice);
+    const bool above = row.Sum() > row.m_limit &&
+                       entry.m_demand.m_running > FairPart(row, aSlice);
     entry.m_aboveSince =
       above ? std::min(entry.m_aboveSince, aNow) : Time::max();
     LimitRow changed = Change(aNow, aSlice, entry, row);
@@ -206,7 +215,8 @@
       continue;
     }
     const LimitRow& row = seen->second.m_row;
-    const std::int64_t excess = entry.m_running - FairPart(row, aSlice);
+    const std::int64_t excess =
+      entry.m_demand.m_running - FairPart(row, aSlice);
     if (row.Sum() > row.m_limit && excess > 0) {
       const bool any = aNow - entry.m_aboveSince >= m_options.m_stopAnyAfter;
       demands.push_back({ id, excess, any });
@@ -261,7 +271,7 @@
   const std::string& name = aSlice.Value();
   const std::int64_t held = aRow.Of(aSlice);
   const std::int64_t sum = aRow.Sum();
-  const std::int64_t idle = held - aEntry.m_running;
+  const std::int64_t idle = held - aEntry.m_demand.m_running;
   std::int64_t others = 0;
   for (const auto& [slice, amount] : aRow.m_wanted) {
     others += slice == name ? 0 : 1;
@@ -269,9 +279,10 @@
   std::int64_t amount = held;
   std::int64_t unmet = 0;
   if (sum > aRow.m_limit && m_options.m_mechanisms.m_allotmentSum) {
-    amount = std::min(held, std::max(FairPart(aRow, aSlice), aEntry.m_running));
-  } else if (aEntry.m_waiting > idle) {
-    const std::int64_t need = aEntry.m_waiting - idle;
+    amount = std::min(
+      held, std::max(FairPart(aRow, aSlice), aEntry.m_demand.m_running));
+  } else if (aEntry.m_demand.m_waiting > idle) {
+    const std::int64_t need = aEntry.m_demand.m_waiting - idle;
     std::int64_t grant = need;
     if (m_options.m_mechanisms.m_allotmentSum) {
       // The free part is divided among the slices that want some.
@@ -282,11 +293,11 @@
     }
     amount = held + grant;
     unmet = need - grant;
-  } else if (idle > aEntry.m_waiting) {
+  } else if (idle > aEntry.m_demand.m_waiting) {
     const bool longIdle =
       aNow - aEntry.m_idleSince >= m_options.m_allotmentIdle;
     if (others > 0 || longIdle) {
-      amount = aEntry.m_running + aEntry.m_waiting;
+      amount = aEntry.m_demand.m_running + aEntry.m_demand.m_waiting;
     }
   }
   if (unmet > 0) {
--- a/src/ownership/AllotmentBook.h
+++ b/src/ownership/AllotmentBook.h
@@ -10,6 +10,13 @@
 
 namespace lacewing::ownership {
 
+/// Amounts of a team in a slice, in the unit of the limit.
+struct Demand
+{
+  std::int64_t m_running = 0; ///< with starts that are under way
+  std::int64_t m_waiting = 0;
+};
+
 class AllotmentBook
 {
 public:
@@ -23,15 +30,15 @@
   /// held; until then its allotments count as zero.
   void Confirm(const SliceId& aSlice);
   bool IsConfirmed(const SliceId& aSlice) const;
-  /// Running amount (with starts under way) and waiting amount of a team in a
-  /// slice.
-  void SetDemand(Time aNow,
-                 const SliceId& aSlice,
-                 const LimitId& aLimit,
-                 std::int64_t aRunning,
-                 std::int64_t aWaiting);
+  /// What runs and waits in the slice, of all teams: limits that are left out
+  /// have nothing. Until the first call for a held slice, nothing is given
+  /// back.
+  void SetDemands(Time aNow,
+                  const SliceId& aSlice,
+                  const std::map<LimitId, Demand>& aDemands);
 
-  /// What the team may have running in the slice.
+  /// What the team may have running in the slice; starts beyond it are not
+  /// permitted, but after a limit was lowered more may still be running.
   std::int64_t Allotment(const SliceId& aSlice, const LimitId& aLimit) const;
   /// The one transaction of the slice that is due, for all teams together;
   /// without effect if it is empty. `aSliceVersion` fences it.
@@ -64,8 +71,7 @@
 
   struct Entry
   {
-    std::int64_t m_running = 0;
-    std::int64_t m_waiting = 0;
+    Demand m_demand;
     Time m_idleSince{};              ///< start of the present idle period
     Time m_aboveSince = Time::max(); ///< since when it is above its fair part
     std::vector<Pending> m_pending;
@@ -74,6 +80,7 @@
   struct Slice
   {
     bool m_confirmed = false;
+    bool m_demandKnown = false;
     bool m_inFlight = false;
     Time m_next = Time::min();
     std::map<LimitId, Entry> m_entries;
--- a/src/ownership/Ownership.cpp
+++ b/src/ownership/Ownership.cpp
@@ -286,13 +286,16 @@
 }
 
 void
-Ownership::SetDemand(Time aNow,
-                     const SliceId& aSlice,
-                     const LimitId& aLimit,
-                     std::int64_t aRunning,
-                     std::int64_t aWaiting)
+Ownership::SetDemands(Time aNow,
+                      const SliceId& aSlice,
+                      const std::map<LimitId, Demand>& aDemands)
 {
-  m_allotments.SetDemand(aNow, aSlice, aLimit, aRunning, aWaiting);
+  // Before the slice opens, the inventories are incomplete, and allotments that
+  // cover running work would be given back.
+  const auto tracker = m_adoptions.find(aSlice);
+  if (tracker != m_adoptions.end() && tracker->second.IsOpen()) {
+    m_allotments.SetDemands(aNow, aSlice, aDemands);
+  }
 }
 
 std::int64_t
--- a/src/ownership/Ownership.h
+++ b/src/ownership/Ownership.h
@@ -75,11 +75,11 @@
 
   /// The token for the next command to a worker; 0 if none may be sent.
   std::uint64_t WorkerToken(const SliceId& aSlice, const VmId& aWorker) const;
-  void SetDemand(Time aNow,
-                 const SliceId& aSlice,
-                 const LimitId& aLimit,
-                 std::int64_t aRunning,
-                 std::int64_t aWaiting);
+  /// What runs and waits in an open slice, of all teams: limits that are left
+  /// out have nothing. Ignored while the slice is not open.
+  void SetDemands(Time aNow,
+                  const SliceId& aSlice,
+                  const std::map<LimitId, Demand>& aDemands);
   /// Upper bound of what the team may have running in the slice.
   std::int64_t Allotment(const SliceId& aSlice, const LimitId& aLimit) const;
   std::vector<StopDemand> StopDemands(Time aNow, const SliceId& aSlice) const;
