--- /dev/null
+++ b/src/routing/RequestRouter.cpp
@@ -0,0 +1,7 @@
+#include "routing/RequestRouterImpl.h"
+
+namespace lacewing::routing {
+
+template class BasicRequestRouter<RequestQueue, LeastBusy>;
+
+} // namespace lacewing::routing
--- /dev/null
+++ b/src/table/GroupCommit.cpp
@@ -0,0 +1,290 @@
+#include "table/GroupCommit.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace lacewing::table {
+
+GroupCommit::GroupCommit(GroupCommitOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+GroupCommit::SetMembers(int aMembers)
+{
+  m_members = std::max(1, aMembers);
+}
+
+Duration
+GroupCommit::Pause() const
+{
+  const Duration shared =
+    Duration(seconds(m_members)) / std::max(1, m_options.m_writesPerSecond);
+  return std::max(m_options.m_minPause, shared);
+}
+
+std::optional<RecordId>
+GroupCommit::Add(RecordWrite aWrite)
+{
+  if (m_records.size() >= m_options.m_maxBacklog) {
+    return std::nullopt;
+  }
+  const RecordId record = m_nextRecord++;
+  m_earliestDeadline = std::min(m_earliestDeadline, aWrite.m_deadline);
+  m_records.emplace(record, Record{ std::move(aWrite) });
+  m_queue.push_back(record);
+  return record;
+}
+
+GroupCommitEffects
+GroupCommit::OnTick(Time aNow)
+{
+  return Advance(aNow, {});
+}
+
+GroupCommitEffects
+GroupCommit::Advance(Time aNow, GroupCommitEffects aEffects)
+{
+  Expire(aNow, aEffects);
+  if (!m_busy && aNow >= m_nextStart) {
+    Start(aNow, aEffects);
+  }
+  return aEffects;
+}
+
+// ---- Results ----
+
+GroupCommitEffects
+GroupCommit::OnCommitResult(Time aNow,
+                            OperationId aOperation,
+                            const CommitResult& aResult)
+{
+  GroupCommitEffects effects;
+  if (!m_busy || aOperation != m_operation) {
+    return effects;
+  }
+  m_busy = false;
+  const Batch batch = std::move(m_batch);
+  m_batch.clear();
+  switch (aResult.m_state) {
+    case CommitState::Committed:
+      for (const RecordId record : batch) {
+        Finish(record, CommitState::Committed, aResult.m_version, effects);
+      }
+      break;
+    case CommitState::Conflict:
+      OnConflict(batch, aResult, effects);
+      break;
+    case CommitState::NotApplied:
+      Requeue(batch);
+      break;
+    case CommitState::Unknown:
+      OnUnknown(batch, effects);
+      break;
+  }
+  return Advance(aNow, std::move(effects));
+}
+
+void
+GroupCommit::OnConflict(const Batch& aBatch,
+                        const CommitResult& aResult,
+                        GroupCommitEffects& aEffects)
+{
+  const std::unordered_set<std::string> conflicts(aResult.m_conflicts.begin(),
+                                                  aResult.m_conflicts.end());
+  Batch others;
+  for (const RecordId record : aBatch) {
+    const Record& entry = m_records.at(record);
+    if (!conflicts.contains(entry.m_write.m_key)) {
+      others.push_back(record);
+    } else if (entry.m_uncertain) {
+      // The conflict may be with its own earlier transaction.
+      m_toRead.push_back(record);
+    } else {
+      Finish(record, CommitState::Conflict, 0, aEffects);
+    }
+  }
+  Requeue(others);
+}
+
+void
+GroupCommit::OnUnknown(const Batch& aBatch, GroupCommitEffects& aEffects)
+{
+  for (const RecordId record : aBatch) {
+    m_records.at(record).m_uncertain = true;
+    if (m_options.m_readBackUnknown) {
+      m_toRead.push_back(record);
+    } else {
+      Finish(record, CommitState::Unknown, 0, aEffects);
+    }
+  }
+}
+
+GroupCommitEffects
+GroupCommit::OnReadResult(Time aNow,
+                          OperationId aOperation,
+                          const ReadResult& aResult)
+{
+  GroupCommitEffects effects;
+  if (!m_busy || aOperation != m_operation) {
+    return effects;
+  }
+  m_busy = false;
+  const Batch batch = std::move(m_batch);
+  m_batch.clear();
+  for (const RecordId record : batch) {
+    if (aResult.m_ok) {
+      Settle(record, aResult.m_rows, effects);
+    } else {
+      m_toRead.push_back(record);
+    }
+  }
+  return Advance(aNow, std::move(effects));
+}
+
+void
+GroupCommit::Settle(RecordId aRecord,
+                    const Rows& aRows,
+                    GroupCommitEffects& aEffects)
+{
+  const RecordWrite& write = m_records.at(aRecord).m_write;
+  const auto row = aRows.find(write.m_key);
+  const bool absent = row == aRows.end();
+  const RowVersion version = absent ? 0 : row->second.m_version;
+  const bool inEffect =
+    write.m_value ? !absent && row->second.m_value == *write.m_value : absent;
+  if (inEffect) {
+    Finish(aRecord, CommitState::Committed, version, aEffects);
+  } else if (!write.m_expected || version == *write.m_expected) {
+    Requeue({ aRecord });
+  } else {
+    Finish(aRecord, CommitState::Conflict, 0, aEffects);
+  }
+}
+
+void
+GroupCommit::Finish(RecordId aRecord,
+                    CommitState aState,
+                    RowVersion aVersion,
+                    GroupCommitEffects& aEffects)
+{
+  aEffects.m_results.push_back({ aRecord, aState, aVersion });
+  m_records.erase(aRecord);
+}
+
+/// Puts records back at the head, in their order.
+void
+GroupCommit::Requeue(const Batch& aBatch)
+{
+  m_queue.insert(m_queue.begin(), aBatch.begin(), aBatch.end());
+}
+
+// ---- Deadlines ----
+
+void
+GroupCommit::Expire(Time aNow, GroupCommitEffects& aEffects)
+{
+  if (aNow < m_earliestDeadline) {
+    return;
+  }
+  m_earliestDeadline = Time::max();
+  ExpireList(aNow, m_queue, aEffects);
+  ExpireList(aNow, m_toRead, aEffects);
+  for (const auto& [id, record] : m_records) {
+    m_earliestDeadline =
+      std::min(m_earliestDeadline, record.m_write.m_deadline);
+  }
+}
+
+void
+GroupCommit::ExpireList(Time aNow,
+                        std::deque<RecordId>& aList,
+                        GroupCommitEffects& aEffects)
+{
+  std::erase_if(aList, [&](RecordId aRecord) {
+    const Record& record = m_records.at(aRecord);
+    if (record.m_write.m_deadline > aNow) {
+      return false;
+    }
+    Finish(aRecord,
+           record.m_uncertain ? CommitState::Unknown : CommitState::NotApplied,
+           0,
+           aEffects);
+    return true;
+  });
+}
+
+// ---- Operations ----
+
+void
+GroupCommit::Start(Time aNow, GroupCommitEffects& aEffects)
+{
+  if (!m_toRead.empty()) {
+    aEffects.m_read = StartRead();
+  } else if (!m_queue.empty()) {
+    aEffects.m_commit = StartCommit();
+  } else {
+    return;
+  }
+  m_busy = true;
+  m_nextStart = aNow + Pause();
+}
+
+ReadBatch
+GroupCommit::StartRead()
+{
+  ReadBatch batch{ ++m_operation, {} };
+  while (!m_toRead.empty() && m_batch.size() < m_options.m_maxBatch) {
+    const RecordId record = m_toRead.front();
+    m_toRead.pop_front();
+    m_batch.push_back(record);
+    batch.m_read.m_keys.push_back(m_records.at(record).m_write.m_key);
+  }
+  return batch;
+}
+
+CommitBatch
+GroupCommit::StartCommit()
+{
+  CommitBatch batch{ ++m_operation, {} };
+  Commit& commit = batch.m_commit;
+  std::unordered_set<std::string> keys;
+  std::deque<RecordId> sameKey;
+  while (!m_queue.empty() && m_batch.size() < m_options.m_maxBatch) {
+    const RecordId record = m_queue.front();
+    m_queue.pop_front();
+    const RecordWrite& write = m_records.at(record).m_write;
+    // Writes of the same row need transactions of their own.
+    if (!keys.insert(write.m_key).second) {
+      sameKey.push_back(record);
+      continue;
+    }
+    m_batch.push_back(record);
+    if (write.m_expected) {
+      commit.m_checks.push_back({ write.m_key, *write.m_expected });
+    }
+    if (write.m_value) {
+      commit.m_puts.push_back({ write.m_key, *write.m_value });
+    } else {
+      commit.m_deletes.push_back(write.m_key);
+    }
+  }
+  m_queue.insert(m_queue.begin(), sameKey.begin(), sameKey.end());
+  return batch;
+}
+
+std::optional<Time>
+GroupCommit::NextWakeup() const
+{
+  if (m_records.empty()) {
+    return std::nullopt;
+  }
+  const bool waiting = !m_queue.empty() || !m_toRead.empty();
+  if (m_busy || !waiting) {
+    return m_earliestDeadline;
+  }
+  return std::min(m_nextStart, m_earliestDeadline);
+}
+
+} // namespace lacewing::table
