--- /dev/null
+++ b/tests/correctness/SettingsIni.cpp
@@ -0,0 +1,124 @@
+/// Guards against values that pass unchecked, errors without their place, and
+/// errors that hide the ones after them.
+#include "settings/Bootstrap.h"
+#include "settings/SettingsTree.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::settings {
+
+namespace {
+
+const std::string kDigest = std::string(32, 'a') + ":" + std::string(64, 'b');
+
+std::string
+GoodBootstrap()
+{
+  return "[process]\nvm = vm-1\nregion = lombardy\ndomain = a\n"
+         "cluster = prod\n[listen]\ncallers = 127.0.0.1:8080\n"
+         "peers = 127.0.0.1:8081\n[platform]\ntable = 127.0.0.1:9000\n"
+         "objects = 127.0.0.1:9001\nvm_list = [::1]:9002\n[secrets]\n"
+         "cluster_secret = hush\nadmin_key_digest = " +
+         kDigest + "\n";
+}
+
+} // namespace
+
+TEST(SettingsIni, ReadsABootstrapFile)
+{
+  const auto result = ParseBootstrap("boot.ini", GoodBootstrap());
+  ASSERT_TRUE(result.m_bootstrap) << result.ErrorText();
+  EXPECT_EQ(result.m_bootstrap->m_vm.Value(), "vm-1");
+  EXPECT_EQ(result.m_bootstrap->m_vmList.m_port, 9002);
+  EXPECT_EQ(result.m_bootstrap->m_logLevel, LogLevel::Info);
+}
+
+TEST(SettingsIni, ReportsEveryErrorWithItsPlace)
+{
+  const std::string text = "[membership]\n"    // 1
+                           "lease_ms = soon\n" // 2
+                           "renew_ms = 100\n"  // 3
+                           "renew_ms = 200\n"  // 4
+                           "leese_ms = 1\n"    // 5
+                           "[memberships]\n"   // 6
+                           "x = 1\n"           // 7
+                           "[worker]\n"        // 8
+                           "no value here\n"   // 9
+                           "lease_ms = 1\n";   // 10
+  const auto result = ParseIni(Scope::System, "system", text);
+  ASSERT_EQ(result.m_errors.size(), 6U) << result.ErrorText();
+  EXPECT_EQ(result.m_errors[0].ToString(),
+            "system:2: [membership] lease_ms = 'soon': expected an integer "
+            "from 100 to 60000 (ms)");
+  EXPECT_EQ(result.m_errors[1].m_line, 4);
+  EXPECT_EQ(result.m_errors[1].m_expected, "duplicate of line 3");
+  EXPECT_EQ(result.m_errors[2].m_expected,
+            "unknown key; the nearest known name is 'lease_ms'");
+  EXPECT_EQ(result.m_errors[3].m_expected,
+            "unknown section; the nearest known name is 'membership'");
+  EXPECT_EQ(result.m_errors[4].m_line, 9);
+  EXPECT_EQ(result.m_errors[5].m_line, 10);
+}
+
+TEST(SettingsIni, NamesMissingSettingsAndHidesSecrets)
+{
+  const auto result =
+    ParseBootstrap("boot.ini",
+                   "[process]\nvm = BAD\n[secrets]\n"
+                   "cluster_secret = hush\ncluster_secret_file = f\n"
+                   "admin_key_digest = lwk.a.b.c\n");
+  const std::string text = result.ErrorText();
+  EXPECT_FALSE(result.m_bootstrap);
+  EXPECT_NE(text.find("[process] region: missing"), std::string::npos) << text;
+  EXPECT_NE(text.find("vm = 'BAD'"), std::string::npos) << text;
+  EXPECT_NE(text.find("either cluster_secret or"), std::string::npos) << text;
+  EXPECT_EQ(text.find("hush"), std::string::npos) << text;
+  EXPECT_EQ(text.find("lwk.a"), std::string::npos) << text;
+}
+
+TEST(SettingsIni, LongListsContinueAndSurviveRendering)
+{
+  CheckedText text(Scope::System);
+  std::string teams = "team-0";
+  for (int i = 1; i < 200; ++i) {
+    teams += ",team-" + std::to_string(i);
+  }
+  text.Set("queue.all", "teams", teams);
+  text.Set("queue.all", "access", "open");
+  const auto result = ParseIni(Scope::System, "system", RenderIni(text));
+  ASSERT_TRUE(result.Ok()) << result.ErrorText();
+  EXPECT_EQ(result.m_text.GetList("queue.all", "teams").size(), 200U);
+  const std::string overlong = "[queue.q]\nteams = " + teams + "\n";
+  EXPECT_FALSE(ParseIni(Scope::System, "system", overlong).Ok());
+}
+
+TEST(SettingsTree, GivesTypedValuesAndKeepsThemWhenTheNewTextIsBad)
+{
+  SettingsTree tree;
+  EXPECT_EQ(tree.Milliseconds("worker", "lease_ms"), seconds(20));
+  Subtree row;
+  row.m_version = 1;
+  row.m_text = "[worker]\nlease_ms = 30000\n[queue.desk]\nteams = a, b\n"
+               "[service.lot-ledger]\nparts = 2\n";
+  tree.Set("system", row);
+  const SettingsTree before = tree;
+  row.m_version = 2;
+  row.m_text = "[worker]\nlease_ms = never\n";
+  tree.Set("system", row);
+  EXPECT_EQ(tree.Milliseconds("worker", "lease_ms"), seconds(30));
+  EXPECT_TRUE(tree.Find("system")->IsBad());
+  EXPECT_NE(tree.Find("system")->m_fault.find("never"), std::string::npos);
+  ASSERT_TRUE(tree.Queue("desk"));
+  EXPECT_EQ(tree.Queue("desk")->m_teams.size(), 2U);
+  EXPECT_EQ(tree.Service(ServiceId("lot-ledger"))->m_parts, 2);
+  EXPECT_TRUE(Diff(before, tree).empty());
+  row.m_version = 3;
+  row.m_text = "[worker]\nlease_ms = 40000\n";
+  tree.Set("system", row);
+  const auto changes = Diff(before, tree);
+  ASSERT_EQ(changes.size(), 3U);
+  EXPECT_EQ(changes[2].m_before, "30000");
+  EXPECT_EQ(changes[2].m_after, "40000");
+}
+
+} // namespace lacewing::settings
