--- /dev/null
+++ b/src/peer/PeerMessages.h
@@ -0,0 +1,273 @@
+/// Messages between entry daemons as values. Generated protobuf types are used
+/// only inside the codec.
+#pragma once
+
+#include "core/EnumNames.h"
+#include "core/Ids.h"
+#include "core/Time.h"
+#include "core/Verdict.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lacewing::peer {
+
+/// Version of the handshake and of the messages. Peers of different versions
+/// refuse each other.
+inline constexpr std::uint32_t kProtocolVersion = 1;
+
+/// Sent by a starting daemon to all members.
+struct Hello
+{
+  VmId m_vm;
+  Incarnation m_incarnation = 0;
+  std::uint64_t m_settingsVersion = 0;
+
+  bool operator==(const Hello&) const = default;
+};
+
+struct HelloAnswer
+{
+  VmId m_vm;
+  Incarnation m_incarnation = 0;
+  std::uint64_t m_settingsVersion = 0;
+
+  bool operator==(const HelloAnswer&) const = default;
+};
+
+/// State of one slice that the sender owns.
+struct SliceLoad
+{
+  SliceId m_slice;
+  double m_load = 0.0; ///< used part of the capacity; finite, not negative
+  std::int64_t m_freeMillicores = 0;
+  std::uint64_t m_queueLength = 0; ///< tasks or requests waiting
+
+  bool operator==(const SliceLoad&) const = default;
+};
+
+/// What a team uses in all slices of the sender.
+struct TeamUsage
+{
+  TeamId m_team;
+  std::int64_t m_millicores = 0;
+  std::uint64_t m_requests = 0;
+
+  bool operator==(const TeamUsage&) const = default;
+};
+
+/// Slots of an endpoint that requests of the slice's former owner have left.
+struct FreedEndpoint
+{
+  SliceId m_slice;
+  VmId m_endpoint;
+  std::uint32_t m_slots = 0;
+
+  bool operator==(const FreedEndpoint&) const = default;
+};
+
+struct Heartbeat
+{
+  VmId m_vm;
+  Incarnation m_incarnation = 0;
+  std::uint64_t m_settingsVersion = 0;
+  /// Time since the table, or a peer that had read it, confirmed the version.
+  Duration m_confirmationAge{};
+  std::vector<SliceLoad> m_slices;
+  std::vector<TeamUsage> m_teams;
+  std::vector<FreedEndpoint> m_freed;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+/// Asks for a promise, or for a relay of the renewal if the peer can reach the
+/// table.
+struct OutageProbe
+{
+  VmId m_vm;
+  Incarnation m_incarnation = 0;
+  std::uint64_t m_sequence = 0;
+
+  bool operator==(const OutageProbe&) const = default;
+};
+
+/// Answer to a probe. For `m_duration` the sender deposes nobody and accepts no
+/// setting change, if `m_given`.
+struct Promise
+{
+  std::uint64_t m_sequence = 0; ///< that of the probe
+  bool m_given = false;
+  Duration m_duration{};
+  bool m_tableReachable = false;
+
+  bool operator==(const Promise&) const = default;
+};
+
+/// A table commit that the receiver is asked to carry out for the sender.
+struct RelayRenewal
+{
+  std::string m_commit; ///< text of the table codec
+
+  bool operator==(const RelayRenewal&) const = default;
+};
+
+struct RelayResult
+{
+  std::string m_result; ///< text of the table codec
+
+  bool operator==(const RelayResult&) const = default;
+};
+
+enum class RequestClass : std::uint8_t
+{
+  Urgent,
+  Interactive,
+  Patient,
+};
+
+/// A service request on its way from the front to the owner of a slice.
+struct ForwardRequest
+{
+  ServiceId m_service;
+  std::string m_method;
+  TeamId m_team;
+  std::string m_requestId;
+  std::optional<std::string> m_idempotencyKey;
+  RequestClass m_class = RequestClass::Interactive;
+  Duration m_remaining{}; ///< until the deadline, counted by the receiver
+  std::string m_body;
+  std::uint32_t m_hops = 0; ///< entry daemons that have forwarded it
+
+  bool operator==(const ForwardRequest&) const = default;
+};
+
+/// Answer to a `ForwardRequest`: a whole body, or an error.
+struct Answer
+{
+  int m_status = 0; ///< of HTTP, 100 to 599
+  std::string m_body;
+  std::optional<Error> m_error; ///< the body is empty if set
+  /// Size of the whole body in bytes; the decoder refuses another size.
+  std::uint64_t m_bytes = 0;
+};
+
+/// Text of a job as JSON.
+struct SubmitJob
+{
+  std::string m_body;
+
+  bool operator==(const SubmitJob&) const = default;
+};
+
+struct CancelJob
+{
+  std::string m_body;
+
+  bool operator==(const CancelJob&) const = default;
+};
+
+struct QueryJob
+{
+  std::string m_body;
+
+  bool operator==(const QueryJob&) const = default;
+};
+
+/// Answer to `SubmitJob`, `CancelJob` and `QueryJob`.
+struct JobReply
+{
+  int m_status = 0; ///< of HTTP, 100 to 599
+  std::string m_body;
+
+  bool operator==(const JobReply&) const = default;
+};
+
+struct TimelineQuery
+{
+  std::string m_query; ///< JSON
+
+  bool operator==(const TimelineQuery&) const = default;
+};
+
+struct TimelineReply
+{
+  std::string m_events; ///< JSON
+
+  bool operator==(const TimelineReply&) const = default;
+};
+
+/// The sender has seen this settings version; a receiver with a lower one reads
+/// the table.
+struct SettingsChanged
+{
+  std::uint64_t m_settingsVersion = 0;
+
+  bool operator==(const SettingsChanged&) const = default;
+};
+
+/// Extension point for messages that the codec does not know in detail.
+struct Opaque
+{
+  std::string m_kind;
+  std::string m_text;
+
+  bool operator==(const Opaque&) const = default;
+};
+
+/// Reply that refuses a request. Only a verdict `NotRun` in it tells the caller
+/// that the request had no effect.
+struct Refusal
+{
+  Error m_error;
+};
+
+/// Empty reply to a one-way message.
+struct Acknowledgement
+{
+  bool operator==(const Acknowledgement&) const = default;
+};
+
+using PeerMessage = std::variant<Hello,
+                                 HelloAnswer,
+                                 Heartbeat,
+                                 OutageProbe,
+                                 Promise,
+                                 RelayRenewal,
+                                 RelayResult,
+                                 ForwardRequest,
+                                 Answer,
+                                 SubmitJob,
+                                 CancelJob,
+                                 QueryJob,
+                                 JobReply,
+                                 TimelineQuery,
+                                 TimelineReply,
+                                 SettingsChanged,
+                                 Opaque,
+                                 Refusal,
+                                 Acknowledgement>;
+
+/// A process of the cell.
+struct PeerIdentity
+{
+  VmId m_vm;
+  Incarnation m_incarnation = 0;
+
+  auto operator<=>(const PeerIdentity&) const = default;
+};
+
+} // namespace lacewing::peer
+
+template<>
+struct lacewing::EnumNames<lacewing::peer::RequestClass>
+{
+  using Class = lacewing::peer::RequestClass;
+  static constexpr std::array kTable = {
+    std::pair{ Class::Urgent, std::string_view("urgent") },
+    std::pair{ Class::Interactive, std::string_view("interactive") },
+    std::pair{ Class::Patient, std::string_view("patient") },
+  };
+};
