Test messages, handshake, transport and verdicts between entry daemons

Found and fixed while writing them: a stream that arrived between the decision to drain and the sending of GOAWAY was handed to the handler, while GOAWAY told the peer "not run"; such streams are now refused.

--- a/src/peer/Http2Session.cpp
+++ b/src/peer/Http2Session.cpp
@@ -50,6 +50,13 @@
         aFrame->headers.cat != NGHTTP2_HCAT_REQUEST) {
       return 0;
     }
+    // The GOAWAY may still be waiting for output. It tells the peer that
+    // streams above its last one were not looked at, so none of them may be
+    // taken.
+    if (self.m_lastTaken && aFrame->hd.stream_id > *self.m_lastTaken) {
+      self.Refuse(aFrame->hd.stream_id);
+      return 0;
+    }
     if (self.m_streams.size() >= self.m_limits.m_maxStreams) {
       self.m_streamFaults.push_back(PeerFault::TooManyStreams);
       self.Refuse(aFrame->hd.stream_id);
@@ -299,12 +306,12 @@
 void
 Http2Session::Shutdown()
 {
-  nghttp2_submit_goaway(m_session,
-                        NGHTTP2_FLAG_NONE,
-                        nghttp2_session_get_last_proc_stream_id(m_session),
-                        NGHTTP2_NO_ERROR,
-                        nullptr,
-                        0);
+  if (m_lastTaken) {
+    return;
+  }
+  m_lastTaken = nghttp2_session_get_last_proc_stream_id(m_session);
+  nghttp2_submit_goaway(
+    m_session, NGHTTP2_FLAG_NONE, *m_lastTaken, NGHTTP2_NO_ERROR, nullptr, 0);
 }
 
 bool
--- a/src/peer/Http2Session.h
+++ b/src/peer/Http2Session.h
@@ -111,6 +111,8 @@
   std::vector<SessionEvent> m_events;
   std::vector<PeerFault> m_streamFaults;
   std::optional<PeerFault> m_fault;
+  /// Set by `Shutdown`: the last stream of the peer that is still served.
+  std::optional<StreamId> m_lastTaken;
 };
 
 } // namespace lacewing::peer
--- /dev/null
+++ b/tests/error/PeerCodecRefusals.cpp
@@ -0,0 +1,164 @@
+/// Guards against a decoder that lets missing, unknown or oversized values
+/// through, or that gives them the wrong error.
+#include "fakes/PeerSamples.h"
+#include "peer/PeerCodec.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace lacewing::peer {
+
+namespace {
+
+using namespace std::string_literals;
+
+void
+ExpectFault(const std::string& aBytes,
+            PeerFault aFault,
+            const std::string& aDetail)
+{
+  const auto decoded = DecodeMessage(aBytes);
+  EXPECT_FALSE(decoded.m_value.has_value());
+  EXPECT_EQ(NameOf(decoded.m_fault), NameOf(aFault)) << decoded.m_detail;
+  EXPECT_NE(decoded.m_detail.find(aDetail), std::string::npos)
+    << decoded.m_detail;
+}
+
+void
+ExpectBadValue(const PeerMessage& aMessage, const std::string& aDetail)
+{
+  ExpectFault(EncodeMessage(aMessage), PeerFault::BadValue, aDetail);
+}
+
+void
+Replace(std::string& aText, const std::string& aOld, const std::string& aNew)
+{
+  const auto at = aText.find(aOld);
+  ASSERT_NE(at, std::string::npos);
+  aText.replace(at, aOld.size(), aNew);
+}
+
+} // namespace
+
+// Bytes by hand: field 1 of the envelope is the version (tag 0x08), field 2 is
+// `Hello` (tag 0x12).
+
+TEST(PeerCodecRefusals, BytesThatAreNotProtobuf)
+{
+  ExpectFault("\xff\xff\xff", PeerFault::Malformed, "not protobuf");
+  ExpectFault("", PeerFault::Malformed, "version is missing");
+  ExpectFault("\x12\x00"s, PeerFault::Malformed, "version is missing");
+}
+
+TEST(PeerCodecRefusals, AnotherVersion)
+{
+  ExpectFault("\x08\x02\x12\x00"s, PeerFault::UnknownVersion, "version 2");
+  ExpectFault("\x08\x00\x12\x00"s, PeerFault::UnknownVersion, "version 0");
+}
+
+TEST(PeerCodecRefusals, UnknownKind)
+{
+  ExpectFault("\x08\x01"s, PeerFault::UnknownKind, "kind");
+  ExpectFault("\x08\x01\xa2\x06\x00"s, PeerFault::UnknownKind, "kind");
+}
+
+TEST(PeerCodecRefusals, MissingFieldsAreNamed)
+{
+  ExpectFault("\x08\x01\x12\x00"s, PeerFault::Malformed, "hello.vm");
+}
+
+TEST(PeerCodecRefusals, UnknownRequestClass)
+{
+  std::string bytes = EncodeMessage(fakes::SampleRequest());
+  // Field 6 (tag 0x30) with the class, then field 7 (tag 0x38).
+  Replace(bytes, "\x30\x02\x38"s, "\x30\x07\x38"s);
+  ExpectFault(bytes, PeerFault::Malformed, "request_class");
+}
+
+TEST(PeerCodecRefusals, UnknownVerdictAndCode)
+{
+  std::string verdict =
+    EncodeMessage(Refusal{ { Verdict::NotRun, ErrorCode::NotOwner, "moved" } });
+  Replace(verdict, "not_run", "not_rum");
+  ExpectFault(verdict, PeerFault::BadValue, "verdict");
+  std::string code =
+    EncodeMessage(Refusal{ { Verdict::NotRun, ErrorCode::NotOwner, "moved" } });
+  Replace(code, "not_owner", "not_olive");
+  ExpectFault(code, PeerFault::BadValue, "code");
+}
+
+TEST(PeerCodecRefusals, ShortAnswerIsNotTakenAsWhole)
+{
+  Answer answer;
+  answer.m_status = 200;
+  answer.m_body = "part";
+  answer.m_bytes = 400;
+  ExpectBadValue(answer, "byte_count");
+}
+
+TEST(PeerCodecRefusals, StatusOutsideItsRange)
+{
+  ExpectBadValue(JobReply{ 99, "" }, "status");
+  ExpectBadValue(JobReply{ 600, "" }, "status");
+}
+
+TEST(PeerCodecRefusals, EmptyAndOverlongNames)
+{
+  ExpectBadValue(Hello{ VmId(), 1, 1 }, "hello.vm");
+  ExpectBadValue(Hello{ VmId(std::string(kMaxNameBytes + 1, 'a')), 1, 1 },
+                 "hello.vm");
+  ForwardRequest request = fakes::SampleRequest();
+  request.m_idempotencyKey = "";
+  ExpectBadValue(request, "idempotency_key");
+}
+
+TEST(PeerCodecRefusals, LoadThatIsNotANumber)
+{
+  Heartbeat heartbeat = fakes::SampleHeartbeat();
+  heartbeat.m_slices.front().m_load = std::numeric_limits<double>::quiet_NaN();
+  ExpectBadValue(heartbeat, "load");
+  heartbeat.m_slices.front().m_load = -0.5;
+  ExpectBadValue(heartbeat, "load");
+}
+
+TEST(PeerCodecRefusals, NegativeUsage)
+{
+  Heartbeat heartbeat = fakes::SampleHeartbeat();
+  heartbeat.m_teams.front().m_millicores = -1;
+  ExpectBadValue(heartbeat, "millicores");
+}
+
+TEST(PeerCodecRefusals, DurationAboveADay)
+{
+  ExpectBadValue(Promise{ 1, true, std::chrono::hours(25), false },
+                 "duration_us");
+  // A negative duration has a huge value on the wire.
+  ExpectBadValue(Promise{ 1, true, seconds(-1), false }, "duration_us");
+}
+
+TEST(PeerCodecRefusals, TooManyListEntries)
+{
+  Heartbeat heartbeat = fakes::SampleHeartbeat();
+  heartbeat.m_teams.assign(kMaxListEntries + 1, { TeamId("t"), 1, 1 });
+  ExpectBadValue(heartbeat, "heartbeat.teams");
+}
+
+TEST(PeerCodecRefusals, MessageAboveOneMebibyte)
+{
+  ExpectFault(EncodeMessage(Opaque{ "k", std::string(kMaxMessageBytes, 'a') }),
+              PeerFault::OversizedFrame,
+              "bytes");
+}
+
+TEST(PeerCodecRefusals, HandshakeFrames)
+{
+  EXPECT_EQ(DecodeFrame("").m_fault, PeerFault::UnknownKind);
+  EXPECT_EQ(DecodeFrame("\xff").m_fault, PeerFault::Malformed);
+  EXPECT_EQ(DecodeFrame("\x0a\x00"s).m_fault, PeerFault::Malformed);
+  EXPECT_EQ(DecodeFrame("\x0a\x02\x08\x09"s).m_fault,
+            PeerFault::UnknownVersion);
+  EXPECT_EQ(DecodeFrame("\x1a\x02\x0a\x00"s).m_fault, PeerFault::BadValue);
+}
+
+} // namespace lacewing::peer
--- /dev/null
+++ b/tests/fakes/PeerSamples.h
@@ -0,0 +1,80 @@
+/// One example of every message between entry daemons, with all fields set.
+#pragma once
+
+#include "peer/PeerMessages.h"
+
+#include <vector>
+
+namespace lacewing::fakes {
+
+inline peer::ForwardRequest
+SampleRequest()
+{
+  peer::ForwardRequest request;
+  request.m_service = ServiceId("lot-ledger");
+  request.m_method = "assess";
+  request.m_team = TeamId("quality");
+  request.m_requestId = "request-1";
+  request.m_idempotencyKey = "key-1";
+  request.m_class = peer::RequestClass::Patient;
+  request.m_remaining = milliseconds(1500);
+  request.m_body = std::string("body\0with\xff zero", 15);
+  request.m_hops = 1;
+  return request;
+}
+
+inline peer::Heartbeat
+SampleHeartbeat()
+{
+  peer::Heartbeat heartbeat;
+  heartbeat.m_vm = VmId("vm-1");
+  heartbeat.m_incarnation = 3;
+  heartbeat.m_settingsVersion = 12;
+  heartbeat.m_confirmationAge = milliseconds(250);
+  heartbeat.m_slices = { { SliceId("workers-1"), 0.75, 12000, 4 },
+                         { SliceId("lot-ledger-2"), 0.0, -5, 0 } };
+  heartbeat.m_teams = { { TeamId("quality"), 64000, 9 } };
+  heartbeat.m_freed = { { SliceId("lot-ledger-2"), VmId("runner-8"), 2 } };
+  return heartbeat;
+}
+
+inline std::vector<peer::PeerMessage>
+SampleMessages()
+{
+  using namespace peer;
+  Answer answer;
+  answer.m_status = 200;
+  answer.m_body = "whole answer";
+  answer.m_bytes = answer.m_body.size();
+  Answer failure;
+  failure.m_status = 502;
+  failure.m_error =
+    Error{ Verdict::MayHaveRun, ErrorCode::EndpointFailed, "runner-8 closed" };
+  ForwardRequest withoutKey = SampleRequest();
+  withoutKey.m_idempotencyKey.reset();
+  return {
+    Hello{ VmId("vm-1"), 3, 12 },
+    HelloAnswer{ VmId("vm-2"), 4, 13 },
+    SampleHeartbeat(),
+    OutageProbe{ VmId("vm-1"), 3, 99 },
+    Promise{ 99, true, seconds(3), false },
+    RelayRenewal{ R"({"puts":[]})" },
+    RelayResult{ R"({"state":"committed"})" },
+    SampleRequest(),
+    withoutKey,
+    answer,
+    failure,
+    SubmitJob{ R"({"tasks":3})" },
+    CancelJob{ R"({"job":"j"})" },
+    QueryJob{ R"({"job":"j"})" },
+    JobReply{ 202, R"({"id":"j"})" },
+    TimelineQuery{ R"({"since":0})" },
+    TimelineReply{ "[]" },
+    SettingsChanged{ 14 },
+    Opaque{ "kind", "text" },
+    Refusal{ { Verdict::NotRun, ErrorCode::NotOwner, "slice has moved" } },
+    Acknowledgement{},
+  };
+}
+
+} // namespace lacewing::fakes
