--- a/programs/lacewingd.cpp
+++ b/programs/lacewingd.cpp
@@ -4,10 +4,14 @@
 #include <docopt/docopt.h>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace {
 
+using namespace lacewing;
+
 constexpr const char* kUsage = R"(Entry daemon of the lacewingvale scheduler.
 
 Usage:
@@ -16,29 +20,60 @@
   lacewingd --version
 
 Options:
-  --config=FILE  INI file with the settings of this process.
+  --config=FILE  INI file with the settings of this process; see
+                 docs/settings.md. Check it with
+                 'lacewing settings check --bootstrap FILE'.
+
+SIGTERM and SIGINT start a planned stop, which cuts no request.
+Exit codes: 0 planned stop, 1 internal error, 2 bad settings or address.
 )";
 
-int
+Result<std::string>
+ReadFile(const std::string& aFile)
+{
+  const std::ifstream in(aFile);
+  if (!in) {
+    return Fail(
+      Verdict::NotRun, ErrorCode::BadInput, "cannot read the file " + aFile);
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+Result<settings::Bootstrap>
+LoadBootstrap(const std::string& aFile)
+{
+  BOOST_LEAF_AUTO(text, ReadFile(aFile));
+  auto parsed = settings::ParseBootstrap(aFile, text);
+  if (!parsed.m_bootstrap) {
+    return Fail(Verdict::NotRun, ErrorCode::BadInput, parsed.ErrorText());
+  }
+  return *parsed.m_bootstrap;
+}
+
+Result<std::string>
+LoadSecret(const settings::Bootstrap& aBootstrap)
+{
+  if (!aBootstrap.m_clusterSecret.empty()) {
+    return aBootstrap.m_clusterSecret;
+  }
+  BOOST_LEAF_AUTO(text, ReadFile(aBootstrap.m_clusterSecretFile));
+  return text.substr(0, text.find('\n'));
+}
+
+Result<int>
 Run(const std::string& aFile)
 {
-  using namespace lacewing;
+  BOOST_LEAF_AUTO(bootstrap, LoadBootstrap(aFile));
+  BOOST_LEAF_AUTO(secret, LoadSecret(bootstrap));
   net::Loop loop;
-  loop.OnSignal(SIGTERM, [&] { loop.Stop(); });
-  loop.OnSignal(SIGINT, [&] { loop.Stop(); });
-  return leaf::try_handle_all(
-    [&]() -> Result<int> {
-      BOOST_LEAF_AUTO(config, daemon::LoadConfig(aFile));
-      daemon::EntryDaemon entry(loop, config);
-      BOOST_LEAF_CHECK(entry.Start());
-      loop.Run();
-      return 0;
-    },
-    [](const Error& aError) {
-      std::cerr << "lacewingd: " << aError.m_message << "\n";
-      return 2;
-    },
-    [] { return 1; });
+  daemon::EntryDaemon entry(loop, bootstrap, secret);
+  loop.OnSignal(SIGTERM, [&] { entry.BeginDrain(); });
+  loop.OnSignal(SIGINT, [&] { entry.BeginDrain(); });
+  BOOST_LEAF_CHECK(entry.Start());
+  loop.Run();
+  return 0;
 }
 
 } // namespace
@@ -46,7 +81,14 @@
 int
 main(int argc, char** argv)
 {
+  constexpr int kBadSettings = 2;
   auto options =
-    docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "0.1.0");
-  return Run(options["--config"].asString());
+    docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "lacewingd 0.1.0");
+  return leaf::try_handle_all(
+    [&] { return Run(options["--config"].asString()); },
+    [](const Error& aError) {
+      std::cerr << "lacewingd: " << aError.m_message << "\n";
+      return kBadSettings;
+    },
+    [] { return 1; });
 }
--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -5,12 +5,12 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace lacewing::daemon {
 
 namespace {
 
-using observe::EventKind;
 using observe::Metric;
 
 constexpr Duration kOwnershipPeriod = milliseconds(50);
@@ -59,6 +59,18 @@
   return options;
 }
 
+std::optional<std::uint64_t>
+ParseNumber(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::set<VmId>
 WorkersOf(const vmlist::Slice& aSlice)
 {
@@ -143,14 +155,13 @@
       [this](const net::HttpRequest& aRequest, const net::HttpReply& aReply) {
         HandleCaller(aRequest, aReply);
       })
-  , m_peerServer(
-      aLoop,
-      ServerOptions(m_runtime, aBootstrap, aClusterSecret),
-      [this](const peer::PeerIdentity& aFrom,
-             const peer::PeerMessage& aMessage,
-             const peer::PeerReply& aReply) {
-        HandlePeer(aFrom, aMessage, aReply);
-      })
+  , m_peerServer(aLoop,
+                 ServerOptions(m_runtime, aBootstrap, aClusterSecret),
+                 [this](const peer::PeerIdentity& aFrom,
+                        const peer::PeerMessage& aMessage,
+                        const peer::PeerReply& aReply) {
+                   HandlePeer(aFrom, aMessage, aReply);
+                 })
 {
 }
 
@@ -293,10 +304,10 @@
     aReply(peer::Acknowledgement());
   } else if (const auto* beat = std::get_if<peer::Heartbeat>(&aMessage)) {
     m_loads.OnHeartbeat(net::Loop::Now(), *beat);
-    for (const peer::EarlierOwnerBusy& busy : beat->m_busy) {
-      const auto owner = m_serviceOwners.find(busy.m_slice);
+    for (const peer::ReleasedSlice& released : beat->m_released) {
+      const auto owner = m_serviceOwners.find(released.m_slice);
       if (owner != m_serviceOwners.end()) {
-        owner->second->OnEarlierOwner(busy.m_endpoint, busy.m_slots);
+        owner->second->OnEarlierOwner(released);
       }
     }
     aReply(peer::Acknowledgement());
@@ -343,16 +354,22 @@
   const auto owner = m_serviceOwners.find(aMessage.m_slice);
   if (owner == m_serviceOwners.end() ||
       !m_membership.Machine().MayAct(net::Loop::Now(), aMessage.m_slice)) {
-    aReply(peer::Refusal{ { Verdict::NotRun,
-                            ErrorCode::NotOwner,
-                            "slice " + aMessage.m_slice.Value() +
-                              " is not owned here" } });
+    aReply(peer::Refusal{
+      { Verdict::NotRun,
+        ErrorCode::NotOwner,
+        "slice " + aMessage.m_slice.Value() + " is not owned here" } });
+    return;
+  }
+  const auto number = ParseNumber(aMessage.m_requestId);
+  if (!number) {
+    aReply(peer::Refusal{
+      { Verdict::NotRun,
+        ErrorCode::BadInput,
+        "request id '" + aMessage.m_requestId + "' is not a number" } });
     return;
   }
   OwnedRequest owned;
-  owned.m_request.m_id = { aFrom.m_vm,
-                           aFrom.m_incarnation,
-                           aMessage.m_number };
+  owned.m_request.m_id = { aFrom.m_vm, aFrom.m_incarnation, *number };
   owned.m_request.m_team = aMessage.m_team;
   owned.m_request.m_class = aMessage.m_class;
   owned.m_request.m_deadline = net::Loop::Now() + aMessage.m_remaining;
@@ -390,9 +407,8 @@
   }
   for (const auto& [id, owner] : m_serviceOwners) {
     const auto slice = m_slices.find(id);
-    owner->UpdateEndpoints(slice == m_slices.end()
-                             ? std::vector<vmlist::Vm>()
-                             : slice->second.m_vms);
+    owner->UpdateEndpoints(slice == m_slices.end() ? std::vector<vmlist::Vm>()
+                                                   : slice->second.m_vms);
   }
 }
 
@@ -607,6 +623,7 @@
 {
   auto& machine = m_membership.Machine();
   const Time now = net::Loop::Now();
+  std::map<ownership::LimitId, ownership::Demand> demands;
   for (const sched::TeamUsage& usage : aOwner.Usages()) {
     const auto settings = m_settings.Tree().Team(usage.m_team);
     if (!settings || !settings->m_limitMillicores) {
@@ -614,13 +631,10 @@
     }
     const ownership::LimitId limit{ usage.m_team,
                                     ownership::LimitUnit::Millicores };
-    machine.SetDemand(now,
-                      aOwner.Id(),
-                      limit,
-                      usage.m_runningMillicores,
-                      usage.m_waitingMillicores);
+    demands[limit] = { usage.m_runningMillicores, usage.m_waitingMillicores };
     aOwner.SetAllotment(usage.m_team, machine.Allotment(aOwner.Id(), limit));
   }
+  machine.SetDemands(now, aOwner.Id(), demands);
 }
 
 void
@@ -628,6 +642,7 @@
 {
   auto& machine = m_membership.Machine();
   const Time now = net::Loop::Now();
+  std::map<ownership::LimitId, ownership::Demand> demands;
   for (const TeamId& team : m_settings.Tree().Teams()) {
     const auto settings = m_settings.Tree().Team(team);
     if (!settings || !settings->m_limitRequests) {
@@ -637,9 +652,10 @@
     const int running = aOwner.RunningOf(team);
     const int waiting = aOwner.WaitingOf(team);
     const int headroom = running + waiting > 0 ? kRequestHeadroom : 0;
-    machine.SetDemand(now, aOwner.Id(), limit, running, waiting + headroom);
+    demands[limit] = { running, waiting + headroom };
     aOwner.SetAllotment(team, machine.Allotment(aOwner.Id(), limit));
   }
+  machine.SetDemands(now, aOwner.Id(), demands);
 }
 
 void
@@ -686,7 +702,8 @@
       team.m_waitingMillicores += usage.m_waitingMillicores;
       waiting += usage.m_waitingMillicores;
     }
-    const auto capacity = std::max<std::int64_t>(owner->CapacityMillicores(), 1);
+    const auto capacity =
+      std::max<std::int64_t>(owner->CapacityMillicores(), 1);
     const auto free = owner->FreeMillicores();
     beat.m_slices.push_back(
       { id,
@@ -706,11 +723,7 @@
     beat.m_teams.push_back(usage);
   }
   for (const Draining& draining : m_draining) {
-    for (const auto& [vm, count] : draining.m_owner->CountBusy().m_byEndpoint) {
-      beat.m_busy.push_back({ draining.m_owner->Id(),
-                              vm,
-                              static_cast<std::uint32_t>(count) });
-    }
+    beat.m_released.push_back(draining.m_owner->Remaining());
   }
   return beat;
 }
--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -78,10 +78,10 @@
 net::HttpResponse
 NoOwner(const SliceId& aSlice)
 {
-  return net::ErrorResponse({ Verdict::NotRun,
-                              ErrorCode::Unavailable,
-                              "slice " + aSlice.Value() +
-                                " has no reachable owner at present" });
+  return net::ErrorResponse(
+    { Verdict::NotRun,
+      ErrorCode::Unavailable,
+      "slice " + aSlice.Value() + " has no reachable owner at present" });
 }
 
 Json
@@ -131,8 +131,7 @@
   BOOST_LEAF_ASSIGN(submission->m_record.m_spec,
                     caller::DecodeJobSpec(aRequest.m_body));
   BOOST_LEAF_AUTO(slice, ChooseSlice(submission->m_record.m_spec));
-  submission->m_record.m_id =
-    jobs::MakeJobId(slice, m_cell.m_runtime.Random());
+  submission->m_record.m_id = jobs::MakeJobId(slice, m_cell.m_runtime.Random());
   submission->m_record.m_nonce = submission->m_record.m_id.Value();
   submission->m_reply = aReply;
   if (context.m_idempotencyKey.empty()) {
@@ -163,14 +162,13 @@
     const auto load = m_cell.m_loads.Find(now, owner, id);
     // An idle slice scores 1, one whose queue is as long as it is large less
     // than 0; a slice in the preferred region goes before all others.
-    const auto capacity = std::max<std::int64_t>(
-      slice.Capacity().m_millicores, 1);
-    double score =
-      load ? static_cast<double>(load->m_freeMillicores) /
-                 static_cast<double>(capacity) -
-               static_cast<double>(load->m_queueLength) /
-                 static_cast<double>(slice.m_vms.size())
-           : -1.0;
+    const auto capacity =
+      std::max<std::int64_t>(slice.Capacity().m_millicores, 1);
+    double score = load ? static_cast<double>(load->m_freeMillicores) /
+                              static_cast<double>(capacity) -
+                            static_cast<double>(load->m_queueLength) /
+                              static_cast<double>(slice.m_vms.size())
+                        : -1.0;
     const RegionId& wanted = aSpec.m_region.empty()
                                ? m_cell.m_runtime.Config().m_region
                                : aSpec.m_region;
@@ -201,8 +199,8 @@
   table::RecordWrite write;
   write.m_key = aSubmission->m_row;
   write.m_expected = 0;
-  write.m_value = EncodeSubmission(aSubmission->m_record,
-                                   aSubmission->m_record.m_nonce);
+  write.m_value =
+    EncodeSubmission(aSubmission->m_record, aSubmission->m_record.m_nonce);
   write.m_deadline = net::Loop::Now() + kRecordDeadline;
   m_cell.m_runtime.Table().WriteRecord(
     std::move(write), [this, aSubmission](const table::RecordResult& aResult) {
@@ -214,7 +212,8 @@
           ReadSubmission(aSubmission);
           return;
         default:
-          aSubmission->m_reply(net::ErrorResponse(NotRecorded(aResult.m_state)));
+          aSubmission->m_reply(
+            net::ErrorResponse(NotRecorded(aResult.m_state)));
       }
     });
 }
@@ -297,9 +296,8 @@
 {
   for (const auto& [job, announcement] : m_unconfirmed) {
     m_cell.m_runtime.Loop().After(
-      Duration::zero(), [this, announcement = announcement] {
-        Announce(announcement);
-      });
+      Duration::zero(),
+      [this, announcement = announcement] { Announce(announcement); });
   }
 }
 
@@ -342,9 +340,9 @@
 {
   const Json body = Json::parse(aMessage.m_body, nullptr, false);
   if (!body.is_object()) {
-    return peer::Refusal{ { Verdict::NotRun,
-                            ErrorCode::BadInput,
-                            "the submitted job is not JSON" } };
+    return peer::Refusal{
+      { Verdict::NotRun, ErrorCode::BadInput, "the submitted job is not JSON" }
+    };
   }
   const JobId job(body.value("job", ""));
   const auto owner = m_localOwner(jobs::SliceOf(job));
@@ -418,9 +416,9 @@
 JobFront::OnQuestion(const std::string& aBody)
 {
   const Json body = Json::parse(aBody, nullptr, false);
-  const auto question =
-    body.is_object() ? ParseName<JobQuestion>(body.value("question", ""))
-                     : std::nullopt;
+  const auto question = body.is_object()
+                          ? ParseName<JobQuestion>(body.value("question", ""))
+                          : std::nullopt;
   if (!question) {
     return peer::Refusal{ { Verdict::NotRun,
                             ErrorCode::BadInput,
@@ -441,18 +439,17 @@
   const jobs::JobRecord* record = owner->Find(aJob);
   if (record == nullptr) {
     const bool mayAppear = !owner->IsOpen();
-    return net::ErrorResponse({ Verdict::NotRun,
-                                mayAppear ? ErrorCode::Unavailable
-                                          : ErrorCode::NotFound,
-                                mayAppear ? "the owner is still reading its jobs"
-                                          : "there is no job '" + aJob.Value() +
-                                              "'" });
+    return net::ErrorResponse(
+      { Verdict::NotRun,
+        mayAppear ? ErrorCode::Unavailable : ErrorCode::NotFound,
+        mayAppear ? "the owner is still reading its jobs"
+                  : "there is no job '" + aJob.Value() + "'" });
   }
   if (!aTeam.empty() && record->m_team != aTeam) {
-    return net::ErrorResponse({ Verdict::NotRun,
-                                ErrorCode::Forbidden,
-                                "job '" + aJob.Value() +
-                                  "' belongs to another team" });
+    return net::ErrorResponse(
+      { Verdict::NotRun,
+        ErrorCode::Forbidden,
+        "job '" + aJob.Value() + "' belongs to another team" });
   }
   switch (aQuestion) {
     case JobQuestion::Status:
@@ -475,8 +472,8 @@
       owner->Resolve(aJob, aQuestion == JobQuestion::RunAgain);
       break;
   }
-  return net::JsonResponse(
-    kOk, StatusJson(*record, owner->StatusOf(aJob)).dump());
+  return net::JsonResponse(kOk,
+                           StatusJson(*record, owner->StatusOf(aJob)).dump());
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -51,25 +51,24 @@
 {
   table::Read read;
   read.m_prefixes.push_back(jobs::JobRowPrefix(m_slice));
-  m_runtime.Table().Fetch(
-    "jobs",
-    read,
-    [weak = weak_from_this(), aLoaded, aDone](
-      const table::ReadResult& aResult) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      if (!aResult.m_ok) {
-        aDone(false);
-        return;
-      }
-      std::vector<JobId> toFence;
-      for (const auto& [key, row] : aResult.m_rows) {
-        self->TakeRow(key, row, aLoaded, toFence);
-      }
-      self->Fence(std::move(toFence), aDone);
-    });
+  m_runtime.Table().Fetch("jobs",
+                          read,
+                          [weak = weak_from_this(), aLoaded, aDone](
+                            const table::ReadResult& aResult) {
+                            const auto self = weak.lock();
+                            if (!self) {
+                              return;
+                            }
+                            if (!aResult.m_ok) {
+                              aDone(false);
+                              return;
+                            }
+                            std::vector<JobId> toFence;
+                            for (const auto& [key, row] : aResult.m_rows) {
+                              self->TakeRow(key, row, aLoaded, toFence);
+                            }
+                            self->Fence(toFence, aDone);
+                          });
 }
 
 void
@@ -101,7 +100,7 @@
 }
 
 void
-JobStore::Fence(std::vector<JobId> aJobs, const Done& aDone)
+JobStore::Fence(const std::vector<JobId>& aJobs, const Done& aDone)
 {
   // A former owner may still have the mark of a task under way. Writing the row
   // anew makes that write fail, so that the marks that were read are all.
--- a/src/daemon/JobStore.h
+++ b/src/daemon/JobStore.h
@@ -51,7 +51,7 @@
   void OnReread(const JobId& aJob, const table::ReadResult& aResult);
   void Finish(const JobId& aJob, bool aDurable);
   void Retry(std::function<void()> aFunction);
-  void Fence(std::vector<JobId> aJobs, const Done& aDone);
+  void Fence(const std::vector<JobId>& aJobs, const Done& aDone);
   void TakeRow(const std::string& aKey,
                const table::Row& aRow,
                const Loaded& aLoaded,
--- a/src/daemon/LimitReconciler.cpp
+++ b/src/daemon/LimitReconciler.cpp
@@ -64,9 +64,7 @@
     ownership::LimitKey({ aTeam, ownership::LimitUnit::Requests })
   };
   m_cell.m_runtime.Table().Fetch(
-    "limits",
-    read,
-    [this, aTeam, subtree](const table::ReadResult& aResult) {
+    "limits", read, [this, aTeam, subtree](const table::ReadResult& aResult) {
       if (aResult.m_ok) {
         OnRows(aTeam, subtree, aResult.m_rows);
       }
--- a/src/daemon/MemberAddress.cpp
+++ b/src/daemon/MemberAddress.cpp
@@ -18,8 +18,7 @@
                 "member address '" + aText + "' has no comma");
   }
   MemberAddress address;
-  BOOST_LEAF_ASSIGN(address.m_peers,
-                    net::ParseAddress(aText.substr(0, comma)));
+  BOOST_LEAF_ASSIGN(address.m_peers, net::ParseAddress(aText.substr(0, comma)));
   BOOST_LEAF_ASSIGN(address.m_callers,
                     net::ParseAddress(aText.substr(comma + 1)));
   return address;
--- a/src/daemon/Membership.cpp
+++ b/src/daemon/Membership.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-using observe::EventKind;
-
 constexpr std::size_t kMaxProbeRounds = 32;
 
 ownership::Identity
@@ -74,8 +72,7 @@
                           const VmId& aWorker,
                           const worker::ControlReply& aReply)
 {
-  Carry(
-    m_machine.OnWorkerReply(net::Loop::Now(), aSlice, aWorker, aReply));
+  Carry(m_machine.OnWorkerReply(net::Loop::Now(), aSlice, aWorker, aReply));
 }
 
 void
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -1,7 +1,5 @@
 #include "daemon/OperatorApi.h"
 
-#include "settings/SettingsRows.h"
-
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -104,9 +102,8 @@
     m_beginDrain();
     aReply(net::JsonResponse(kAccepted, "{}"));
   } else {
-    return Fail(Verdict::NotRun,
-                ErrorCode::NotFound,
-                "no such path: " + aRequest.m_path);
+    return Fail(
+      Verdict::NotRun, ErrorCode::NotFound, "no such path: " + aRequest.m_path);
   }
   return {};
 }
@@ -117,7 +114,7 @@
 {
   const auto parts = aRequest.PathParts();
   if (parts.size() == 2) {
-    aReply(Index());
+    GetIndex(aReply);
     return {};
   }
   const std::string& subtree = parts[2];
@@ -127,36 +124,72 @@
   if (aRequest.m_method == "PUT") {
     return PutSubtree(aRequest, subtree, aReply);
   }
-  return GetSubtree(subtree, aReply);
+  GetSubtree(subtree, aReply);
+  return {};
 }
 
-net::HttpResponse
-OperatorApi::Index() const
+void
+OperatorApi::GetIndex(const net::HttpReply& aReply)
 {
-  Json subtrees = Json::object();
-  for (const auto& [name, subtree] : m_cell.m_settings.Tree().All()) {
-    subtrees[name] = subtree->m_version;
-  }
-  return Ok({ { "version", m_cell.m_settings.Store().Fleet() },
-              { "subtrees", subtrees } });
+  const std::string key(settings::kIndexKey);
+  table::Read read;
+  read.m_keys.push_back(key);
+  m_cell.m_runtime.Table().Fetch(
+    "settings", read, [this, key, aReply](const table::ReadResult& aResult) {
+      std::map<std::string, settings::SettingsVersion> subtrees;
+      auto version = m_cell.m_settings.Store().Fleet();
+      for (const auto& [name, subtree] : m_cell.m_settings.Tree().All()) {
+        subtrees[name] = subtree->m_version;
+      }
+      const auto row = aResult.m_rows.find(key);
+      if (row != aResult.m_rows.end()) {
+        if (const auto index = settings::DecodeIndex(row->second.m_value)) {
+          version = index->m_fleet;
+          subtrees = index->m_subtrees;
+        }
+      }
+      aReply(Ok({ { "version", version }, { "subtrees", subtrees } }));
+    });
 }
 
-Result<void>
+void
 OperatorApi::GetSubtree(const std::string& aSubtree,
                         const net::HttpReply& aReply)
 {
-  const settings::Subtree* subtree = m_cell.m_settings.Tree().Find(aSubtree);
-  if (subtree == nullptr) {
-    return Fail(Verdict::NotRun,
-                ErrorCode::NotFound,
-                "there is no subtree '" + aSubtree + "'");
+  const std::string key = settings::SubtreeKey(aSubtree);
+  table::Read read;
+  read.m_keys.push_back(key);
+  m_cell.m_runtime.Table().Fetch(
+    "settings",
+    read,
+    [this, key, aSubtree, aReply](const table::ReadResult& aResult) {
+      std::optional<settings::SubtreeRow> newest;
+      const auto row = aResult.m_rows.find(key);
+      if (row != aResult.m_rows.end()) {
+        if (const auto decoded = settings::DecodeSubtree(row->second.m_value)) {
+          newest = *decoded;
+        }
+      }
+      aReply(SubtreeResponse(aSubtree, newest));
+    });
+}
+
+net::HttpResponse
+OperatorApi::SubtreeResponse(
+  const std::string& aSubtree,
+  const std::optional<settings::SubtreeRow>& aRow) const
+{
+  const settings::Subtree* known = m_cell.m_settings.Tree().Find(aSubtree);
+  if (!aRow && known == nullptr) {
+    return net::ErrorResponse({ Verdict::NotRun,
+                                ErrorCode::NotFound,
+                                "there is no subtree '" + aSubtree + "'" });
   }
-  aReply(Ok({ { "subtree", aSubtree },
-              { "version", subtree->m_version },
-              { "in_force", subtree->m_inForce },
-              { "fault", subtree->m_fault },
-              { "text", subtree->m_text } }));
-  return {};
+  return Ok({ { "subtree", aSubtree },
+              { "version", aRow ? aRow->m_version : known->m_version },
+              { "text", aRow ? aRow->m_text : known->m_text },
+              { "in_force", known == nullptr ? 0 : known->m_inForce },
+              { "fault", known == nullptr ? "" : known->m_fault } });
 }
 
 Result<void>
@@ -194,8 +227,8 @@
         }
         const auto decoded = settings::DecodeSubtree(row->second.m_value);
         if (decoded) {
-          versions.push_back({ { "version", decoded->m_version },
-                               { "text", decoded->m_text } });
+          versions.push_back(
+            { { "version", decoded->m_version }, { "text", decoded->m_text } });
         }
       }
       aReply(Ok({ { "versions", versions } }));
@@ -215,8 +248,7 @@
     aRequest.m_body,
     [aSubtree, aReply](const settings::ChangeDone& aDone) {
       if (aDone.m_error) {
-        aReply(
-          net::ErrorResponse(WithFaults(*aDone.m_error, aDone.m_faults)));
+        aReply(net::ErrorResponse(WithFaults(*aDone.m_error, aDone.m_faults)));
         return;
       }
       aReply(Ok({ { "subtree", aSubtree },
@@ -235,15 +267,14 @@
   }
   Json members = Json::array();
   for (const MemberInfo& member : m_cell.m_membership.Members()) {
-    members.push_back(
-      { { "vm", member.m_vm.Value() },
-        { "state", NameOf(member.m_state) },
-        { "region", member.m_region.Value() },
-        { "domain", member.m_domain.Value() },
-        { "address", member.m_address.m_callers.ToString() },
-        { "slices", slices[member.m_vm].size() },
-        { "settings_version",
-          m_cell.m_loads.SettingsVersionOf(member.m_vm) } });
+    members.push_back({ { "vm", member.m_vm.Value() },
+                        { "state", NameOf(member.m_state) },
+                        { "region", member.m_region.Value() },
+                        { "domain", member.m_domain.Value() },
+                        { "address", member.m_address.m_callers.ToString() },
+                        { "slices", slices[member.m_vm].size() },
+                        { "settings_version",
+                          m_cell.m_loads.SettingsVersionOf(member.m_vm) } });
   }
   return Ok({ { "members", members } });
 }
@@ -293,11 +324,11 @@
   for (const auto& [id, slice] : m_cell.m_slices) {
     const VmId owner = m_cell.m_membership.Machine().OwnerOf(id);
     const auto load = m_cell.m_loads.Find(now, owner, id);
-    slices.push_back({ { "slice", id.Value() },
-                       { "owner", owner.Value() },
-                       { "load", load ? Json(load->m_load) : Json() },
-                       { "waiting",
-                         load ? Json(load->m_queueLength) : Json() } });
+    slices.push_back(
+      { { "slice", id.Value() },
+        { "owner", owner.Value() },
+        { "load", load ? Json(load->m_load) : Json() },
+        { "waiting", load ? Json(load->m_queueLength) : Json() } });
   }
   return Ok({ { "teams", teams }, { "slices", slices } });
 }
--- a/src/daemon/OperatorApi.h
+++ b/src/daemon/OperatorApi.h
@@ -4,6 +4,7 @@
 
 #include "daemon/CellState.h"
 #include "net/HttpServer.h"
+#include "settings/SettingsRows.h"
 
 namespace lacewing::daemon {
 
@@ -22,14 +23,18 @@
 private:
   Result<void> ServeSettings(const net::HttpRequest& aRequest,
                              const net::HttpReply& aReply);
-  Result<void> GetSubtree(const std::string& aSubtree,
-                          const net::HttpReply& aReply);
+  void GetSubtree(const std::string& aSubtree, const net::HttpReply& aReply);
+  net::HttpResponse SubtreeResponse(
+    const std::string& aSubtree,
+    const std::optional<settings::SubtreeRow>& aRow) const;
   Result<void> GetHistory(const std::string& aSubtree,
                           const net::HttpReply& aReply);
   Result<void> PutSubtree(const net::HttpRequest& aRequest,
                           const std::string& aSubtree,
                           const net::HttpReply& aReply);
-  net::HttpResponse Index() const;
+  /// From the table, so that an operator sees his own change at every entry
+  /// daemon; from memory while the table cannot be read.
+  void GetIndex(const net::HttpReply& aReply);
   net::HttpResponse Members() const;
   net::HttpResponse Nodes() const;
   net::HttpResponse Top() const;
--- a/src/daemon/PeerPayloads.cpp
+++ b/src/daemon/PeerPayloads.cpp
@@ -168,8 +168,7 @@
   if (type == "rows_request") {
     return settings::RowsRequest{
       aJson.at("fleet").get<settings::FleetVersion>(),
-      aJson.at("have")
-        .get<std::map<std::string, settings::SettingsVersion>>()
+      aJson.at("have").get<std::map<std::string, settings::SettingsVersion>>()
     };
   }
   if (type == "rows_answer") {
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -171,11 +171,8 @@
     std::move(write),
     [this, call = aWrite.m_call, step = aWrite.m_step](
       const table::RecordResult& aResult) {
-      Carry(m_once.OnWritten(net::Loop::Now(),
-                             call,
-                             step,
-                             aResult.m_state,
-                             aResult.m_version));
+      Carry(m_once.OnWritten(
+        net::Loop::Now(), call, step, aResult.m_state, aResult.m_version));
     });
 }
 
@@ -248,8 +245,7 @@
   if (call == m_calls.end()) {
     return;
   }
-  const auto slice =
-    m_chooser.Choose(SlicesOf(call->second.m_service), aTried);
+  const auto slice = m_chooser.Choose(SlicesOf(call->second.m_service), aTried);
   const auto owner =
     slice ? m_cell.OwnerOf(slice->m_slice) : std::optional<MemberInfo>();
   if (!owner) {
@@ -287,7 +283,7 @@
   message.m_service = call.m_service;
   message.m_method = call.m_method;
   message.m_team = call.m_team;
-  message.m_number = forward;
+  message.m_requestId = std::to_string(forward);
   message.m_class = call.m_class;
   message.m_idempotent = call.m_idempotent;
   message.m_remaining = std::max(remaining, Duration(milliseconds(1)));
@@ -368,10 +364,10 @@
   const Call& ended = call.mapped();
   const bool answered = aReply.m_answer.has_value();
   auto& metrics = m_cell.m_runtime.Metrics();
-  metrics.Add(Metric::Requests,
-              { answered ? NameOf(Verdict::Ran)
-                         : NameOf(aReply.m_error.m_verdict),
-                answered ? "none" : NameOf(aReply.m_error.m_code) });
+  metrics.Add(
+    Metric::Requests,
+    { answered ? NameOf(Verdict::Ran) : NameOf(aReply.m_error.m_verdict),
+      answered ? "none" : NameOf(aReply.m_error.m_code) });
   const Duration waited = net::Loop::Now() - ended.m_received;
   metrics.Observe(Metric::WaitingSeconds,
                   std::chrono::duration<double>(waited).count(),
--- a/src/daemon/ServiceSliceOwner.cpp
+++ b/src/daemon/ServiceSliceOwner.cpp
@@ -46,13 +46,30 @@
 }
 
 void
-ServiceSliceOwner::OnEarlierOwner(const VmId& aEndpoint, std::uint32_t aSlots)
+ServiceSliceOwner::OnEarlierOwner(const peer::ReleasedSlice& aReleased)
 {
+  if (aReleased.m_epoch + 1 != m_epoch) {
+    return;
+  }
   routing::BusyCounts counts;
-  counts.m_byEndpoint[aEndpoint] = static_cast<int>(aSlots);
+  for (const peer::EndpointBusy& busy : aReleased.m_busy) {
+    counts.m_byEndpoint[busy.m_endpoint] = static_cast<int>(busy.m_slots);
+  }
   Carry(m_router.OnEarlierOwner(net::Loop::Now(), counts));
 }
 
+peer::ReleasedSlice
+ServiceSliceOwner::Remaining() const
+{
+  peer::ReleasedSlice released;
+  released.m_slice = m_slice;
+  released.m_epoch = m_epoch;
+  for (const auto& [vm, count] : m_router.CountBusy().m_byEndpoint) {
+    released.m_busy.push_back({ vm, static_cast<std::uint32_t>(count) });
+  }
+  return released;
+}
+
 void
 ServiceSliceOwner::UpdateEndpoints(const std::vector<vmlist::Vm>& aVms)
 {
@@ -159,22 +176,22 @@
   }
   const OwnedRequest& owned = open->second.m_request;
   endpoint::DispatchRequest request;
-  request.m_requestId = endpoint::RequestIdHeader(m_slice, m_epoch, aDispatch.m_attempt);
+  request.m_requestId = m_slice.Value() + "/" + std::to_string(m_epoch) + "/" +
+                        std::to_string(aDispatch.m_attempt);
   request.m_path = "/" + owned.m_method;
   request.m_body = owned.m_body;
   request.m_remaining = aDispatch.m_deadline - net::Loop::Now();
   RecordRequest(
     EventKind::RequestDispatched, open->second, aDispatch.m_endpoint, "");
-  m_runtime.Endpoints().Dispatch(
-    address->second,
-    request,
-    request.m_remaining + routing::kMaxDeadline,
-    [weak = weak_from_this(),
-     aDispatch](const endpoint::DispatchOutcome& aOutcome) {
-      if (const auto self = weak.lock()) {
-        self->OnDispatched(aDispatch, aOutcome);
-      }
-    });
+  m_runtime.Endpoints().Dispatch(address->second,
+                                 request,
+                                 request.m_remaining + routing::kMaxDeadline,
+                                 [weak = weak_from_this(), aDispatch](
+                                   const endpoint::DispatchOutcome& aOutcome) {
+                                   if (const auto self = weak.lock()) {
+                                     self->OnDispatched(aDispatch, aOutcome);
+                                   }
+                                 });
 }
 
 void
@@ -255,7 +272,7 @@
 ServiceSliceOwner::RecordRequest(EventKind aKind,
                                  const Open& aOpen,
                                  const VmId& aVm,
-                                 std::string aDetail)
+                                 const std::string& aDetail)
 {
   observe::Event event;
   event.m_kind = aKind;
--- a/src/daemon/ServiceSliceOwner.h
+++ b/src/daemon/ServiceSliceOwner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/Runtime.h"
+#include "peer/PeerMessages.h"
 #include "routing/ForwardTable.h"
 #include "routing/RequestRouter.h"
 #include "settings/SettingsTree.h"
@@ -30,8 +31,11 @@
                     routing::RouterOptions aOptions);
 
   void Adopt(const routing::BusyCounts& aCounts);
-  /// Slots of an endpoint that the earlier owner still takes.
-  void OnEarlierOwner(const VmId& aEndpoint, std::uint32_t aSlots);
+  /// What the earlier owner's requests still take. Ignored unless it was the
+  /// owner just before this one.
+  void OnEarlierOwner(const peer::ReleasedSlice& aReleased);
+  /// The same about this owner, once it has released the slice.
+  peer::ReleasedSlice Remaining() const;
   void UpdateEndpoints(const std::vector<vmlist::Vm>& aVms);
   void SetTeam(const TeamId& aTeam, const settings::TeamSettings& aSettings);
   void SetAllotment(const TeamId& aTeam, std::int64_t aRequests);
@@ -74,7 +78,7 @@
   void RecordRequest(observe::EventKind aKind,
                      const Open& aOpen,
                      const VmId& aVm,
-                     std::string aDetail);
+                     const std::string& aDetail);
 
   Runtime& m_runtime;
   SliceId m_slice;
--- a/src/daemon/SettingsService.cpp
+++ b/src/daemon/SettingsService.cpp
@@ -73,10 +73,8 @@
                            const VmId& aFrom,
                            const ownership::Promise& aPromise)
 {
-  m_store.OnPromise(aProbeSentAt,
-                    aFrom,
-                    aPromise.m_incarnation,
-                    aPromise.m_settingsVersion);
+  m_store.OnPromise(
+    aProbeSentAt, aFrom, aPromise.m_incarnation, aPromise.m_settingsVersion);
 }
 
 void
@@ -188,8 +186,7 @@
   std::vector<settings::Member> members;
   for (const MemberInfo& member : m_membership.Members()) {
     if (member.m_vm != m_runtime.Self()) {
-      members.push_back(
-        { member.m_vm, member.m_incarnation, member.m_region });
+      members.push_back({ member.m_vm, member.m_incarnation, member.m_region });
     }
   }
   return members;
--- a/src/daemon/TableGateway.cpp
+++ b/src/daemon/TableGateway.cpp
@@ -84,8 +84,8 @@
     Submit("records",
            aEffects.m_commit->m_commit,
            [this, operation](const table::CommitResult& aResult) {
-             Carry(m_group.OnCommitResult(
-               net::Loop::Now(), operation, aResult));
+             Carry(
+               m_group.OnCommitResult(net::Loop::Now(), operation, aResult));
            });
   }
   if (aEffects.m_read) {
@@ -93,8 +93,7 @@
     Fetch("records",
           aEffects.m_read->m_read,
           [this, operation](const table::ReadResult& aResult) {
-            Carry(
-              m_group.OnReadResult(net::Loop::Now(), operation, aResult));
+            Carry(m_group.OnReadResult(net::Loop::Now(), operation, aResult));
           });
   }
   for (const table::RecordResult& result : aEffects.m_results) {
--- a/src/daemon/WorkerSession.cpp
+++ b/src/daemon/WorkerSession.cpp
@@ -36,6 +36,16 @@
   Flush();
 }
 
+void
+WorkerSession::Poll()
+{
+  if (!m_request) {
+    m_request = worker::ControlRequest();
+    m_request->m_slice = m_slice;
+  }
+  Flush();
+}
+
 void
 WorkerSession::Flush()
 {
@@ -54,7 +64,7 @@
     Send(std::move(request));
     return;
   }
-  if (m_request && m_request->m_token == 0) {
+  if (m_request && m_request->m_token == 0 && m_request->m_epoch != 0) {
     // An adoption; commands wait for its answer.
     worker::ControlRequest request = std::move(*m_request);
     m_request.reset();
@@ -72,8 +82,8 @@
     m_address,
     aRequest,
     kControlTimeout,
-    [weak = weak_from_this(), commands = aRequest.m_commands](
-      const worker::ControlOutcome& aOutcome) {
+    [weak = weak_from_this(),
+     commands = aRequest.m_commands](const worker::ControlOutcome& aOutcome) {
       if (const auto self = weak.lock()) {
         self->OnOutcome(aOutcome, commands);
       }
--- a/src/daemon/WorkerSession.h
+++ b/src/daemon/WorkerSession.h
@@ -36,6 +36,8 @@
   /// Asks for an exchange with the request's epoch and token, with or without
   /// commands: an adoption or a renewal.
   void Request(const worker::ControlRequest& aRequest);
+  /// Asks for an exchange that only shows what runs; it renews the lease too.
+  void Poll();
   /// Sends what is waiting, unless an exchange is under way.
   void Flush();
   /// Drops what is waiting and ignores the answer of the present exchange.
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -12,6 +12,12 @@
 constexpr Duration kLoadRetryDelay = seconds(1);
 /// Bounds the length of one decision, so that the loop stays responsive.
 constexpr std::size_t kMaxStartsPerTick = 256;
+/// Bounds of the time between two polls of a worker on which tasks run. A
+/// worker is polled when its next task should end; tasks that are overdue are
+/// polled for less and less often.
+constexpr Duration kMinPollPeriod = milliseconds(100);
+constexpr Duration kMaxPollPeriod = seconds(1);
+constexpr int kOverduePart = 4;
 /// Allotment of a team without an upper limit, in millicores.
 constexpr std::int64_t kUnlimitedMillicores = 1'000'000'000'000;
 /// The kind of all accelerators; callers cannot name kinds yet.
@@ -240,6 +246,35 @@
     TakeEnds(worker, *aOutcome.m_reply);
     Reconcile(worker, *aOutcome.m_reply);
   }
+  PlanPoll(worker, *aOutcome.m_reply);
+}
+
+void
+WorkerSliceOwner::PlanPoll(Worker& aWorker, const worker::ControlReply& aReply)
+{
+  const Time now = net::Loop::Now();
+  std::map<TaskId, Time> ends;
+  Time earliest = Time::max();
+  for (const worker::RunningTask& task : aReply.m_running) {
+    const jobs::JobRecord* job = m_store->Find(task.m_task.m_job);
+    if (job == nullptr || job->m_spec.m_kind == caller::JobKind::Service) {
+      continue;
+    }
+    const auto known = aWorker.m_expectedEnds.find(task.m_task);
+    // The start of a task that was taken over is not known; it counts as due.
+    const Time end =
+      known == aWorker.m_expectedEnds.end() ? now : known->second;
+    ends[task.m_task] = end;
+    earliest = std::min(earliest, end);
+  }
+  aWorker.m_expectedEnds = std::move(ends);
+  if (earliest == Time::max()) {
+    aWorker.m_nextPoll = Time::max();
+    return;
+  }
+  const Duration wait =
+    earliest > now ? earliest - now : (now - earliest) / kOverduePart;
+  aWorker.m_nextPoll = now + std::clamp(wait, kMinPollPeriod, kMaxPollPeriod);
 }
 
 void
@@ -263,8 +298,15 @@
   }
   m_scheduler.Adopt(now, aWorker.m_vm.m_vm, inventory);
   TakeEnds(aWorker, aReply);
-  m_runtime.Record({ {}, 0, "", EventKind::SliceAdopted, {}, "", {},
-                     aWorker.m_vm.m_vm, m_slice.Value() });
+  m_runtime.Record({ {},
+                     0,
+                     "",
+                     EventKind::SliceAdopted,
+                     {},
+                     "",
+                     {},
+                     aWorker.m_vm.m_vm,
+                     m_slice.Value() });
 }
 
 void
@@ -309,13 +351,13 @@
     aWorker.m_session->OnEndDurable(aTask.m_sequence);
     return;
   }
-  m_store->Succeed(aTask.m_task,
-                   [session = aWorker.m_session,
-                    sequence = aTask.m_sequence](bool aDurable) {
-                     if (aDurable) {
-                       session->OnEndDurable(sequence);
-                     }
-                   });
+  m_store->Succeed(
+    aTask.m_task,
+    [session = aWorker.m_session, sequence = aTask.m_sequence](bool aDurable) {
+      if (aDurable) {
+        session->OnEndDurable(sequence);
+      }
+    });
 }
 
 void
@@ -369,8 +411,14 @@
     CarryOut(action);
   }
   StoreFinished();
+  const Time now = net::Loop::Now();
   for (auto& [vm, worker] : m_workers) {
-    worker.m_session->Flush();
+    if (worker.m_nextPoll <= now) {
+      worker.m_nextPoll = Time::max();
+      worker.m_session->Poll();
+    } else {
+      worker.m_session->Flush();
+    }
   }
 }
 
@@ -394,11 +442,12 @@
                std::string(NameOf(aAction.m_kind)));
     return;
   }
-  worker::RunningTask& start =
-    found->second.m_startsUnderWay[aAction.m_task];
+  worker::RunningTask& start = found->second.m_startsUnderWay[aAction.m_task];
   start.m_task = aAction.m_task;
   start.m_attempt = aAction.m_attempt;
   start.m_reserved = aAction.m_reserved;
+  found->second.m_expectedEnds[aAction.m_task] =
+    net::Loop::Now() + milliseconds(aAction.m_runMs);
   const jobs::JobRecord* job = m_store->Find(aAction.m_task.m_job);
   const bool urgent = job != nullptr && job->m_spec.m_urgent;
   m_runtime.Metrics().Add(Metric::TaskStarts, { urgent ? "urgent" : "other" });
@@ -494,7 +543,7 @@
 WorkerSliceOwner::RecordTask(EventKind aKind,
                              const TaskId& aTask,
                              const VmId& aWorker,
-                             std::string aDetail)
+                             const std::string& aDetail)
 {
   observe::Event event;
   event.m_kind = aKind;
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -73,6 +73,9 @@
     bool m_adopted = false;
     /// Starts that were decided and whose exchange has not ended.
     std::map<TaskId, worker::RunningTask> m_startsUnderWay;
+    /// When the running tasks should end by their declared run times.
+    std::map<TaskId, Time> m_expectedEnds;
+    Time m_nextPoll = Time::max();
   };
 
   Worker& WorkerOf(const vmlist::Vm& aVm);
@@ -83,6 +86,7 @@
   void Reconcile(Worker& aWorker, const worker::ControlReply& aReply);
   void TakeEnds(Worker& aWorker, const worker::ControlReply& aReply);
   void TakeEnd(Worker& aWorker, const worker::EndedTask& aTask);
+  void PlanPoll(Worker& aWorker, const worker::ControlReply& aReply);
   void CarryOut(const sched::Action& aAction);
   void MarkStarted(const TaskId& aTask);
   void StoreFinished();
@@ -91,7 +95,7 @@
   void RecordTask(observe::EventKind aKind,
                   const TaskId& aTask,
                   const VmId& aWorker,
-                  std::string aDetail);
+                  const std::string& aDetail);
 
   Runtime& m_runtime;
   SliceId m_slice;
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -84,14 +84,13 @@
 std::string
 EncodeRecord(const JobRecord& aRecord)
 {
-  const Json body = {
-    { "team", aRecord.m_team.Value() },
-    { "spec", Json::parse(caller::EncodeJobSpec(aRecord.m_spec)) },
-    { "ending", NameOf(aRecord.m_ending) },
-    { "marked", ToRanges(aRecord.m_marked) },
-    { "succeeded", ToRanges(aRecord.m_succeeded) },
-    { "nonce", aRecord.m_nonce }
-  };
+  const Json body = { { "team", aRecord.m_team.Value() },
+                      { "spec",
+                        Json::parse(caller::EncodeJobSpec(aRecord.m_spec)) },
+                      { "ending", NameOf(aRecord.m_ending) },
+                      { "marked", ToRanges(aRecord.m_marked) },
+                      { "succeeded", ToRanges(aRecord.m_succeeded) },
+                      { "nonce", aRecord.m_nonce } };
   return body.dump();
 }
 
@@ -120,8 +119,8 @@
   } catch (const Json::exception& error) {
     return Fail(Verdict::Ran,
                 ErrorCode::Internal,
-                "row of job " + aJob.Value() + " is malformed: " +
-                  error.what());
+                "row of job " + aJob.Value() +
+                  " is malformed: " + error.what());
   }
 }
 
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -136,12 +136,17 @@
     entry.set_team(team.m_team.Value());
     entry.set_millicores(team.m_millicores);
     entry.set_requests(team.m_requests);
-  }
-  for (const FreedEndpoint& freed : aIn.m_freed) {
-    wire::FreedEndpoint& entry = *out.add_freed();
-    entry.set_slice(freed.m_slice.Value());
-    entry.set_endpoint(freed.m_endpoint.Value());
-    entry.set_slots(freed.m_slots);
+    entry.set_waiting_millicores(team.m_waitingMillicores);
+  }
+  for (const ReleasedSlice& released : aIn.m_released) {
+    wire::ReleasedSlice& entry = *out.add_released();
+    entry.set_slice(released.m_slice.Value());
+    entry.set_epoch(released.m_epoch);
+    for (const EndpointBusy& busy : released.m_busy) {
+      wire::EndpointBusy& slots = *entry.add_busy();
+      slots.set_endpoint(busy.m_endpoint.Value());
+      slots.set_slots(busy.m_slots);
+    }
   }
 }
 
@@ -191,6 +196,8 @@
     std::max<Duration::rep>(aIn.m_remaining.count(), 0)));
   out.set_body(aIn.m_body);
   out.set_hops(aIn.m_hops);
+  out.set_slice(aIn.m_slice.Value());
+  out.set_idempotent(aIn.m_idempotent);
 }
 
 void
@@ -199,6 +206,7 @@
   wire::Answer& out = *aOut.mutable_answer();
   out.set_status(static_cast<std::uint32_t>(aIn.m_status));
   out.set_byte_count(aIn.m_bytes);
+  out.set_retry_after_us(static_cast<std::uint64_t>(aIn.m_retryAfter.count()));
   if (aIn.m_error) {
     Write(*aIn.m_error, *out.mutable_failure());
   } else {
@@ -305,15 +313,23 @@
   aReader.Require(aIn.millicores() >= 0, "teams.millicores", "is negative");
   return { TeamId(aReader.Name(aIn.team(), "teams.team")),
            aIn.millicores(),
-           aIn.requests() };
+           aIn.requests(),
+           aIn.waiting_millicores() };
 }
 
-FreedEndpoint
-Read(const wire::FreedEndpoint& aIn, FieldReader& aReader)
+ReleasedSlice
+Read(const wire::ReleasedSlice& aIn, FieldReader& aReader)
 {
-  return { SliceId(aReader.Name(aIn.slice(), "freed.slice")),
-           VmId(aReader.Name(aIn.endpoint(), "freed.endpoint")),
-           aIn.slots() };
+  ReleasedSlice out;
+  out.m_slice = SliceId(aReader.Name(aIn.slice(), "released.slice"));
+  out.m_epoch = aIn.epoch();
+  aReader.ListSize(aIn.busy_size(), "released.busy");
+  for (const auto& busy : aIn.busy()) {
+    out.m_busy.push_back(
+      { VmId(aReader.Name(busy.endpoint(), "released.busy.endpoint")),
+        busy.slots() });
+  }
+  return out;
 }
 
 Heartbeat
@@ -327,7 +343,7 @@
     aReader.Time(aIn.confirmation_age_us(), "heartbeat.confirmation_age_us");
   aReader.ListSize(aIn.slices_size(), "heartbeat.slices");
   aReader.ListSize(aIn.teams_size(), "heartbeat.teams");
-  aReader.ListSize(aIn.freed_size(), "heartbeat.freed");
+  aReader.ListSize(aIn.released_size(), "heartbeat.released");
   if (!aReader.Ok()) {
     return out;
   }
@@ -337,8 +353,8 @@
   for (const auto& team : aIn.teams()) {
     out.m_teams.push_back(Read(team, aReader));
   }
-  for (const auto& freed : aIn.freed()) {
-    out.m_freed.push_back(Read(freed, aReader));
+  for (const auto& released : aIn.released()) {
+    out.m_released.push_back(Read(released, aReader));
   }
   return out;
 }
@@ -391,6 +407,8 @@
     aReader.Time(aIn.remaining_us(), "forward_request.remaining_us");
   out.m_body = aIn.body();
   out.m_hops = aIn.hops();
+  out.m_slice = SliceId(aReader.Name(aIn.slice(), "forward_request.slice"));
+  out.m_idempotent = aIn.idempotent();
   return out;
 }
 
@@ -400,6 +418,8 @@
   Answer out;
   out.m_status = aReader.Status(aIn.status());
   out.m_bytes = aIn.byte_count();
+  out.m_retryAfter =
+    aReader.Time(aIn.retry_after_us(), "answer.retry_after_us");
   aReader.Require(
     aIn.has_body() || aIn.has_failure(), "answer.result", "is missing");
   if (aIn.has_failure()) {
--- a/src/peer/PeerMessages.h
+++ b/src/peer/PeerMessages.h
@@ -2,8 +2,8 @@
 /// only inside the codec.
 #pragma once
 
-#include "core/EnumNames.h"
 #include "core/Ids.h"
+#include "core/RequestClass.h"
 #include "core/Time.h"
 #include "core/Verdict.h"
 
@@ -55,18 +55,29 @@
   TeamId m_team;
   std::int64_t m_millicores = 0;
   std::uint64_t m_requests = 0;
+  std::int64_t m_waitingMillicores = 0;
 
   bool operator==(const TeamUsage&) const = default;
 };
 
-/// Slots of an endpoint that requests of the slice's former owner have left.
-struct FreedEndpoint
+/// Slots of an endpoint that are taken by requests of one owner.
+struct EndpointBusy
 {
-  SliceId m_slice;
   VmId m_endpoint;
   std::uint32_t m_slots = 0;
 
-  bool operator==(const FreedEndpoint&) const = default;
+  bool operator==(const EndpointBusy&) const = default;
+};
+
+/// What the sender's dispatched requests still take in a slice that it has
+/// released. Endpoints that are not listed are free.
+struct ReleasedSlice
+{
+  SliceId m_slice;
+  Epoch m_epoch = 0; ///< under which the sender owned the slice
+  std::vector<EndpointBusy> m_busy;
+
+  bool operator==(const ReleasedSlice&) const = default;
 };
 
 struct Heartbeat
@@ -78,7 +89,7 @@
   Duration m_confirmationAge{};
   std::vector<SliceLoad> m_slices;
   std::vector<TeamUsage> m_teams;
-  std::vector<FreedEndpoint> m_freed;
+  std::vector<ReleasedSlice> m_released;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -121,13 +132,6 @@
   bool operator==(const RelayResult&) const = default;
 };
 
-enum class RequestClass : std::uint8_t
-{
-  Urgent,
-  Interactive,
-  Patient,
-};
-
 /// A service request on its way from the front to the owner of a slice.
 struct ForwardRequest
 {
@@ -140,6 +144,8 @@
   Duration m_remaining{}; ///< until the deadline, counted by the receiver
   std::string m_body;
   std::uint32_t m_hops = 0; ///< entry daemons that have forwarded it
+  SliceId m_slice;
+  bool m_idempotent = false; ///< may be tried again after it may have run
 
   bool operator==(const ForwardRequest&) const = default;
 };
@@ -152,6 +158,8 @@
   std::optional<Error> m_error; ///< the body is empty if set
   /// Size of the whole body in bytes; the decoder refuses another size.
   std::uint64_t m_bytes = 0;
+  /// With an error: when a new try has a chance; zero when that is not known.
+  Duration m_retryAfter{};
 };
 
 /// Text of a job as JSON.
@@ -260,14 +268,3 @@
 };
 
 } // namespace lacewing::peer
-
-template<>
-struct lacewing::EnumNames<lacewing::peer::RequestClass>
-{
-  using Class = lacewing::peer::RequestClass;
-  static constexpr std::array kTable = {
-    std::pair{ Class::Urgent, std::string_view("urgent") },
-    std::pair{ Class::Interactive, std::string_view("interactive") },
-    std::pair{ Class::Patient, std::string_view("patient") },
-  };
-};
--- a/src/routing/Request.h
+++ b/src/routing/Request.h
@@ -1,8 +1,8 @@
 /// Requests, answers and the switches of the safety mechanisms.
 #pragma once
 
-#include "core/EnumNames.h"
 #include "core/Ids.h"
+#include "core/RequestClass.h"
 #include "core/Time.h"
 #include "core/Verdict.h"
 
@@ -13,16 +13,6 @@
 
 namespace lacewing::routing {
 
-/// Classes in the order in which they are served.
-enum class RequestClass : std::uint8_t
-{
-  Urgent,
-  Interactive,
-  Patient,
-};
-
-inline constexpr std::size_t kRequestClasses = 3;
-
 /// Largest deadline that a caller may ask for.
 inline constexpr Duration kMaxDeadline = seconds(30);
 
@@ -94,17 +84,6 @@
 
 } // namespace lacewing::routing
 
-template<>
-struct lacewing::EnumNames<lacewing::routing::RequestClass>
-{
-  using Class = lacewing::routing::RequestClass;
-  static constexpr std::array kTable = {
-    std::pair{ Class::Urgent, std::string_view("urgent") },
-    std::pair{ Class::Interactive, std::string_view("interactive") },
-    std::pair{ Class::Patient, std::string_view("patient") },
-  };
-};
-
 template<>
 struct std::hash<lacewing::routing::RequestId>
 {
--- a/tests/fakes/PeerSamples.h
+++ b/tests/fakes/PeerSamples.h
@@ -16,10 +16,12 @@
   request.m_team = TeamId("quality");
   request.m_requestId = "request-1";
   request.m_idempotencyKey = "key-1";
-  request.m_class = peer::RequestClass::Patient;
+  request.m_class = RequestClass::Patient;
   request.m_remaining = milliseconds(1500);
   request.m_body = std::string("body\0with\xff zero", 15);
   request.m_hops = 1;
+  request.m_slice = SliceId("service-lot-ledger-a-1");
+  request.m_idempotent = true;
   return request;
 }
 
@@ -34,7 +36,9 @@
   heartbeat.m_slices = { { SliceId("workers-1"), 0.75, 12000, 4 },
                          { SliceId("lot-ledger-2"), 0.0, -5, 0 } };
   heartbeat.m_teams = { { TeamId("quality"), 64000, 9 } };
-  heartbeat.m_freed = { { SliceId("lot-ledger-2"), VmId("runner-8"), 2 } };
+  heartbeat.m_released = {
+    { SliceId("lot-ledger-2"), 4, { { VmId("runner-8"), 2 } } }
+  };
   return heartbeat;
 }
 
