--- a/src/endpoint/EndpointClient.cpp
+++ b/src/endpoint/EndpointClient.cpp
@@ -35,11 +35,11 @@
 } // namespace
 
 std::string
-RequestIdHeader(const VmId& aOwner,
-                Incarnation aIncarnation,
+RequestIdHeader(const SliceId& aSlice,
+                Epoch aEpoch,
                 routing::AttemptId aAttempt)
 {
-  return aOwner.Value() + "-" + std::to_string(aIncarnation) + "-" +
+  return aSlice.Value() + "-" + std::to_string(aEpoch) + "-" +
          std::to_string(aAttempt);
 }
 
--- a/src/endpoint/EndpointClient.h
+++ b/src/endpoint/EndpointClient.h
@@ -10,10 +10,11 @@
 
 namespace lacewing::endpoint {
 
-/// Value of X-Request-Id: unique over owners, their incarnations and attempts.
+/// Value of X-Request-Id: unique, since an epoch of a slice has one owner and
+/// its attempts are numbered.
 std::string
-RequestIdHeader(const VmId& aOwner,
-                Incarnation aIncarnation,
+RequestIdHeader(const SliceId& aSlice,
+                Epoch aEpoch,
                 routing::AttemptId aAttempt);
 
 /// A whole or short answer, or the error when there is none.
--- a/src/routing/AtMostOnce.cpp
+++ b/src/routing/AtMostOnce.cpp
@@ -271,7 +271,7 @@
     }
     return;
   }
-  if (call.m_state == State::Forwarded) {
+  if (call.m_state != State::Inserting && call.m_state != State::Cleaning) {
     return;
   }
   if (aState == CommitState::NotApplied) {
--- a/src/routing/EndpointPool.cpp
+++ b/src/routing/EndpointPool.cpp
@@ -45,6 +45,8 @@
     m_index.emplace(aInfo.m_vm, m_endpoints.size());
     endpoint = &m_endpoints.emplace_back();
     endpoint->m_probeAt = aNow;
+    endpoint->m_foreign = m_foreignBeforeList[aInfo.m_vm];
+    m_foreignBeforeList.erase(aInfo.m_vm);
   }
   if (endpoint->m_state == EndpointState::Gone) {
     endpoint->m_state = EndpointState::Unknown;
@@ -102,6 +104,8 @@
 {
   if (Endpoint* endpoint = FindMutable(aVm)) {
     endpoint->m_foreign = std::max(0, aBusy);
+  } else {
+    m_foreignBeforeList[aVm] = std::max(0, aBusy);
   }
 }
 
@@ -109,6 +113,8 @@
 void
 EndpointPool<Choice>::ClearForeign()
 {
+  m_foreignEnded = true;
+  m_foreignBeforeList.clear();
   for (Endpoint& endpoint : m_endpoints) {
     endpoint.m_foreign = 0;
   }
@@ -120,7 +126,13 @@
 {
   int total = 0;
   for (const Endpoint& endpoint : m_endpoints) {
-    total += endpoint.m_foreign;
+    const bool unread = !endpoint.m_adopted && !m_countsGiven &&
+                        !m_foreignEnded &&
+                        endpoint.m_state != EndpointState::Gone;
+    total += unread ? endpoint.Capacity() : endpoint.m_foreign;
+  }
+  for (const auto& [vm, busy] : m_foreignBeforeList) {
+    total += busy;
   }
   return total;
 }
@@ -316,6 +328,10 @@
   // Work that an earlier owner sent may still have been under way when the
   // first status was read, so counts go down only after the largest delay.
   const Time settled = endpoint->m_probeSent - kMaxMessageDelay;
+  if (!endpoint->m_adopted && !m_countsGiven && settled < aAdopted) {
+    endpoint->m_probeAt = aAdopted + kMaxMessageDelay;
+    return change;
+  }
   if (endpoint->m_adopted && settled >= aAdopted) {
     endpoint->m_foreign = std::min(endpoint->m_foreign, aStatus->m_busy);
   }
--- a/src/routing/EndpointPool.h
+++ b/src/routing/EndpointPool.h
@@ -9,6 +9,7 @@
 #include "routing/EndpointChoice.h"
 #include "routing/Request.h"
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -86,10 +87,16 @@
   /// Takes over a poll of the VM list. Returns endpoints that became gone.
   std::vector<VmId> Update(Time aNow, const std::vector<EndpointInfo>& aList);
 
+  /// The earlier owner left its counts: endpoints that it does not name have no
+  /// slots taken. Without this call the first status is trusted only when no
+  /// dispatch of the earlier owner can be under way any more.
+  void SetCountsGiven() { m_countsGiven = true; }
   /// Treats slots of an endpoint as taken by an earlier owner; 0 frees them.
   void SetForeign(const VmId& aVm, int aBusy);
   /// Frees all slots of earlier owners: the largest deadline has passed.
   void ClearForeign();
+  /// Slots taken by earlier owners. An endpoint whose status is still to be
+  /// read counts as full, since any team may have all its slots.
   int TotalForeign() const;
 
   /// An endpoint with a free slot, or nothing. `aCountSlots` is false only to
@@ -131,6 +138,9 @@
   void RemoveIdleGone();
 
   PoolOptions m_options;
+  bool m_countsGiven = false;
+  bool m_foreignEnded = false;             ///< the largest deadline has passed
+  std::map<VmId, int> m_foreignBeforeList; ///< counts of unlisted endpoints
   Choice m_choice;
   Backoff m_backoff;
   std::vector<Endpoint> m_endpoints;
--- a/src/routing/Request.h
+++ b/src/routing/Request.h
@@ -40,7 +40,7 @@
   auto operator<=>(const RequestId&) const = default;
 };
 
-/// One dispatch to an endpoint: unique within the incarnation of the owner.
+/// One dispatch to an endpoint: unique within an epoch of the slice.
 using AttemptId = std::uint64_t;
 
 /// A request at the owner of a service slice. The body stays with the caller of
--- a/src/routing/RequestRouter.h
+++ b/src/routing/RequestRouter.h
@@ -21,7 +21,9 @@
 
 namespace lacewing::routing {
 
-/// Send the request to the endpoint, with the attempt in X-Request-Id. The
+/// Send the request to the endpoint, with the attempt in X-Request-Id. Right
+/// before it, the daemon compares the time with `AuthorityEnd` and reports a
+/// failure with the verdict `NotRun` instead if the end has passed. The
 /// connection stays open past the deadline, so that a late answer frees the
 /// slot; `kMaxDeadline` after it the attempt is given up.
 struct Dispatch
@@ -154,7 +156,9 @@
   /// was read, and slots found busy count as taken by an earlier owner.
   BasicRequestRouter(Time aNow, RouterOptions aOptions, std::uint64_t aSeed);
 
-  /// Takes over the counts that an earlier owner left on a planned release.
+  /// Takes over the counts that an earlier owner left on a planned release, or
+  /// no counts for the first owner of a slice. Called before anything else;
+  /// without it the first `kMaxMessageDelay` passes without a dispatch.
   void Adopt(Time aNow, const BusyCounts& aCounts);
   /// Lowers the counts to what the earlier owner reports as still taken.
   Actions OnEarlierOwner(Time aNow, const BusyCounts& aCounts);
@@ -184,6 +188,7 @@
   /// End of the owner's authority; nothing is dispatched at or after it, and
   /// the queue is refused with "not run".
   Actions SetAuthorityEnd(Time aNow, Time aEnd);
+  Time AuthorityEnd() const { return m_authorityEnd; }
 
   /// Refuses the queue and all new requests; dispatched ones finish.
   Actions BeginDrain(Time aNow);
--- a/src/routing/RequestRouterImpl.h
+++ b/src/routing/RequestRouterImpl.h
@@ -61,6 +61,7 @@
 BasicRequestRouter<Queue, Choice>::Adopt(Time aNow, const BusyCounts& aCounts)
 {
   m_adopted = aNow;
+  m_pool.SetCountsGiven();
   for (const auto& [endpoint, busy] : aCounts.m_byEndpoint) {
     m_pool.SetForeign(endpoint, busy);
   }
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -1,29 +1,42 @@
 #include "routing/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewing::routing {
 
+namespace {
+
+constexpr std::int64_t kPartsPerToken = 1'000'000;
+
+std::int64_t
+ToParts(double aTokens)
+{
+  return std::llround(aTokens * static_cast<double>(kPartsPerToken));
+}
+
+} // namespace
+
 RetryBudget::RetryBudget(double aRatio, double aBurst)
-  : m_ratio(aRatio)
-  , m_burst(aBurst)
-  , m_tokens(aBurst)
+  : m_perRequest(ToParts(aRatio))
+  , m_burst(ToParts(aBurst))
+  , m_tokens(m_burst)
 {
 }
 
 void
 RetryBudget::OnRequest()
 {
-  m_tokens = std::min(m_burst, m_tokens + m_ratio);
+  m_tokens = std::min(m_burst, m_tokens + m_perRequest);
 }
 
 bool
 RetryBudget::TryRetry()
 {
-  if (m_tokens < 1.0) {
+  if (m_tokens < kPartsPerToken) {
     return false;
   }
-  m_tokens -= 1.0;
+  m_tokens -= kPartsPerToken;
   return true;
 }
 
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -1,6 +1,8 @@
 /// Token bucket that limits retries to a fraction of the requests.
 #pragma once
 
+#include <cstdint>
+
 namespace lacewing::routing {
 
 class RetryBudget
@@ -14,9 +16,10 @@
   bool TryRetry();
 
 private:
-  double m_ratio;
-  double m_burst;
-  double m_tokens;
+  // Whole parts of a token: sums of a fraction such as 0.1 would stay below 1.
+  std::int64_t m_perRequest;
+  std::int64_t m_burst;
+  std::int64_t m_tokens;
 };
 
 } // namespace lacewing::routing
--- /dev/null
+++ b/tests/correctness/FrontProtocol.cpp
@@ -0,0 +1,196 @@
+/// Guards against replies of a front that are late, doubled or untruthful, and
+/// against slices in another region while the own one can serve.
+#include "routing/AtMostOnce.h"
+#include "routing/Backoff.h"
+#include "routing/SliceChooser.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::routing {
+
+namespace {
+
+using table::CommitState;
+
+const SliceId kSlice("slice");
+const VmId kOwner("owner");
+const Time kDeadline = Time() + seconds(5);
+
+OwnerReply
+Error1(Verdict aVerdict)
+{
+  return { {}, { aVerdict, ErrorCode::Unavailable, "" }, {} };
+}
+
+const ReplyToCaller*
+FindReply(const OnceActions& aActions)
+{
+  for (const OnceAction& action : aActions) {
+    if (const auto* reply = std::get_if<ReplyToCaller>(&action)) {
+      return reply;
+    }
+  }
+  return nullptr;
+}
+
+/// A front whose call 1 was inserted with version 7 and forwarded.
+AtMostOnce
+Forwarded()
+{
+  AtMostOnce once("front-1");
+  once.Begin(Time(), 1, TeamId("team"), "key", kDeadline);
+  once.OnWritten(Time(), 1, Step::FrontWriteInsert, CommitState::Committed, 7);
+  return once;
+}
+
+} // namespace
+
+TEST(ForwardTable, DropsALateReply)
+{
+  ForwardTable table;
+  table.Open(1, kDeadline, false);
+  const ForwardId forward = table.Send(1, kSlice, kOwner);
+  EXPECT_EQ(table.OnTick(kDeadline).size(), 1U);
+  EXPECT_TRUE(
+    table.OnReply(kDeadline, forward, Error1(Verdict::NotRun)).empty());
+  EXPECT_EQ(table.Counters().m_lateReplies, 1U);
+}
+
+TEST(ForwardTable, TriesElsewhereOnlyAfterNotRun)
+{
+  ForwardTable table;
+  table.Open(1, kDeadline, false);
+  const auto refused = table.OnReply(
+    Time(), table.Send(1, kSlice, kOwner), Error1(Verdict::NotRun));
+  ASSERT_TRUE(std::holds_alternative<TryElsewhere>(refused.at(0)));
+  EXPECT_TRUE(std::get<TryElsewhere>(refused[0]).m_tried.contains(kSlice));
+  const auto failed = table.OnReply(Time(),
+                                    table.Send(1, SliceId("next"), kOwner),
+                                    Error1(Verdict::MayHaveRun));
+  EXPECT_EQ(std::get<FailCall>(failed.at(0)).m_error.m_verdict,
+            Verdict::MayHaveRun);
+}
+
+TEST(ForwardTable, RefusalAfterATryThatMayHaveRunIsNotNotRun)
+{
+  ForwardTable table;
+  table.Open(1, kDeadline, true);
+  table.Send(1, kSlice, kOwner);
+  table.OnOwnerLost(Time(), kOwner);
+  table.OnReply(Time(),
+                table.Send(1, SliceId("next"), VmId("other")),
+                Error1(Verdict::NotRun));
+  EXPECT_EQ(table.GiveUp(1).m_error.m_verdict, Verdict::MayHaveRun);
+}
+
+TEST(AtMostOnce, RecordSurvivesTheTable)
+{
+  EndpointAnswer answer;
+  answer.m_status = 200;
+  answer.m_body = std::string("\xff\x00\x80 \"text\"", 10);
+  const auto decoded = leaf::try_handle_all(
+    [&] {
+      return DecodeRecord(EncodeRecord({ "nonce", answer }));
+    },
+    [] { return RequestRecord(); });
+  ASSERT_TRUE(decoded.m_answer);
+  EXPECT_EQ(decoded.m_answer->m_body, answer.m_body);
+}
+
+TEST(AtMostOnce, ForwardsOnlyAfterTheInsert)
+{
+  AtMostOnce once("front-1");
+  const auto begun = once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+  ASSERT_EQ(begun.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<WriteRecord>(begun[0]));
+  const auto inserted = once.OnWritten(
+    Time(), 1, Step::FrontWriteInsert, CommitState::Committed, 7);
+  EXPECT_TRUE(std::holds_alternative<ForwardCall>(inserted.at(0)));
+}
+
+TEST(AtMostOnce, DeletesItsOwnVersionBeforeNotRun)
+{
+  AtMostOnce once = Forwarded();
+  const auto ended = once.OnForwardEnd(Time(), 1, Error1(Verdict::NotRun));
+  EXPECT_EQ(FindReply(ended), nullptr);
+  EXPECT_EQ(std::get<WriteRecord>(ended.at(0)).m_expected, 7U);
+  const auto deleted = once.OnWritten(
+    Time(), 1, Step::FrontDeleteRecord, CommitState::Committed, 0);
+  ASSERT_NE(FindReply(deleted), nullptr);
+  EXPECT_EQ(FindReply(deleted)->m_reply.m_error.m_verdict, Verdict::NotRun);
+}
+
+TEST(AtMostOnce, RepeatGetsTheStoredAnswerOrMayHaveRun)
+{
+  EndpointAnswer stored;
+  stored.m_status = 200;
+  stored.m_body = "stored";
+  for (const bool answered : { false, true }) {
+    AtMostOnce once("front-2");
+    once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+    once.OnWritten(Time(), 1, Step::FrontWriteInsert, CommitState::Conflict, 0);
+    RequestRecord record{ "front-1-9", {} };
+    if (answered) {
+      record.m_answer = stored;
+    }
+    const auto read =
+      once.OnRead(Time(), 1, table::Row{ EncodeRecord(record), 3 });
+    ASSERT_NE(FindReply(read), nullptr);
+    const OwnerReply& reply = FindReply(read)->m_reply;
+    EXPECT_EQ(reply.m_answer.has_value(), answered);
+    EXPECT_EQ(reply.m_error.m_verdict,
+              answered ? Verdict::NotRun : Verdict::MayHaveRun);
+  }
+}
+
+/// Without the table nobody knows whether an earlier try with the key ran.
+TEST(AtMostOnce, UnreachableTableIsNotANotRun)
+{
+  AtMostOnce once("front-1");
+  once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+  const auto failed = once.OnWritten(
+    Time(), 1, Step::FrontWriteInsert, CommitState::NotApplied, 0);
+  ASSERT_NE(FindReply(failed), nullptr);
+  EXPECT_EQ(FindReply(failed)->m_reply.m_error.m_verdict, Verdict::MayHaveRun);
+}
+
+TEST(SliceChooser, PrefersTheOwnRegionAndTheLessLoaded)
+{
+  SliceChooser chooser(RegionId("here"), 1);
+  const std::vector<SliceLoad> slices = {
+    { SliceId("near"), kOwner, RegionId("here"), 0.9 },
+    { SliceId("near2"), kOwner, RegionId("here"), 0.5 },
+    { SliceId("far"), kOwner, RegionId("there"), 0.0 },
+  };
+  EXPECT_EQ(chooser.Choose(slices, {})->m_slice, SliceId("near2"));
+  EXPECT_EQ(
+    chooser.Choose(slices, { SliceId("near"), SliceId("near2") })->m_slice,
+    SliceId("far"));
+  chooser.CountBytes(RegionId("here"), 10);
+  chooser.CountBytes(RegionId("there"), 7);
+  EXPECT_EQ(chooser.CrossRegionBytes(), 7U);
+}
+
+TEST(RetryBudget, AllowsATenthOfTheRequests)
+{
+  RetryBudget budget(0.1, 1.0);
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.OnRequest();
+    retries += budget.TryRetry() ? 1 : 0;
+  }
+  EXPECT_NEAR(retries, 100, 2);
+}
+
+TEST(Backoff, GrowsWithJitterUpToItsBound)
+{
+  const BackoffOptions options;
+  Backoff backoff(options, 1);
+  for (int retry = 0; retry < 100; ++retry) {
+    const Duration delay = backoff.Delay(retry);
+    EXPECT_GE(delay, options.m_base / 2);
+    EXPECT_LE(delay, options.m_max);
+  }
+}
+
+} // namespace lacewing::routing
--- a/tests/fakes/FaultyNetwork.h
+++ b/tests/fakes/FaultyNetwork.h
@@ -19,6 +19,16 @@
   Duration m_jitter{};
 };
 
+/// A fault of one single message.
+enum class MessageFault
+{
+  None,
+  Lose,
+  Delay,     ///< by `kFaultDelay`
+  Duplicate, ///< with a second copy after `kFaultDelay`
+  Reorder,   ///< behind messages that are sent shortly after it
+};
+
 class FaultyNetwork
 {
 public:
@@ -31,6 +41,12 @@
 
   LinkFaults& Faults() { return m_faults; }
 
+  static constexpr Duration kFaultDelay = milliseconds(1500);
+  static constexpr Duration kReorderDelay = milliseconds(20);
+
+  /// The fault hits the next message on any link.
+  void FaultNext(MessageFault aFault) { m_next = aFault; }
+
   /// Cuts or restores the direction from one VM to another.
   void SetCut(const VmId& aFrom, const VmId& aTo, bool aCut)
   {
@@ -52,21 +68,39 @@
             const VmId& aTo,
             const std::function<void()>& aArrive)
   {
+    const MessageFault fault = std::exchange(m_next, MessageFault::None);
+    if (fault == MessageFault::Lose) {
+      return;
+    }
+    if (fault != MessageFault::None) {
+      const bool reorder = fault == MessageFault::Reorder;
+      SendAfter(reorder ? kReorderDelay : kFaultDelay, aFrom, aTo, aArrive);
+    }
+    if (fault == MessageFault::Delay || fault == MessageFault::Reorder) {
+      return;
+    }
     const int copies = Chance(m_faults.m_duplication) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
       if (Chance(m_faults.m_loss)) {
         continue;
       }
-      m_queue.After(NextDelay(), [this, aFrom, aTo, aArrive] {
-        if (!IsCut(aFrom, aTo)) {
-          m_processes.Deliver(
-            aTo, m_processes.CurrentIncarnation(aTo), aArrive);
-        }
-      });
+      SendAfter(NextDelay(), aFrom, aTo, aArrive);
     }
   }
 
 private:
+  void SendAfter(Duration aDelay,
+                 const VmId& aFrom,
+                 const VmId& aTo,
+                 const std::function<void()>& aArrive)
+  {
+    m_queue.After(aDelay, [this, aFrom, aTo, aArrive] {
+      if (!IsCut(aFrom, aTo)) {
+        m_processes.Deliver(aTo, m_processes.CurrentIncarnation(aTo), aArrive);
+      }
+    });
+  }
+
   bool Chance(double aProbability)
   {
     return std::uniform_real_distribution<>(0.0, 1.0)(m_random) < aProbability;
@@ -84,6 +118,7 @@
   ProcessSet& m_processes;
   std::mt19937_64 m_random;
   LinkFaults m_faults;
+  MessageFault m_next = MessageFault::None;
   std::set<std::pair<VmId, VmId>> m_cuts;
 };
 
