--- a/src/daemon/ServiceSliceOwner.cpp
+++ b/src/daemon/ServiceSliceOwner.cpp
@@ -176,8 +176,8 @@
   }
   const OwnedRequest& owned = open->second.m_request;
   endpoint::DispatchRequest request;
-  request.m_requestId = m_slice.Value() + "/" + std::to_string(m_epoch) + "/" +
-                        std::to_string(aDispatch.m_attempt);
+  request.m_requestId =
+    endpoint::RequestIdHeader(m_slice, m_epoch, aDispatch.m_attempt);
   request.m_path = "/" + owned.m_method;
   request.m_body = owned.m_body;
   request.m_remaining = aDispatch.m_deadline - net::Loop::Now();
--- a/src/routing/AtMostOnce.cpp
+++ b/src/routing/AtMostOnce.cpp
@@ -271,7 +271,7 @@
     }
     return;
   }
-  if (call.m_state == State::Forwarded) {
+  if (call.m_state != State::Inserting && call.m_state != State::Cleaning) {
     return;
   }
   if (aState == CommitState::NotApplied) {
@@ -304,6 +304,16 @@
   aActions.push_back(ReadRecord{ aCall->first, call.m_row });
 }
 
+bool
+AtMostOnce::MayWaitForAnswer(Time aNow, Call& aCall) const
+{
+  if (!aCall.m_waitEnd) {
+    aCall.m_waitEnd = std::min(aCall.m_deadline, aNow + m_options.m_repeatWait);
+  }
+  return aCall.m_state != State::Cleaning &&
+         aNow + m_options.m_retryPeriod < *aCall.m_waitEnd;
+}
+
 OnceActions
 AtMostOnce::OnRead(Time aNow,
                    CallId aCall,
@@ -333,6 +343,12 @@
     Close(found);
     return actions;
   }
+  if (call.m_waitEnd) {
+    // The other try was given up as not run. A repeat that ran now could do so
+    // after a later call with the same key was told "not run".
+    ReplyRepeat(found, actions);
+    return actions;
+  }
   // The read may be stale or the insert may still arrive: the conditional
   // insert decides, under the same nonce.
   actions.push_back(Insert(aCall, call));
@@ -361,16 +377,29 @@
     ++m_counters.m_storedAnswers;
     call.m_reply.m_answer = record.m_answer;
     ReplyNow(aCall, aActions);
+  } else if (MayWaitForAnswer(aNow, call)) {
+    // The first try may still be under way; its answer serves the repeat too.
+    call.m_state = State::ReadingBack;
+    SetWakeup(aCall->first, call, aNow + m_options.m_retryPeriod);
+    return;
   } else {
-    ++m_counters.m_repeats;
-    ReplyUncertain(aCall,
-                   ErrorCode::Conflict,
-                   "a request with this key was started before",
-                   aActions);
+    ReplyRepeat(aCall, aActions);
+    return;
   }
   Close(aCall);
 }
 
+void
+AtMostOnce::ReplyRepeat(Calls::iterator aCall, OnceActions& aActions)
+{
+  ++m_counters.m_repeats;
+  ReplyUncertain(aCall,
+                 ErrorCode::Conflict,
+                 "a request with this key was started before",
+                 aActions);
+  Close(aCall);
+}
+
 // ---- After the forward ----
 
 OnceActions
--- a/src/routing/AtMostOnce.h
+++ b/src/routing/AtMostOnce.h
@@ -78,6 +78,8 @@
   /// Calls whose record is not settled; above it new ones are refused.
   std::size_t m_maxCalls = 10'000;
   Duration m_retryPeriod = milliseconds(200); ///< of reads and writes
+  /// How long a repeat waits for the answer of a try that is under way.
+  Duration m_repeatWait = seconds(2);
   /// Time after the reply in which the record is still brought up to date.
   Duration m_settleTime = seconds(30);
   Safeguards m_safeguards;
@@ -143,11 +145,16 @@
     bool m_replied = false;
     bool m_busy = false;      ///< a read or write is under way
     RowVersion m_version = 0; ///< of the own insert
-    OwnerReply m_reply;       ///< to give or to store
-    Time m_giveUp{};          ///< end of the work after the reply
+    /// Until when the answer of another front's try is waited for.
+    std::optional<Time> m_waitEnd;
+    OwnerReply m_reply; ///< to give or to store
+    Time m_giveUp{};    ///< end of the work after the reply
   };
   using Calls = std::map<CallId, Call>;
 
+  /// Ends a repeat of a request whose outcome is not known.
+  void ReplyRepeat(Calls::iterator aCall, OnceActions& aActions);
+  bool MayWaitForAnswer(Time aNow, Call& aCall) const;
   WriteRecord Insert(CallId aId, Call& aCall);
   WriteRecord Store(CallId aId, Call& aCall);
   WriteRecord Delete(CallId aId, Call& aCall);
--- a/tests/fakes/FaultyNetwork.h
+++ b/tests/fakes/FaultyNetwork.h
@@ -25,6 +25,16 @@
   bool m_lose = false;
   bool m_duplicate = false;
   Duration m_delay{};
+  Duration m_copyDelay{}; ///< further delay of the second copy
+};
+
+/// Named faults of a single message.
+enum class SingleFault : std::uint8_t
+{
+  Lose,
+  Delay,     ///< by `kFaultDelay`
+  Duplicate, ///< with a second copy after `kFaultDelay`
+  Reorder,   ///< behind messages that are sent shortly after it
 };
 
 class FaultyNetwork
@@ -40,6 +50,24 @@
   LinkFaults& Faults() { return m_faults; }
   MessageFault& NextMessage() { return m_next; }
 
+  static constexpr Duration kFaultDelay = milliseconds(1500);
+  static constexpr Duration kReorderDelay = milliseconds(20);
+
+  /// The fault hits the next message on any link.
+  void FaultNext(SingleFault aFault)
+  {
+    m_next = {};
+    m_next.m_lose = aFault == SingleFault::Lose;
+    m_next.m_duplicate = aFault == SingleFault::Duplicate;
+    m_next.m_copyDelay = kFaultDelay;
+    if (aFault == SingleFault::Delay) {
+      m_next.m_delay = kFaultDelay;
+    }
+    if (aFault == SingleFault::Reorder) {
+      m_next.m_delay = kReorderDelay;
+    }
+  }
+
   /// Cuts or restores the direction from one VM to another.
   void SetCut(const VmId& aFrom, const VmId& aTo, bool aCut)
   {
@@ -68,7 +96,9 @@
       if (fault.m_lose || Chance(m_faults.m_loss)) {
         continue;
       }
-      m_queue.After(fault.m_delay + NextDelay(), [this, aFrom, aTo, aArrive] {
+      const Duration extra = copy == 0 ? Duration() : fault.m_copyDelay;
+      const Duration delay = fault.m_delay + extra + NextDelay();
+      m_queue.After(delay, [this, aFrom, aTo, aArrive] {
         if (!IsCut(aFrom, aTo)) {
           m_processes.Deliver(
             aTo, m_processes.CurrentIncarnation(aTo), aArrive);
