--- a/src/sched/JobTypes.h
+++ b/src/sched/JobTypes.h
@@ -80,6 +80,9 @@
 {
   std::vector<std::uint32_t> m_marked;    ///< indices with a `started` mark
   std::vector<std::uint32_t> m_succeeded; ///< indices that are done
+  /// The job was cancelled, but its row is kept until its tasks have ended:
+  /// they count for the team until then.
+  bool m_cancelled = false;
 };
 
 } // namespace lacewing::sched
--- a/src/sched/SliceScheduler.h
+++ b/src/sched/SliceScheduler.h
@@ -171,6 +171,7 @@
                                        bool aPatientOnly) const;
   void ReviewSuspects(Time aNow);
   void StartMarked(Time aNow);
+  bool HasRoomToStart(TaskRef aRef) const;
   void SettlePledges(Time aNow);
   void SettleReservation(Time aNow);
   void DropReservation();
@@ -188,6 +189,7 @@
   Attempt TrySingle(Time aNow, std::uint32_t aJob);
   Attempt TryGang(Time aNow, std::uint32_t aJob);
   bool WithinAllotment(const Job& aJob, std::size_t aTasks) const;
+  bool IsAboveAllotment(TaskRef aRef) const;
   std::uint32_t Locate(std::uint32_t aJob, const Request& aRequest);
   std::uint32_t TakeProbe(std::uint32_t aJob, const Request& aRequest);
   Request RequestOf(const Job& aJob) const;
--- a/src/sched/SliceSchedulerDecide.h
+++ b/src/sched/SliceSchedulerDecide.h
@@ -268,12 +268,33 @@
       later.push_back(id);
       continue;
     }
+    if (IsAboveAllotment(ref) || !HasRoomToStart(ref)) {
+      Unplace(ref);
+      continue;
+    }
     m_state.BeginRunning(aNow, ref);
     Emit(ActionKind::Start, ref);
   }
   m_marked.swap(later);
 }
 
+/// False if measured sizes of other tasks have grown since the task, or one of
+/// its gang, was placed.
+LACEWING_SCHED_TEMPLATE
+bool
+LACEWING_SCHED::HasRoomToStart(TaskRef aRef) const
+{
+  const auto hasRoom = [this](const Task& aTask) {
+    return aTask.m_state != TaskState::Marked ||
+           m_state.Unheld(aTask.m_worker).IsNonNegative();
+  };
+  const Job& job = m_state.JobAt(aRef.m_job);
+  if (job.m_spec.m_kind != JobKind::Gang) {
+    return hasRoom(job.m_tasks[aRef.m_index]);
+  }
+  return std::all_of(job.m_tasks.begin(), job.m_tasks.end(), hasRoom);
+}
+
 /// Starts tasks whose room has become free, and queues those again whose room
 /// has not.
 LACEWING_SCHED_TEMPLATE
@@ -285,7 +306,8 @@
     const Task& task = m_state.TaskAt(ref);
     const bool fits = !Checks::kWaitForRoom ||
                       m_state.HeldBy(ref).FitsIn(m_state.Unheld(task.m_worker));
-    if (m_state.WorkerAt(task.m_worker).m_suspect || aNow > task.m_since) {
+    if (m_state.WorkerAt(task.m_worker).m_suspect || aNow > task.m_since ||
+        IsAboveAllotment(ref)) {
       Unplace(ref);
     } else if (fits && m_budget > 0) {
       std::erase(m_pledges, ref);
@@ -444,6 +466,15 @@
   return !Checks::kAllotment || team.m_running + more <= team.m_allotment;
 }
 
+/// True if the allotment was lowered after the task got its place.
+LACEWING_SCHED_TEMPLATE
+bool
+LACEWING_SCHED::IsAboveAllotment(TaskRef aRef) const
+{
+  const Team& team = m_state.TeamAt(m_state.JobAt(aRef.m_job).m_team);
+  return Checks::kAllotment && team.m_running > team.m_allotment;
+}
+
 LACEWING_SCHED_TEMPLATE
 Request
 LACEWING_SCHED::RequestOf(const Job& aJob) const
@@ -472,7 +503,9 @@
       MakeRoomForUrgent(aNow, aJob, request);
     } else {
       Reclaim(aNow, aJob, request);
-      GuardFromStarvation(aNow, aJob, request);
+      if (job.m_pending.size() == waiting) {
+        GuardFromStarvation(aNow, aJob, request);
+      }
     }
   }
   return job.m_pending.size() < waiting ? Attempt::Started : Attempt::Blocked;
--- a/src/sched/SliceSchedulerEvents.h
+++ b/src/sched/SliceSchedulerEvents.h
@@ -159,13 +159,11 @@
     m_state.SetThrottled(ref, true, m_options.m_throttledPart);
     m_throttledWorkers.push_back(aWorker);
   }
-  const Job& job = m_state.JobAt(ref.m_job);
+  Job& job = m_state.JobAt(ref.m_job);
+  job.m_reported = false;
   if (job.m_cancelled) {
     m_abandoned.push_back({ ref.m_job, job.m_sequence });
   }
-  if (job.m_pending.empty() && job.m_queued) {
-    m_state.Dequeue(ref.m_job);
-  }
 }
 
 LACEWING_SCHED_TEMPLATE
@@ -192,14 +190,15 @@
 void
 LACEWING_SCHED::SetOpen(bool aOpen)
 {
-  if (aOpen && !m_open) {
+  const bool opened = aOpen && !m_open;
+  m_open = aOpen;
+  if (opened) {
     for (std::uint32_t job = 0; job < m_state.JobSlots(); ++job) {
       if (m_state.JobAt(job).m_sequence != 0) {
         SettleOpening(job);
       }
     }
   }
-  m_open = aOpen;
 }
 
 /// Decides about tasks that no inventory contains: marked ones may have run,
@@ -212,7 +211,8 @@
   const bool wasOver = IsOver(job);
   for (std::uint32_t index = 0; index < job.m_tasks.size(); ++index) {
     Task& task = job.m_tasks[index];
-    if (task.m_mayHaveStarted && task.m_state == TaskState::Pending) {
+    if (task.m_mayHaveStarted && task.m_state == TaskState::Pending &&
+        !job.m_cancelled) {
       m_state.ErasePending({ aJob, index });
       EndForGood({ aJob, index }, TaskState::MayHaveRun);
     }
@@ -221,9 +221,7 @@
   if (job.m_spec.m_kind == JobKind::Gang && !wasOver) {
     SettleGang(aJob);
   }
-  if (!wasOver) {
-    NoteIfOver(aJob);
-  }
+  NoteIfOver(aJob);
 }
 
 LACEWING_SCHED_TEMPLATE
@@ -313,7 +311,10 @@
       job.m_tasks[task].m_mayHaveStarted = true;
     }
   }
-  if (!job.m_pending.empty()) {
+  if (aTasks.m_cancelled) {
+    job.m_cancelled = true;
+    m_state.AbandonPending(index);
+  } else if (!job.m_pending.empty()) {
     m_state.Enqueue(index);
   }
   ClaimFound(aNow, index);
@@ -391,6 +392,7 @@
     }
   }
   if (count > 0) {
+    job.m_reported = false;
     NoteIfOver(index);
   }
   return count;
@@ -705,6 +707,7 @@
 {
   Job& job = m_state.JobAt(aJob);
   job.m_tearDown = true;
+  m_state.AbandonPending(aJob);
   for (std::uint32_t index = 0; index < job.m_tasks.size(); ++index) {
     const TaskRef ref{ aJob, index };
     const Task& task = job.m_tasks[index];
@@ -754,8 +757,10 @@
 void
 LACEWING_SCHED::NoteIfOver(std::uint32_t aJob)
 {
-  const Job& job = m_state.JobAt(aJob);
-  if (IsOver(job)) {
+  // In a closed slice, inventories may still show tasks of the job.
+  Job& job = m_state.JobAt(aJob);
+  if (m_open && IsOver(job) && !job.m_reported) {
+    job.m_reported = true;
     m_finished.push_back(job.m_spec.m_id);
   }
 }
--- a/src/sched/SliceState.cpp
+++ b/src/sched/SliceState.cpp
@@ -455,8 +455,10 @@
                          const worker::RunningTask& aTask)
 {
   Worker& worker = m_workers[aWorker];
-  worker.m_unclaimed.push_back(aTask);
-  worker.m_held += aTask.m_reserved;
+  worker::RunningTask& task = worker.m_unclaimed.emplace_back(aTask);
+  task.m_reserved.m_memoryMib =
+    std::max(task.m_reserved.m_memoryMib, task.m_used.m_memoryMib);
+  worker.m_held += task.m_reserved;
   Touch(aWorker);
 }
 
@@ -502,9 +504,13 @@
   Job& job = m_jobs[aRef.m_job];
   const auto found =
     std::find(job.m_pending.begin(), job.m_pending.end(), aRef.m_index);
-  if (found != job.m_pending.end()) {
-    job.m_pending.erase(found);
-    m_teams[job.m_team].m_waiting -= job.m_spec.m_perTask.m_millicores;
+  if (found == job.m_pending.end()) {
+    return;
+  }
+  job.m_pending.erase(found);
+  m_teams[job.m_team].m_waiting -= job.m_spec.m_perTask.m_millicores;
+  if (job.m_pending.empty() && job.m_queued) {
+    Dequeue(aRef.m_job);
   }
 }
 
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -71,6 +71,7 @@
   bool m_queued = false;
   bool m_cancelled = false;
   bool m_gaveUp = false;   ///< failed on too many workers
+  bool m_reported = false; ///< its end has been handed out
   bool m_tearDown = false; ///< gang that lost a task; ends before it restarts
   WaitReason m_wait = WaitReason::NotYetConsidered;
   Time m_blockedSince = Time::max();
@@ -197,6 +198,8 @@
   bool TakeUnclaimed(std::uint32_t aWorker, const TaskId& aTask);
 
   void AddPending(TaskRef aRef);
+  /// Takes the task off the pending ones, and the job off its queue if it was
+  /// the last one.
   void ErasePending(TaskRef aRef);
   /// Takes the next pending task of the job.
   std::uint32_t TakePending(std::uint32_t aJob);
