--- a/src/sched/FreeTable.cpp
+++ b/src/sched/FreeTable.cpp
@@ -12,6 +12,7 @@
   }
   FreeSlot& slot = m_slots[aWorker];
   slot = FreeSlot{};
+  m_capacity += aSpec.m_capacity;
   slot.m_acceleratorKind = InternKind(aSpec.m_accelerator);
   slot.m_rack = InternRack(aSpec);
   m_racks[slot.m_rack].m_workers.push_back(aWorker);
--- a/src/sched/FreeTable.h
+++ b/src/sched/FreeTable.h
@@ -51,6 +51,9 @@
   /// Adds a worker at the given index, closed and without free resources.
   void Add(std::uint32_t aWorker, const WorkerSpec& aSpec);
   void Remove(std::uint32_t aWorker);
+  /// Changes the total, which `Add` has counted for the worker.
+  void AddCapacity(const Resources& aMore) { m_capacity += aMore; }
+  const Resources& Capacity() const { return m_capacity; }
   /// Sets what is free. Negative amounts, as left by a measured size above the
   /// declared one, count as zero.
   void Set(std::uint32_t aWorker, Resources aFree, bool aOpen);
@@ -72,6 +75,14 @@
   const std::vector<RackSlots>& Racks() const { return m_racks; }
   const std::vector<DomainSlots>& Domains() const { return m_domains; }
   std::int64_t FreeMillicores() const { return m_freeMillicores; }
+  /// Memory for each millicore over all workers; 1 if there are none.
+  double MibPerMillicore() const
+  {
+    return m_capacity.m_millicores > 0 && m_capacity.m_memoryMib > 0
+             ? static_cast<double>(m_capacity.m_memoryMib) /
+                 static_cast<double>(m_capacity.m_millicores)
+             : 1;
+  }
 
 private:
   std::uint32_t InternKind(const std::string& aName);
@@ -85,6 +96,7 @@
   std::unordered_map<RackId, std::uint32_t> m_rackIndex;
   std::unordered_map<DomainId, std::uint32_t> m_domainIndex;
   std::int64_t m_freeMillicores = 0;
+  Resources m_capacity; ///< of all workers
 };
 
 } // namespace lacewing::sched
--- a/src/sched/GangPlacement.cpp
+++ b/src/sched/GangPlacement.cpp
@@ -69,6 +69,31 @@
   return {};
 }
 
+/// The fullest rack that takes the whole gang, so that emptier ones stay for
+/// larger gangs.
+Indices
+PlaceInOneRack(const FreeTable& aTable,
+               const Request& aRequest,
+               std::uint32_t aTasks)
+{
+  const std::int64_t needed = aRequest.m_need.m_millicores * aTasks;
+  Indices racks;
+  for (std::uint32_t rack = 0; rack < aTable.Racks().size(); ++rack) {
+    if (aTable.Racks()[rack].m_freeMillicores >= needed) {
+      racks.push_back(rack);
+    }
+  }
+  racks = RacksByFree(aTable, aRequest, std::move(racks));
+  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+    Indices places;
+    FillFromRack(aTable, aRequest, *rack, aTasks, places);
+    if (places.size() == aTasks) {
+      return places;
+    }
+  }
+  return {};
+}
+
 Indices
 DomainsByFree(const FreeTable& aTable)
 {
@@ -124,6 +149,10 @@
   if (aTable.FreeMillicores() < needed) {
     return {};
   }
+  if (Indices places = PlaceInOneRack(aTable, aRequest, aTasks);
+      !places.empty()) {
+    return places;
+  }
   const Indices domains = DomainsByFree(aTable);
   for (const std::uint32_t domain : domains) {
     const DomainSlots& slots = aTable.Domains()[domain];
--- a/src/sched/GangPlacement.h
+++ b/src/sched/GangPlacement.h
@@ -16,10 +16,10 @@
 std::uint32_t
 CountThatFit(const Resources& aAvailable, const Resources& aNeed);
 
-/// A worker for each of the tasks, or an empty list if not all of them fit.
-/// The failure domain with the most free processors is tried first, then each
-/// other one alone, then all together; within a domain, the racks with the most
-/// free processors come first.
+/// A worker for each of the tasks, or an empty list if not all of them fit. The
+/// fullest rack that takes them all comes first. Otherwise the failure domains
+/// are tried one by one, then all together, the one with the most free
+/// processors first, and within a domain the racks in the same order.
 std::vector<std::uint32_t>
 PlaceGangByRack(const FreeTable& aTable,
                 const Request& aRequest,
--- a/src/sched/SliceState.cpp
+++ b/src/sched/SliceState.cpp
@@ -48,7 +48,6 @@
   worker.m_spec = aSpec;
   worker.m_present = true;
   m_workerIndex[aSpec.m_id] = index;
-  m_capacity += aSpec.m_capacity;
   CountShape(aSpec, true);
   m_table.Add(index, aSpec);
   Touch(index);
@@ -61,7 +60,7 @@
   Worker& worker = m_workers[aWorker];
   worker.m_present = false;
   m_workerIndex.erase(worker.m_spec.m_id);
-  m_capacity -= worker.m_spec.m_capacity;
+  m_table.AddCapacity(Resources{} - worker.m_spec.m_capacity);
   CountShape(worker.m_spec, false);
   m_table.Remove(aWorker);
   Touch(aWorker);
@@ -147,7 +146,7 @@
     return;
   }
   CountShape(spec, false);
-  m_capacity += aCapacity - spec.m_capacity;
+  m_table.AddCapacity(aCapacity - spec.m_capacity);
   spec.m_capacity = aCapacity;
   CountShape(spec, true);
   Touch(aWorker);
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -156,7 +156,7 @@
   {
     return static_cast<std::uint32_t>(m_jobs.size());
   }
-  const Resources& Capacity() const { return m_capacity; }
+  const Resources& Capacity() const { return m_table.Capacity(); }
   FreeTable& Table() { return m_table; }
   const FreeTable& Table() const { return m_table; }
   std::vector<const WorkerSpec*> PresentWorkers() const;
@@ -249,7 +249,6 @@
   std::deque<Team> m_teams;
   std::unordered_map<TeamId, std::uint32_t> m_teamIndex;
   std::vector<Shape> m_shapes; ///< different capacities of workers
-  Resources m_capacity;        ///< of all workers
   FreeTable m_table;
   std::vector<std::uint32_t> m_changed;
 };
--- a/src/sched/WorkerIndex.cpp
+++ b/src/sched/WorkerIndex.cpp
@@ -1,6 +1,7 @@
 #include "sched/WorkerIndex.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewing::sched {
 
@@ -11,17 +12,21 @@
 /// Amounts below this one share level 0.
 constexpr std::uint64_t kSmallestAmount = 64;
 
-/// What would be left over, as a sum of processors and memory. A core counts
-/// like 4 GiB, near the ratio of the users' workers (2 and 4 GiB a core).
+/// How loosely the task would sit: free processors that are left over, and how
+/// far the memory left over is from the fleet's ratio of the two. Memory
+/// without processors is stranded, and so are processors without memory.
 double
-LeftOver(const Resources& aFree, const Resources& aNeed)
+Looseness(const FreeTable& aTable,
+          const Resources& aFree,
+          const Resources& aNeed)
 {
-  constexpr double kMibPerMillicore = 4.096;
+  constexpr double kImbalancePart = 0.5;
   const auto cores =
     static_cast<double>(aFree.m_millicores - aNeed.m_millicores);
-  const auto memory =
-    static_cast<double>(aFree.m_memoryMib - aNeed.m_memoryMib);
-  return cores + memory / kMibPerMillicore;
+  const double memory =
+    static_cast<double>(aFree.m_memoryMib - aNeed.m_memoryMib) /
+    aTable.MibPerMillicore();
+  return cores + kImbalancePart * std::abs(cores - memory);
 }
 
 /// Millicores scaled so that a whole core is a power of two and lies on the
@@ -48,6 +53,20 @@
   return std::min(level, kLevels - 1);
 }
 
+/// The fewest millicores that belong to a level of processors, rounded down.
+std::int64_t
+WorkerIndex::LowestMillicoresOf(std::size_t aLevel)
+{
+  if (aLevel == 0) {
+    return 0;
+  }
+  const std::size_t doubling = (aLevel - 1) / kStepsPerDoubling;
+  const std::size_t step = (aLevel - 1) % kStepsPerDoubling;
+  const std::uint64_t lowest = (kSmallestAmount << doubling) *
+                               (kStepsPerDoubling + step) / kStepsPerDoubling;
+  return static_cast<std::int64_t>(lowest * 1000 / 1024);
+}
+
 std::size_t
 WorkerIndex::GridOf(const FreeSlot& aSlot)
 {
@@ -127,7 +146,7 @@
   }
 }
 
-bool
+void
 WorkerIndex::SearchCell(const FreeTable& aTable,
                         const Request& aRequest,
                         const std::vector<std::uint32_t>& aCell,
@@ -138,16 +157,15 @@
     if (!aTable.Fits(worker, aRequest)) {
       continue;
     }
-    const double left =
-      LeftOver(aTable.Slots()[worker].m_free, aRequest.m_need);
-    if (aBest.m_worker == kNone || left < aBest.m_left) {
-      aBest = { worker, left };
+    const double looseness =
+      Looseness(aTable, aTable.Slots()[worker].m_free, aRequest.m_need);
+    if (aBest.m_worker == kNone || looseness < aBest.m_looseness) {
+      aBest = { worker, looseness };
     }
     if (++compared == kComparedPerCell) {
-      break;
+      return;
     }
   }
-  return compared > 0;
 }
 
 void
@@ -163,16 +181,18 @@
   while (rows != 0) {
     const auto row = static_cast<std::size_t>(std::countr_zero(rows));
     rows &= rows - 1;
+    const auto least =
+      static_cast<double>(LowestMillicoresOf(row) - need.m_millicores);
+    if (aBest.m_worker != kNone && least >= aBest.m_looseness) {
+      return; // Nor can a later row be tighter.
+    }
     std::uint64_t columns =
       aGrid.m_rows[row] & (~std::uint64_t{ 0 } << firstColumn);
     while (columns != 0) {
       const auto column = static_cast<std::size_t>(std::countr_zero(columns));
       columns &= columns - 1;
-      // Later columns of the row have more left over.
-      if (SearchCell(
-            aTable, aRequest, aGrid.m_cells[row * kLevels + column], aBest)) {
-        break;
-      }
+      SearchCell(
+        aTable, aRequest, aGrid.m_cells[row * kLevels + column], aBest);
     }
   }
 }
--- a/src/sched/WorkerIndex.h
+++ b/src/sched/WorkerIndex.h
@@ -17,7 +17,8 @@
   /// Files the worker under its present free resources, or takes it out if it
   /// is closed.
   void Update(const FreeTable& aTable, std::uint32_t aWorker);
-  /// The worker with the least left over, or `kNone`. Restrictions of the
+  /// The worker with the fewest processors left over, unless its memory left
+  /// over is out of proportion; `kNone` if nothing fits. Restrictions of the
   /// request are not looked at.
   std::uint32_t FindTightest(const FreeTable& aTable, const Request& aRequest);
 
@@ -26,7 +27,7 @@
   /// Free accelerators above this number share a grid.
   static constexpr std::size_t kAcceleratorLevels = 8;
   /// Workers of one cell that are compared with each other.
-  static constexpr std::size_t kComparedPerCell = 8;
+  static constexpr std::size_t kComparedPerCell = 4;
   static constexpr std::size_t kRememberedFailures = 16;
 
   struct Grid
@@ -46,10 +47,11 @@
   struct Best
   {
     std::uint32_t m_worker = kNone;
-    double m_left = 0;
+    double m_looseness = 0;
   };
 
   static std::size_t LevelOf(std::int64_t aAmount);
+  static std::int64_t LowestMillicoresOf(std::size_t aLevel);
   static std::size_t GridOf(const FreeSlot& aSlot);
   Grid& GridAt(std::size_t aGrid);
   void Insert(const FreeSlot& aSlot, std::uint32_t aWorker);
@@ -58,7 +60,7 @@
                   const Request& aRequest,
                   const Grid& aGrid,
                   Best& aBest) const;
-  bool SearchCell(const FreeTable& aTable,
+  void SearchCell(const FreeTable& aTable,
                   const Request& aRequest,
                   const std::vector<std::uint32_t>& aCell,
                   Best& aBest) const;
