--- a/bench/sched_quality.cpp
+++ b/bench/sched_quality.cpp
@@ -476,7 +476,9 @@
       spec.m_kind = JobKind::Batch;
       spec.m_patient = true;
       spec.m_team = TeamName(static_cast<std::uint32_t>(next) % kPatientTeams);
-      spec.m_runMs = 120'000;
+      // So long that little room becomes free by itself.
+      spec.m_runMs = 3'600'000;
+      spec.m_checkpointable = next % 2 == 0;
       placed += static_cast<double>(spec.m_perTask.m_millicores);
       slice.Submit(spec);
       ++next;
--- /dev/null
+++ b/tests/error/SchedSuspectWorkers.cpp
@@ -0,0 +1,118 @@
+/// Guards against a broken worker that eats task after task, and against good
+/// workers or good jobs that are blamed for the failures of others.
+#include "fakes/SchedFleet.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::fakes {
+
+namespace {
+
+using sched::ActionKind;
+using sched::JobState;
+
+constexpr Time kNow = Time() + seconds(1);
+const VmId kBroken("w0");
+
+/// Three jobs fail on a slice with a single worker.
+void
+FailThreeJobs(DaemonScheduler& aScheduler)
+{
+  for (int number = 0; number < 3; ++number) {
+    const std::string id = "f" + std::to_string(number);
+    aScheduler.Submit(kNow, MakeJob(id, "t", 1, { 1000, 1024, 0 }));
+    const auto starts = aScheduler.Decide(kNow, 10);
+    ASSERT_EQ(starts.size(), 1U);
+    End(aScheduler, kNow, starts[0], worker::TaskOutcome::Failed);
+  }
+}
+
+} // namespace
+
+TEST(SchedSuspectWorkers, GetOneProbeAtATime)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  EXPECT_TRUE(scheduler.IsSuspect(kBroken));
+  scheduler.Submit(kNow, MakeJob("j", "t", 5, { 1000, 1024, 0 }));
+  const auto probes = scheduler.Decide(kNow, 10);
+  EXPECT_EQ(probes.size(), 1U);
+  EXPECT_TRUE(scheduler.Decide(kNow, 10).empty());
+}
+
+TEST(SchedSuspectWorkers, GetNoUrgentGangOrAtMostOnceWork)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  const Resources size{ 1000, 1024, 0 };
+  scheduler.Submit(kNow, MakeJob("u", "t", 1, size, sched::JobKind::Urgent));
+  scheduler.Submit(kNow, MakeJob("g", "t", 2, size, sched::JobKind::Gang));
+  auto proof = MakeJob("p", "t", 1, size);
+  proof.m_atMostOnce = true;
+  scheduler.Submit(kNow, proof);
+  EXPECT_TRUE(scheduler.Decide(kNow, 10).empty());
+}
+
+TEST(SchedSuspectWorkers, ComeBackAfterASuccessfulProbe)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  scheduler.Submit(kNow, MakeJob("j", "t", 5, { 1000, 1024, 0 }));
+  const auto probes = scheduler.Decide(kNow, 10);
+  ASSERT_EQ(probes.size(), 1U);
+  End(scheduler, kNow, probes[0]);
+  EXPECT_EQ(scheduler.Decide(kNow, 10).size(), 4U);
+  EXPECT_FALSE(scheduler.IsSuspect(kBroken));
+}
+
+TEST(SchedSuspectWorkers, ComeBackAsTheScoreDecays)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  scheduler.Decide(kNow + std::chrono::hours(1), 10);
+  EXPECT_FALSE(scheduler.IsSuspect(kBroken));
+}
+
+TEST(SchedSuspectWorkers, AreNotMadeByOneJobThatFailsEverywhere)
+{
+  auto scheduler = MakeSlice(6);
+  scheduler.Submit(kNow, MakeJob("bad", "t", 6, { 8000, 1024, 0 }));
+  for (const auto& start : scheduler.Decide(kNow, 10)) {
+    End(scheduler, kNow, start, worker::TaskOutcome::Failed);
+  }
+  for (int number = 0; number < 6; ++number) {
+    EXPECT_FALSE(scheduler.IsSuspect(MakeWorker(number).m_id));
+  }
+  EXPECT_EQ(scheduler.JobStatus(JobId("bad"))->m_state, JobState::Failed);
+  EXPECT_TRUE(scheduler.Decide(kNow + seconds(60), 10).empty());
+}
+
+TEST(SchedSuspectWorkers, DoNotMakeAGoodJobFail)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  Time now = kNow;
+  scheduler.Submit(now, MakeJob("good", "t", 1, { 1000, 1024, 0 }));
+  for (int round = 0; round < 10; ++round) {
+    for (const auto& start : scheduler.Decide(now, 10)) {
+      End(scheduler, now, start, worker::TaskOutcome::Failed);
+    }
+    now += seconds(10);
+  }
+  EXPECT_EQ(scheduler.JobStatus(JobId("good"))->m_state, JobState::Queued);
+}
+
+TEST(SchedSuspectWorkers, FailingTaskWaitsBeforeItsNextAttempt)
+{
+  auto scheduler = MakeSlice(2);
+  scheduler.Submit(kNow, MakeJob("j", "t", 1, { 1000, 1024, 0 }));
+  const auto start = scheduler.Decide(kNow, 10).at(0);
+  End(scheduler, kNow, start, worker::TaskOutcome::Failed);
+  EXPECT_TRUE(scheduler.Decide(kNow, 10).empty());
+  EXPECT_EQ(scheduler.Explain(kNow, JobId("j"))->m_wait,
+            sched::WaitReason::RetryWait);
+  EXPECT_EQ(CountOf(scheduler.Decide(kNow + seconds(5), 10), ActionKind::Start),
+            1U);
+}
+
+} // namespace lacewing::fakes
