--- a/src/sched/SliceState.cpp
+++ b/src/sched/SliceState.cpp
@@ -48,7 +48,6 @@
   worker.m_spec = aSpec;
   worker.m_present = true;
   m_workerIndex[aSpec.m_id] = index;
-  m_capacity += aSpec.m_capacity;
   CountShape(aSpec, true);
   m_table.Add(index, aSpec);
   Touch(index);
@@ -61,7 +60,7 @@
   Worker& worker = m_workers[aWorker];
   worker.m_present = false;
   m_workerIndex.erase(worker.m_spec.m_id);
-  m_capacity -= worker.m_spec.m_capacity;
+  m_table.AddCapacity(Resources{} - worker.m_spec.m_capacity);
   CountShape(worker.m_spec, false);
   m_table.Remove(aWorker);
   Touch(aWorker);
@@ -147,7 +146,7 @@
     return;
   }
   CountShape(spec, false);
-  m_capacity += aCapacity - spec.m_capacity;
+  m_table.AddCapacity(aCapacity - spec.m_capacity);
   spec.m_capacity = aCapacity;
   CountShape(spec, true);
   Touch(aWorker);
@@ -455,8 +454,10 @@
                          const worker::RunningTask& aTask)
 {
   Worker& worker = m_workers[aWorker];
-  worker.m_unclaimed.push_back(aTask);
-  worker.m_held += aTask.m_reserved;
+  worker::RunningTask& task = worker.m_unclaimed.emplace_back(aTask);
+  task.m_reserved.m_memoryMib =
+    std::max(task.m_reserved.m_memoryMib, task.m_used.m_memoryMib);
+  worker.m_held += task.m_reserved;
   Touch(aWorker);
 }
 
@@ -502,9 +503,13 @@
   Job& job = m_jobs[aRef.m_job];
   const auto found =
     std::find(job.m_pending.begin(), job.m_pending.end(), aRef.m_index);
-  if (found != job.m_pending.end()) {
-    job.m_pending.erase(found);
-    m_teams[job.m_team].m_waiting -= job.m_spec.m_perTask.m_millicores;
+  if (found == job.m_pending.end()) {
+    return;
+  }
+  job.m_pending.erase(found);
+  m_teams[job.m_team].m_waiting -= job.m_spec.m_perTask.m_millicores;
+  if (job.m_pending.empty() && job.m_queued) {
+    Dequeue(aRef.m_job);
   }
 }
 
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -71,6 +71,7 @@
   bool m_queued = false;
   bool m_cancelled = false;
   bool m_gaveUp = false;   ///< failed on too many workers
+  bool m_reported = false; ///< its end has been handed out
   bool m_tearDown = false; ///< gang that lost a task; ends before it restarts
   WaitReason m_wait = WaitReason::NotYetConsidered;
   Time m_blockedSince = Time::max();
@@ -155,7 +156,7 @@
   {
     return static_cast<std::uint32_t>(m_jobs.size());
   }
-  const Resources& Capacity() const { return m_capacity; }
+  const Resources& Capacity() const { return m_table.Capacity(); }
   FreeTable& Table() { return m_table; }
   const FreeTable& Table() const { return m_table; }
   std::vector<const WorkerSpec*> PresentWorkers() const;
@@ -197,6 +198,8 @@
   bool TakeUnclaimed(std::uint32_t aWorker, const TaskId& aTask);
 
   void AddPending(TaskRef aRef);
+  /// Takes the task off the pending ones, and the job off its queue if it was
+  /// the last one.
   void ErasePending(TaskRef aRef);
   /// Takes the next pending task of the job.
   std::uint32_t TakePending(std::uint32_t aJob);
@@ -246,7 +249,6 @@
   std::deque<Team> m_teams;
   std::unordered_map<TeamId, std::uint32_t> m_teamIndex;
   std::vector<Shape> m_shapes; ///< different capacities of workers
-  Resources m_capacity;        ///< of all workers
   FreeTable m_table;
   std::vector<std::uint32_t> m_changed;
 };
