--- a/src/observe/Timeline.cpp
+++ b/src/observe/Timeline.cpp
@@ -238,7 +238,8 @@
 {
   try {
     std::vector<Event> events;
-    for (const Json& event : Json::parse(aBody).at("events")) {
+    const Json ring = Json::parse(aBody);
+    for (const Json& event : ring.at("events")) {
       events.push_back(FromJson(event));
     }
     return events;
