Give up connections to peers that have gone silent

Cause: after a cut of the network, or when a VM vanishes without closing its connections, TCP keeps a connection for minutes and resumes late after the cut is healed; every call until then ended as "may have run" by its timeout. Change: a client that waits for replies sends an HTTP/2 ping after 1 s without bytes and closes the connection after 5 s more; the next call connects again. The decision is a class without I/O (LivenessCheck).

--- a/src/peer/Http2Session.cpp
+++ b/src/peer/Http2Session.cpp
@@ -303,6 +303,12 @@
     m_session, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_REFUSED_STREAM);
 }
 
+void
+Http2Session::Ping()
+{
+  nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+}
+
 void
 Http2Session::Shutdown()
 {
--- a/src/peer/Http2Session.h
+++ b/src/peer/Http2Session.h
@@ -72,6 +72,8 @@
   void Reset(StreamId aStream);
   /// Server: ends a stream and says that the request was not looked at.
   void Refuse(StreamId aStream);
+  /// Asks the peer for a sign of life; it answers without its handler.
+  void Ping();
   /// Sends GOAWAY: open streams go on, new ones are refused.
   void Shutdown();
 
--- a/src/peer/PeerAdmission.h
+++ b/src/peer/PeerAdmission.h
@@ -57,6 +57,65 @@
   std::size_t m_bytes = 0;
 };
 
+struct LivenessOptions
+{
+  /// Silence after which a waiting client asks for a sign of life.
+  Duration m_pingAfter = seconds(1);
+  /// Silence after that question, at which the connection is given up.
+  Duration m_silenceBound = seconds(5);
+};
+
+enum class LivenessAction : std::uint8_t
+{
+  None,
+  Ping,
+  Close,
+};
+
+/// Finds connections whose peer or network path is gone without a word. TCP
+/// alone notices that only after minutes, and after a cut it resumes as late,
+/// while a new connection works at once.
+class LivenessCheck
+{
+public:
+  explicit LivenessCheck(LivenessOptions aOptions)
+    : m_options(aOptions)
+  {
+  }
+
+  /// To be called periodically, with the time of the last bytes received and
+  /// whether replies are awaited.
+  LivenessAction Check(Time aNow, Time aLastReceived, bool aWaiting)
+  {
+    if (!aWaiting || (m_pingSent && aLastReceived >= *m_pingSent)) {
+      m_pingSent.reset();
+    }
+    if (!aWaiting) {
+      m_waitingSince.reset();
+      return LivenessAction::None;
+    }
+    if (m_pingSent) {
+      return aNow - *m_pingSent >= m_options.m_silenceBound
+               ? LivenessAction::Close
+               : LivenessAction::None;
+    }
+    if (!m_waitingSince) {
+      m_waitingSince = aNow;
+    }
+    if (aNow - std::max(aLastReceived, *m_waitingSince) <
+        m_options.m_pingAfter) {
+      return LivenessAction::None;
+    }
+    m_pingSent = aNow;
+    return LivenessAction::Ping;
+  }
+
+private:
+  LivenessOptions m_options;
+  std::optional<Time> m_waitingSince;
+  std::optional<Time> m_pingSent;
+};
+
 struct BackoffOptions
 {
   Duration m_first = milliseconds(50);
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -41,6 +41,7 @@
     , m_address(std::move(aAddress))
     , m_handshake(aOptions.m_handshake, aPeer, MakeNonce(), net::Loop::Now())
     , m_budget(aOptions.m_limits)
+    , m_liveness(aOptions.m_liveness)
   {
   }
 
@@ -48,6 +49,7 @@
   net::Address m_address;
   ClientHandshake m_handshake;
   ConnectionBudget m_budget;
+  LivenessCheck m_liveness;
   bool m_opened = false; ///< the handshake was complete
   std::shared_ptr<PeerLink> m_link;
   std::map<std::uint64_t, std::unique_ptr<PendingCall>> m_calls; ///< by call id
@@ -465,7 +467,34 @@
   for (Connection* connection : idle) {
     Retire(*connection);
   }
+  CheckLiveness(now);
   m_sweep.Start(m_options.m_sweepPeriod);
 }
 
+void
+PeerClient::CheckLiveness(Time aNow)
+{
+  std::vector<std::shared_ptr<PeerLink>> silent;
+  for (const auto& [link, connection] : m_connections) {
+    if (!link->IsOpen()) {
+      continue;
+    }
+    switch (connection->m_liveness.Check(
+      aNow, link->LastReceived(), !connection->m_calls.empty())) {
+      case LivenessAction::None:
+        break;
+      case LivenessAction::Ping:
+        link->Session().Ping();
+        link->ScheduleFlush();
+        break;
+      case LivenessAction::Close:
+        silent.push_back(connection->m_link);
+        break;
+    }
+  }
+  for (const auto& link : silent) {
+    link->Close(PeerFault::SilentPeer);
+  }
+}
+
 } // namespace lacewing::peer
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -24,6 +24,7 @@
   HandshakeConfig m_handshake;
   PeerLimits m_limits;
   BackoffOptions m_backoff;
+  LivenessOptions m_liveness;
   /// A connection without traffic and without open calls is closed.
   Duration m_idleTimeout = seconds(30);
   /// A peer that takes no bytes for this long is disconnected.
@@ -98,6 +99,7 @@
   void CompleteLater(std::unique_ptr<PendingCall> aCall, Error aError);
   void RunCompletions();
   void Sweep();
+  void CheckLiveness(Time aNow);
 
   net::Loop& m_loop;
   PeerClientOptions m_options;
--- a/src/peer/PeerFault.h
+++ b/src/peer/PeerFault.h
@@ -24,6 +24,7 @@
   ProtocolError,    ///< HTTP/2 rules broken.
   TooManyConnections,
   TooManyStreams,
+  SilentPeer,   ///< No bytes, not even the answer to a ping.
   TooManyBytes, ///< Incomplete or unsent messages above the bound.
 };
 
@@ -49,6 +50,7 @@
     std::pair{ Fault::TooManyConnections,
                std::string_view("too_many_connections") },
     std::pair{ Fault::TooManyStreams, std::string_view("too_many_streams") },
+    std::pair{ Fault::SilentPeer, std::string_view("silent_peer") },
     std::pair{ Fault::TooManyBytes, std::string_view("too_many_bytes") },
   };
 };
--- a/src/peer/PeerLink.cpp
+++ b/src/peer/PeerLink.cpp
@@ -45,6 +45,7 @@
               Flush();
             })
   , m_lastActivity(net::Loop::Now())
+  , m_lastReceived(m_lastActivity)
 {
   constexpr Duration::rep kMicrosecondsPerSecond = 1'000'000;
   timeval timeout{};
@@ -176,6 +177,7 @@
     return;
   }
   m_lastActivity = net::Loop::Now();
+  m_lastReceived = m_lastActivity;
   m_bytes.m_received += size;
   const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const std::string bytes(data, size);
--- a/src/peer/PeerLink.h
+++ b/src/peer/PeerLink.h
@@ -72,6 +72,7 @@
 
   /// Time of the last bytes in either direction.
   Time LastActivity() const { return m_lastActivity; }
+  Time LastReceived() const { return m_lastReceived; }
   const WireBytes& Bytes() const { return m_bytes; }
 
 private:
@@ -98,6 +99,7 @@
   bool m_shutdown = false;
   bool m_closed = false;
   Time m_lastActivity;
+  Time m_lastReceived;
   WireBytes m_bytes;
 };
 
--- a/tests/correctness/PeerAdmissionBounds.cpp
+++ b/tests/correctness/PeerAdmissionBounds.cpp
@@ -19,6 +19,39 @@
   EXPECT_EQ(budget.Take(60), std::nullopt);
 }
 
+TEST(PeerAdmissionBounds, SilentConnectionIsAskedAndThenGivenUp)
+{
+  LivenessCheck check({ seconds(1), seconds(5) });
+  const Time start = Time() + seconds(100);
+  // A long silence before the first call says nothing about the peer.
+  EXPECT_EQ(check.Check(start, Time(), true), LivenessAction::None);
+  EXPECT_EQ(check.Check(start + milliseconds(999), Time(), true),
+            LivenessAction::None);
+  const Time asked = start + seconds(1);
+  EXPECT_EQ(check.Check(asked, Time(), true), LivenessAction::Ping);
+  EXPECT_EQ(check.Check(asked + milliseconds(4999), Time(), true),
+            LivenessAction::None);
+  EXPECT_EQ(check.Check(asked + seconds(5), Time(), true),
+            LivenessAction::Close);
+}
+
+TEST(PeerAdmissionBounds, AnsweringConnectionIsKept)
+{
+  LivenessCheck check({ seconds(1), seconds(5) });
+  Time now = Time() + seconds(100);
+  EXPECT_EQ(check.Check(now, now, true), LivenessAction::None);
+  constexpr int kRounds = 20;
+  for (int round = 0; round < kRounds; ++round) {
+    const Time lastReceived = now;
+    now += seconds(1);
+    EXPECT_EQ(check.Check(now, lastReceived, true), LivenessAction::Ping);
+    // The answer arrives before the next check.
+    EXPECT_EQ(check.Check(now, now, true), LivenessAction::None);
+  }
+  // Without open calls nothing is asked.
+  EXPECT_EQ(check.Check(now + seconds(60), now, false), LivenessAction::None);
+}
+
 TEST(PeerAdmissionBounds, PauseGrowsToItsBoundAndFallsBack)
 {
   ReconnectBackoff backoff({ milliseconds(100), milliseconds(300) });
--- a/tests/error/PeerVerdicts.cpp
+++ b/tests/error/PeerVerdicts.cpp
@@ -340,6 +340,54 @@
   EXPECT_EQ(played.m_outcomes.front().m_error.m_verdict, Verdict::MayHaveRun);
 }
 
+TEST(PeerVerdicts, SilentPeerIsGivenUpAndTheNextCallConnectsAgain)
+{
+  // The peer's socket stays open, as after a cut of the network.
+  auto options = fakes::ClientOptions();
+  options.m_sweepPeriod = milliseconds(1);
+  options.m_liveness = { milliseconds(1), milliseconds(1) };
+  options.m_backoff = { microseconds(1), microseconds(1) };
+  HandPlayed played(options);
+  played.Call(seconds(600));
+  ASSERT_TRUE(played.m_server.Accept());
+  ASSERT_TRUE(played.m_server.Authenticate());
+  ASSERT_TRUE(played.WaitForOutcomes(1));
+  played.Expect(Verdict::MayHaveRun, ErrorCode::Unavailable);
+  EXPECT_EQ(played.m_client.Faults().Count(PeerFault::SilentPeer), 1U);
+  EXPECT_EQ(played.m_client.Connections(), 0U);
+  const fakes::RawSocket silent = std::move(played.m_server.m_socket);
+  played.Call(seconds(600));
+  EXPECT_TRUE(played.m_server.Accept());
+}
+
+TEST(PeerVerdicts, SlowHandlerOfAnAnsweringPeerIsNotTakenForSilence)
+{
+  auto options = fakes::ClientOptions();
+  options.m_sweepPeriod = milliseconds(1);
+  options.m_liveness = { milliseconds(1), seconds(60) };
+  PeerReply waiting;
+  PeerPair pair([&](const PeerIdentity&,
+                    const PeerMessage&,
+                    PeerReply aReply) { waiting = std::move(aReply); },
+                fakes::ServerOptions(),
+                options);
+  std::optional<PeerOutcome> result;
+  pair.Call(TextMessage("x"),
+            [&](const PeerOutcome& aOutcome) { result = aOutcome; });
+  ASSERT_TRUE(RunUntil(pair.m_loop, [&] { return waiting != nullptr; }));
+  // The server's answers to pings are the only bytes that arrive.
+  const auto before = pair.m_client.Bytes().m_received;
+  constexpr std::uint64_t kPingBytes = 17;
+  constexpr std::uint64_t kPings = 5;
+  EXPECT_TRUE(RunUntil(pair.m_loop, [&] {
+    return pair.m_client.Bytes().m_received >= before + kPings * kPingBytes;
+  }));
+  EXPECT_FALSE(result.has_value());
+  waiting(Acknowledgement{});
+  EXPECT_TRUE(RunUntil(pair.m_loop, [&] { return result.has_value(); }));
+  EXPECT_TRUE(result && result->m_reply.has_value());
+}
+
 TEST(PeerVerdicts, MessageAboveOneMebibyteDoesNotLeave)
 {
   PeerPair pair(fakes::Echo);
