Answer for requests that a handler drops, and count late replies

Change: a dropped reply function answers "may have run"; PeerServer::LateReplies counts replies to streams or connections that have gone.

--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -67,13 +67,71 @@
   std::shared_ptr<std::size_t> m_running;
 };
 
+/// The duty to reply to one request. A handler that drops it unused must not
+/// leave the caller waiting and the stream's place taken.
+class PeerServer::PendingReply
+{
+public:
+  PendingReply(std::weak_ptr<PeerLink> aLink,
+               StreamId aStream,
+               PeerLimits aLimits,
+               std::shared_ptr<Counts> aCounts,
+               std::shared_ptr<std::size_t> aRunning)
+    : m_link(std::move(aLink))
+    , m_stream(aStream)
+    , m_limits(aLimits)
+    , m_counts(std::move(aCounts))
+    , m_running(std::move(aRunning))
+  {
+    ++m_counts->m_running;
+    ++*m_running;
+  }
+
+  ~PendingReply()
+  {
+    Send(RefuseWith(Verdict::MayHaveRun,
+                    ErrorCode::Internal,
+                    "the request was dropped without a reply"));
+  }
+
+  PendingReply(const PendingReply&) = delete;
+  PendingReply& operator=(const PendingReply&) = delete;
+
+  void Send(const PeerMessage& aReply)
+  {
+    if (std::exchange(m_replied, true)) {
+      return;
+    }
+    --m_counts->m_running;
+    --*m_running;
+    const auto link = m_link.lock();
+    if (link == nullptr || !link->IsOpen() ||
+        !link->Session().HasStream(m_stream)) {
+      ++m_counts->m_lateReplies;
+      return;
+    }
+    Http2Session& session = link->Session();
+    session.SubmitReply(m_stream,
+                        EncodeReply(aReply, RoomFor(session, m_limits)));
+    link->ScheduleFlush();
+  }
+
+private:
+  std::weak_ptr<PeerLink> m_link;
+  StreamId m_stream;
+  PeerLimits m_limits;
+  std::shared_ptr<Counts> m_counts;
+  std::shared_ptr<std::size_t> m_running; ///< of the connection
+  bool m_replied = false;
+};
+
 PeerServer::PeerServer(net::Loop& aLoop,
                        PeerServerOptions aOptions,
                        PeerHandler aHandler)
   : m_loop(aLoop)
   , m_options(std::move(aOptions))
   , m_handler(std::move(aHandler))
-  , m_running(std::make_shared<std::size_t>(0))
+  , m_counts(std::make_shared<Counts>())
   , m_sweep(aLoop, [this] { Sweep(); })
 {
 }
@@ -263,29 +321,12 @@
 PeerReply
 PeerServer::ReplyTo(Connection& aConnection, StreamId aStream)
 {
-  ++*m_running;
-  ++*aConnection.m_running;
-  const auto replied = std::make_shared<bool>(false);
-  const std::weak_ptr<PeerLink> weakLink = aConnection.m_link;
-  return [weakLink,
-          aStream,
-          replied,
-          limits = m_options.m_limits,
-          all = m_running,
-          own = aConnection.m_running](const PeerMessage& aReply) {
-    if (std::exchange(*replied, true)) {
-      return;
-    }
-    --*all;
-    --*own;
-    const auto link = weakLink.lock();
-    if (link == nullptr || !link->IsOpen()) {
-      return;
-    }
-    Http2Session& session = link->Session();
-    session.SubmitReply(aStream, EncodeReply(aReply, RoomFor(session, limits)));
-    link->ScheduleFlush();
-  };
+  const auto pending = std::make_shared<PendingReply>(aConnection.m_link,
+                                                      aStream,
+                                                      m_options.m_limits,
+                                                      m_counts,
+                                                      aConnection.m_running);
+  return [pending](const PeerMessage& aReply) { pending->Send(aReply); };
 }
 
 void
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -33,7 +33,8 @@
 
 /// Sends the reply; to be called once, at any later time, also after the server
 /// has gone. `Acknowledgement` is sent as an empty reply, `Refusal` becomes the
-/// error of the caller's outcome. Further calls are ignored.
+/// error of the caller's outcome. Further calls are ignored. If all copies are
+/// dropped without a call, the caller is told that the request may have run.
 using PeerReply = std::function<void(const PeerMessage&)>;
 
 /// The identity is that proven in the handshake.
@@ -64,13 +65,23 @@
 
   std::size_t Connections() const { return m_connections.size(); }
   /// Requests that were handed to the handler and not yet replied to.
-  std::size_t RunningRequests() const { return *m_running; }
+  std::size_t RunningRequests() const { return m_counts->m_running; }
+  /// Replies that came after the caller had given up or its connection had
+  /// gone; they were dropped.
+  std::uint64_t LateReplies() const { return m_counts->m_lateReplies; }
   const FaultCounters& Faults() const { return m_faults; }
   /// Bytes of all connections so far.
   WireBytes Bytes() const;
 
 private:
   struct Connection;
+  class PendingReply;
+  /// Shared with replies, which may outlive the server.
+  struct Counts
+  {
+    std::size_t m_running = 0;
+    std::uint64_t m_lateReplies = 0;
+  };
 
   static void OnAccept(evconnlistener* aListener,
                        int aSocket,
@@ -90,7 +101,7 @@
   evconnlistener* m_listener = nullptr;
   ReplayGuard m_guard;
   FaultCounters m_faults;
-  std::shared_ptr<std::size_t> m_running;
+  std::shared_ptr<Counts> m_counts;
   WireBytes m_closedBytes; ///< of connections that are gone
   std::map<PeerLink*, std::unique_ptr<Connection>> m_connections;
   PeerTimer m_sweep;
--- a/tests/error/PeerServerRefusals.cpp
+++ b/tests/error/PeerServerRefusals.cpp
@@ -249,6 +249,7 @@
     reply(Acknowledgement{});
   }
   EXPECT_EQ(server.RunningRequests(), 0U);
+  EXPECT_EQ(server.LateReplies(), 3U);
 }
 
 TEST(PeerServerRefusals, EmptySecretIsNotServed)
--- a/tests/error/PeerVerdicts.cpp
+++ b/tests/error/PeerVerdicts.cpp
@@ -238,6 +238,19 @@
   }
   ASSERT_TRUE(RunUntil(pair.m_loop, [&] { return outcomes.size() == 2; }));
   EXPECT_EQ(TextOf(outcomes.back()), "reply");
+  EXPECT_EQ(pair.m_server.RunningRequests(), 0U);
+}
+
+TEST(PeerVerdicts, HandlerThatDropsARequestLeavesNobodyWaiting)
+{
+  PeerPair pair(
+    [](const PeerIdentity&, const PeerMessage&, const PeerReply&) {});
+  const PeerOutcome outcome = pair.CallAndWait(TextMessage("x"));
+  EXPECT_FALSE(outcome.m_reply.has_value());
+  EXPECT_EQ(outcome.m_error.m_verdict, Verdict::MayHaveRun);
+  EXPECT_EQ(outcome.m_error.m_message,
+            "the request was dropped without a reply");
+  EXPECT_EQ(pair.m_server.RunningRequests(), 0U);
 }
 
 TEST(PeerVerdicts, CallThatWaitsForAStreamNeverLeavesAfterItsTimeout)
