--- a/src/peer/PeerLink.cpp
+++ b/src/peer/PeerLink.cpp
@@ -45,6 +45,7 @@
               Flush();
             })
   , m_lastActivity(net::Loop::Now())
+  , m_lastReceived(m_lastActivity)
 {
   constexpr Duration::rep kMicrosecondsPerSecond = 1'000'000;
   timeval timeout{};
@@ -54,6 +55,10 @@
   bufferevent_set_timeouts(m_buffer, nullptr, &timeout);
   bufferevent_setwatermark(m_buffer, EV_WRITE, kOutputLowWaterBytes, 0);
   bufferevent_setwatermark(m_buffer, EV_READ, 0, kReadBytes);
+  // The defaults of 16 KiB cost a system call and a turn of the loop for each
+  // HTTP/2 frame of that size.
+  bufferevent_set_max_single_read(m_buffer, kReadBytes);
+  bufferevent_set_max_single_write(m_buffer, kOutputHighWaterBytes);
 }
 
 PeerLink::~PeerLink()
@@ -172,6 +177,7 @@
     return;
   }
   m_lastActivity = net::Loop::Now();
+  m_lastReceived = m_lastActivity;
   m_bytes.m_received += size;
   const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const std::string bytes(data, size);
