Send small HTTP segments at once

Cause: the client and server over evhttp left Nagle's algorithm on; a kept-alive call with a 16 KiB body took about 92 ms on loopback (found while measuring the peer transport, docs/measurements/peer.md). Change: TCP_NODELAY on both sides, set once a connection carries bytes.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "net/HttpClient.h"
 
+#include "net/SocketOptions.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -76,8 +78,11 @@
   {
     // evhttp fills the output buffer only after the connection is established,
     // so a request without added bytes never reached the peer.
-    if (aInfo->n_added > 0) {
-      static_cast<Exchange*>(aSelf)->m_bytesWritten = true;
+    auto* self = static_cast<Exchange*>(aSelf);
+    if (aInfo->n_added > 0 && !self->m_bytesWritten) {
+      self->m_bytesWritten = true;
+      SetNoDelay(bufferevent_getfd(
+        evhttp_connection_get_bufferevent(self->m_connection->m_handle)));
     }
   }
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,6 +1,9 @@
 #include "net/HttpServer.h"
 
+#include "net/SocketOptions.h"
+
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -156,6 +159,8 @@
 HttpServer::OnRequest(evhttp_request* aRequest, void* aSelf)
 {
   auto* self = static_cast<HttpServer*>(aSelf);
+  SetNoDelay(bufferevent_getfd(evhttp_connection_get_bufferevent(
+    evhttp_request_get_connection(aRequest))));
   const HttpRequest request = ToRequest(aRequest);
   if (request.m_headers.size() > self->m_limits.m_maxHeaderCount) {
     Send(
