Pass new settings on at once and draw different schedules

The four quarters had drawn the same schedules at small sizes; once they differed, overlapping faults in the harness left stale reads on for ever and faults fired after their announced end. In the mode with one reader a new setting took up to 1.1 s, because the reader announced it only with its next heartbeat.

--- a/src/settings/SettingsStore.cpp
+++ b/src/settings/SettingsStore.cpp
@@ -88,7 +88,7 @@
   }
   if (aNow >= m_nextHeartbeat) {
     m_nextHeartbeat = aNow + m_options.m_heartbeat;
-    SendHeartbeats(aNow, effects);
+    SendHeartbeats(aNow, false, effects);
   }
   FetchIfWanted(aNow, effects);
   if (aNow >= m_nextPoll && m_haveIndex && MayReadTable(aNow) &&
@@ -342,6 +342,10 @@
     m_nextPoll = aNow;
   }
   UpdateReady();
+  // The region learns of the new version now and not with the next period.
+  if (m_options.m_distribution == Distribution::Region && IsReader(aNow)) {
+    SendHeartbeats(aNow, true, aEffects);
+  }
 }
 
 bool
@@ -383,7 +387,7 @@
 // --- Peers ---
 
 void
-SettingsStore::SendHeartbeats(Time aNow, Effects& aEffects)
+SettingsStore::SendHeartbeats(Time aNow, bool aOnlyRegion, Effects& aEffects)
 {
   Heartbeat heartbeat;
   heartbeat.m_incarnation = m_options.m_incarnation;
@@ -399,6 +403,9 @@
   }
   aEffects.emplace_back(StepEffect{ Step::HeartbeatSend });
   for (const Member& member : m_members) {
+    if (aOnlyRegion && member.m_region != m_options.m_region) {
+      continue;
+    }
     const Peer& peer = m_peers[member.m_vm];
     heartbeat.m_echoIncarnation = peer.m_incarnation;
     heartbeat.m_echoNumber = peer.m_number;
@@ -878,7 +885,7 @@
   aEffects.emplace_back(StepEffect{ Step::ChangeDone });
   aEffects.emplace_back(std::move(done));
   FetchIfWanted(aNow, aEffects);
-  SendHeartbeats(aNow, aEffects);
+  SendHeartbeats(aNow, false, aEffects);
 }
 
 void
--- a/src/settings/SettingsStore.h
+++ b/src/settings/SettingsStore.h
@@ -283,7 +283,7 @@
   bool InFlight(Kind aKind) const;
   void SendConfirm(Time aNow, Effects& aEffects);
   void SendIndexRead(Time aNow, Effects& aEffects);
-  void SendHeartbeats(Time aNow, Effects& aEffects);
+  void SendHeartbeats(Time aNow, bool aOnlyRegion, Effects& aEffects);
   void FetchIfWanted(Time aNow, Effects& aEffects);
   bool IsReader(Time aNow) const;
   bool MayReadTable(Time aNow) const;
--- a/tests/correctness/SettingsFaultMatrix.cpp
+++ b/tests/correctness/SettingsFaultMatrix.cpp
@@ -48,7 +48,8 @@
       ClusterOptions options;
       options.m_distribution = aDistribution;
       options.m_loseFirstAnswer = true;
-      options.m_seed = static_cast<std::uint64_t>(kind * kSteps + step + 1);
+      options.m_seed = 1 + static_cast<std::uint64_t>(kind) * kSteps +
+                       static_cast<std::uint64_t>(step);
       SettingsCluster cluster(options, { fault });
       CheckAll(cluster.Run(), Describe(fault));
       fired += cluster.Fired();
--- a/tests/correctness/SettingsMutations.cpp
+++ b/tests/correctness/SettingsMutations.cpp
@@ -32,7 +32,7 @@
   for (int i = 0; i < kSchedules; ++i) {
     ClusterOptions options;
     options.m_mutation = aMutation;
-    options.m_seed = static_cast<std::uint64_t>(i + 1);
+    options.m_seed = 1 + static_cast<std::uint64_t>(i);
     auto faults = aFaults;
     for (PlannedFault& fault : faults) {
       fault.m_occurrence += i % 8;
--- a/tests/correctness/SettingsSchedules.cpp
+++ b/tests/correctness/SettingsSchedules.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <ostream>
+#include <sstream>
 
 namespace lacewing::fakes {
 
@@ -93,17 +93,25 @@
 constexpr Duration kWithdrawalBound = milliseconds(5100);
 constexpr Duration kInForceBound = seconds(8);
 
+/// At full size from the first case on, since a smaller size would leave out
+/// the later faults and steps.
+rc::Gen<Schedule>
+AnySchedule()
+{
+  return rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<Schedule>());
+}
+
 /// Runs the schedules of one of RapidCheck's 100 cases. All properties get the
 /// same seed, so each quarter passes over the draws of those before it.
 void
 CheckSchedules(std::size_t aQuarter)
 {
   for (std::size_t i = 0; i < aQuarter * kPerCase; ++i) {
-    const auto skipped = *rc::gen::noShrink(rc::gen::arbitrary<Schedule>());
+    const auto skipped = *rc::gen::noShrink(AnySchedule());
     RC_PRE(skipped.m_faults.size() < 100U);
   }
   for (std::size_t i = 0; i < kPerCase; ++i) {
-    const auto schedule = *rc::gen::arbitrary<Schedule>();
+    const auto schedule = *AnySchedule();
     ClusterOptions options;
     options.m_seed = schedule.m_seed;
     options.m_distribution = schedule.m_oneReader
@@ -112,10 +120,17 @@
     options.m_loseFirstAnswer = schedule.m_loseFirstAnswer;
     SettingsCluster cluster(options, schedule.m_faults);
     const History& history = cluster.Run();
-    RC_ASSERT(CheckKeys(history, kWithdrawalBound) == Faults());
-    RC_ASSERT(CheckNeverReverts(history) == Faults());
-    RC_ASSERT(CheckChanges(history) == Faults());
-    RC_ASSERT(CheckInForceWithin(history, kInForceBound) == Faults());
+    for (const Faults& faults :
+         { CheckKeys(history, kWithdrawalBound),
+           CheckNeverReverts(history),
+           CheckChanges(history),
+           CheckInForceWithin(history, kInForceBound) }) {
+      if (!faults.empty()) {
+        std::ostringstream text;
+        text << schedule << ": " << faults.front();
+        RC_FAIL(text.str());
+      }
+    }
   }
 }
 
--- a/tests/fakes/SettingsCluster.h
+++ b/tests/fakes/SettingsCluster.h
@@ -81,7 +81,7 @@
       StartProcess(i);
     }
     m_queue.RunFor(kSetUp);
-    m_settled = true;
+    m_faultsAct = true;
     if (m_options.m_operatorsAct) {
       ScheduleOperator(0, milliseconds(500));
       ScheduleOperator(1, milliseconds(510));
@@ -99,6 +99,7 @@
   {
     m_queue.RunFor(aActive);
     m_operatorsStopped = true;
+    m_faultsAct = false;
     m_queue.RunUntil(std::max(m_queue.Now(), m_lastHeal));
     Record(FaultsOver());
     m_queue.RunFor(aQuiet);
@@ -117,8 +118,10 @@
     return *m_nodes.at(aIndex).m_store;
   }
   static VmId VmOf(int aIndex) { return VmId("vm-" + std::to_string(aIndex)); }
-  /// Bytes for settings over the link between regions, both ways.
+  /// Bytes of calls and rows over the link between regions, both ways.
   std::uint64_t SettingsBytesAcross() const { return m_bytesAcross; }
+  /// Bytes of the settings' part of heartbeats over the same link.
+  std::uint64_t HeartbeatBytesAcross() const { return m_heartbeatBytes; }
   std::uint64_t SettingsReads() const { return m_settingsReads; }
   std::uint64_t SettingsWrites() const { return m_settingsWrites; }
 
@@ -341,6 +344,9 @@
   {
     const VmId vm = VmOf(aIndex);
     ++m_settingsWrites;
+    if (RegionOf(aIndex).Value() == "far") {
+      m_bytesAcross += kTableOverhead;
+    }
     m_table.Submit(
       vm,
       aEffect.m_commit,
@@ -384,7 +390,10 @@
     const VmId to = aEffect.m_to;
     const int receiver = IndexOf(to);
     if (RegionOf(aIndex) != RegionOf(receiver)) {
-      m_bytesAcross += SizeOf(aEffect.m_message);
+      const bool isHeartbeat =
+        std::holds_alternative<settings::Heartbeat>(aEffect.m_message);
+      (isHeartbeat ? m_heartbeatBytes : m_bytesAcross) +=
+        SizeOf(aEffect.m_message);
     }
     m_network.Send(from, to, [=, this, message = aEffect.m_message] {
       Carry(receiver,
@@ -397,7 +406,7 @@
   void Do(int aIndex, Incarnation, const settings::StepEffect& aEffect)
   {
     m_stepsSeen.insert(aEffect.m_step);
-    if (!m_settled) {
+    if (!m_faultsAct) {
       return;
     }
     for (std::size_t i = 0; i < m_faults.size(); ++i) {
@@ -616,13 +625,21 @@
     }
   }
 
-  /// Changes the faults of all links and takes the change back.
-  template<typename Member, typename Value>
-  void SetForAWhile(Member& aMember, Value aValue, Duration aLength)
+  /// Sets a value that all links or calls share; the last of overlapping
+  /// faults puts the usual value back.
+  template<typename Value>
+  void SetForAWhile(Value& aMember,
+                    Value aValue,
+                    Value aUsual,
+                    Duration aLength)
   {
-    const Value before = aMember;
     aMember = aValue;
-    HealAfter(aLength, [&aMember, before] { aMember = before; });
+    ++m_overlapping[&aMember];
+    HealAfter(aLength, [=, this, &aMember] {
+      if (--m_overlapping[&aMember] == 0) {
+        aMember = aUsual;
+      }
+    });
   }
 
   void StartFault(FaultKind aKind, int aIndex)
@@ -647,16 +664,18 @@
                   [=, this] { m_processes.Wake(vm); });
         return;
       case FaultKind::LoseMessages:
-        SetForAWhile(links.m_loss, 0.9, seconds(4));
+        SetForAWhile(links.m_loss, 0.9, 0.0, seconds(4));
         return;
       case FaultKind::DelayMessages:
-        SetForAWhile(links.m_baseDelay, Duration(seconds(7)), seconds(4));
+        SetForAWhile<Duration>(
+          links.m_baseDelay, seconds(7), milliseconds(1), seconds(4));
         return;
       case FaultKind::DuplicateMessages:
-        SetForAWhile(links.m_duplication, 0.7, seconds(4));
+        SetForAWhile(links.m_duplication, 0.7, 0.0, seconds(4));
         return;
       case FaultKind::ReorderMessages:
-        SetForAWhile(links.m_jitter, Duration(seconds(3)), seconds(5));
+        SetForAWhile<Duration>(
+          links.m_jitter, seconds(3), Duration::zero(), seconds(5));
         return;
       case FaultKind::CutOneWay:
         CutLinks(aIndex, true, false, seconds(7));
@@ -669,16 +688,18 @@
         HealAfter(seconds(9), [this] { CutRegions(false); });
         return;
       case FaultKind::StoreDown:
-        SetForAWhile(store.m_down, true, seconds(11));
+        SetForAWhile(store.m_down, true, false, seconds(11));
         return;
       case FaultKind::StoreSlow:
-        SetForAWhile(store.m_delay, Duration(milliseconds(600)), seconds(5));
+        SetForAWhile<Duration>(
+          store.m_delay, milliseconds(600), milliseconds(1), seconds(5));
         return;
       case FaultKind::LoseAnswers:
-        SetForAWhile(store.m_loseAnswers, true, seconds(3));
+        SetForAWhile(store.m_loseAnswers, true, false, seconds(3));
         return;
       case FaultKind::StaleReads:
-        SetForAWhile(store.m_readLag, Duration(seconds(12)), seconds(12));
+        SetForAWhile<Duration>(
+          store.m_readLag, seconds(12), Duration::zero(), seconds(12));
         return;
       case FaultKind::StoreUnreachable:
         Unreach(aIndex, true);
@@ -691,7 +712,7 @@
       case FaultKind::KillAndStoreDown:
         Kill(aIndex);
         StartLater(aIndex, seconds(10));
-        SetForAWhile(store.m_down, true, seconds(14));
+        SetForAWhile(store.m_down, true, false, seconds(14));
         return;
     }
   }
@@ -764,6 +785,7 @@
   ClusterOptions m_options;
   std::vector<PlannedFault> m_faults;
   std::map<std::size_t, int> m_counts;
+  std::map<const void*, int> m_overlapping;
   std::set<std::size_t> m_fired;
   std::mt19937_64 m_random;
   EventQueue m_queue;
@@ -775,11 +797,12 @@
   std::set<settings::Step> m_stepsSeen;
   History m_history;
   Time m_lastHeal{};
-  bool m_settled = false;
+  bool m_faultsAct = false;
   bool m_operatorsStopped = false;
   int m_nextChange = 0;
   int m_withdrawals = 0;
   std::uint64_t m_bytesAcross = 0;
+  std::uint64_t m_heartbeatBytes = 0;
   std::uint64_t m_settingsReads = 0;
   std::uint64_t m_settingsWrites = 0;
 };
