Test real processes under kill, pause, planned stop, table outage and key withdrawal

Cause: the guarantees were checked under virtual time only. Change: five process tests that drive the cell with the load tool while one fault is caused, and fail on anything lost, doubled, untrue, cut or accepted wrongly.

--- a/tests/process/whole_path.sh
+++ b/tests/process/whole_path.sh
@@ -3,17 +3,10 @@
 # endpoint or worker and back.
 set -euo pipefail
 BIN=$1
-cd "$(dirname "$0")/../.."
-CELL=$(mktemp -d)
 BASE_PORT=7500
-source scripts/local-cell
-trap stop_cell EXIT
+source "$(dirname "$0")/../../scripts/process-test"
 start_cell
 configure_cell
-fail() {
-  echo "FAILED: $*" >&2
-  exit 1
-}
 for n in 1 2 3 4; do
   answer=$(curl -s -H "Authorization: Bearer $CALLER_KEY" -d "lot $n" "http://$(entry_address "$n")/v1/services/lot-ledger/assess")
   case $answer in *"\"echo\":\"lot $n\""*) ;; *) fail "request through entry-$n: $answer" ;; esac
