--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -130,6 +130,7 @@
   submission->m_record.m_team = team;
   BOOST_LEAF_ASSIGN(submission->m_record.m_spec,
                     caller::DecodeJobSpec(aRequest.m_body));
+  BOOST_LEAF_CHECK(CheckLimit(team, submission->m_record.m_spec));
   BOOST_LEAF_AUTO(slice, ChooseSlice(submission->m_record.m_spec));
   submission->m_record.m_id = jobs::MakeJobId(slice, m_cell.m_runtime.Random());
   submission->m_record.m_nonce = submission->m_record.m_id.Value();
@@ -143,6 +144,24 @@
   return {};
 }
 
+Result<void>
+JobFront::CheckLimit(const TeamId& aTeam, const caller::JobSpec& aSpec) const
+{
+  const auto team = m_cell.m_settings.Tree().Team(aTeam);
+  const bool isGang = aSpec.m_kind == caller::JobKind::Gang;
+  const std::int64_t atOnce =
+    aSpec.m_perTask.m_millicores * (isGang ? aSpec.m_tasks : 1);
+  if (team && team->m_limitMillicores && atOnce > *team->m_limitMillicores) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::NeverRunnable,
+                "the job can never run: it needs " + std::to_string(atOnce) +
+                  " millicores at once, and the upper limit of team '" +
+                  aTeam.Value() + "' is " +
+                  std::to_string(*team->m_limitMillicores));
+  }
+  return {};
+}
+
 Result<SliceId>
 JobFront::ChooseSlice(const caller::JobSpec& aSpec) const
 {
--- a/src/daemon/JobFront.h
+++ b/src/daemon/JobFront.h
@@ -59,6 +59,8 @@
   };
 
   Result<TeamId> TeamOf(const caller::CallerContext& aContext) const;
+  Result<void> CheckLimit(const TeamId& aTeam,
+                          const caller::JobSpec& aSpec) const;
   Result<SliceId> ChooseSlice(const caller::JobSpec& aSpec) const;
   void WriteSubmission(const std::shared_ptr<Submission>& aSubmission);
   void ReadSubmission(const std::shared_ptr<Submission>& aSubmission);
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -17,6 +17,7 @@
   aRecord.m_marked.insert(aOther.m_marked.begin(), aOther.m_marked.end());
   aRecord.m_succeeded.insert(aOther.m_succeeded.begin(),
                              aOther.m_succeeded.end());
+  aRecord.m_cancelRequested |= aOther.m_cancelRequested;
   if (aRecord.m_ending == jobs::JobEnding::Open) {
     aRecord.m_ending = aOther.m_ending;
   }
@@ -172,6 +173,18 @@
   Change(found->second, std::move(aDone));
 }
 
+void
+JobStore::RequestCancel(const JobId& aJob, Done aDone)
+{
+  const auto found = m_entries.find(aJob);
+  if (found == m_entries.end()) {
+    aDone(true);
+    return;
+  }
+  found->second.m_record.m_cancelRequested = true;
+  Change(found->second, std::move(aDone));
+}
+
 void
 JobStore::Change(Entry& aEntry, Done aDone)
 {
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -154,6 +154,7 @@
   sched::RecoveredTasks tasks;
   tasks.m_marked = ToVector(aRecord.m_marked);
   tasks.m_succeeded = ToVector(aRecord.m_succeeded);
+  tasks.m_cancelled = aRecord.m_cancelRequested;
   m_scheduler.Recover(net::Loop::Now(), ToSchedSpec(aRecord), tasks);
 }
 
@@ -496,7 +497,7 @@
 {
   const bool known = m_scheduler.Cancel(net::Loop::Now(), aJob);
   if (known) {
-    m_store->End(aJob, jobs::JobEnding::Cancelled, [](bool) {});
+    m_store->RequestCancel(aJob, [](bool) {});
     observe::Event event;
     event.m_kind = EventKind::JobCancelled;
     event.m_job = aJob;
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -88,7 +88,8 @@
                       { "spec",
                         Json::parse(caller::EncodeJobSpec(aRecord.m_spec)) },
                       { "ending", NameOf(aRecord.m_ending) },
-                      { "marked", ToRanges(aRecord.m_marked) },
+                      { "cancel_requested", aRecord.m_cancelRequested },
+    { "marked", ToRanges(aRecord.m_marked) },
                       { "succeeded", ToRanges(aRecord.m_succeeded) },
                       { "nonce", aRecord.m_nonce } };
   return body.dump();
@@ -112,6 +113,7 @@
                   "row of job " + aJob.Value() + " has an unknown ending");
     }
     record.m_ending = *ending;
+    record.m_cancelRequested = body.at("cancel_requested").get<bool>();
     record.m_marked = FromRanges(body.at("marked"));
     record.m_succeeded = FromRanges(body.at("succeeded"));
     record.m_nonce = body.at("nonce").get<std::string>();
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -28,6 +28,8 @@
   TeamId m_team;
   caller::JobSpec m_spec;
   JobEnding m_ending = JobEnding::Open;
+  /// Cancellation was asked for; the job ends when its tasks have stopped.
+  bool m_cancelRequested = false;
   /// Tasks with a `started` mark, written before an at-most-once start.
   std::set<std::uint32_t> m_marked;
   std::set<std::uint32_t> m_succeeded;
