--- a/src/routing/AtMostOnce.cpp
+++ b/src/routing/AtMostOnce.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// The text is stored as bytes of JSON strings, one element per byte group, so
-/// that bodies that are not UTF-8 survive.
+/// JSON strings hold Unicode text and bodies are any bytes, so each byte is
+/// stored as the code point of the same number.
 std::string
 ToLatin1Json(const std::string& aBytes)
 {
--- a/tests/correctness/RequestRouterRefusals.cpp
+++ b/tests/correctness/RequestRouterRefusals.cpp
@@ -93,6 +93,21 @@
   EXPECT_EQ(router.Counters().m_lateAnswers, 1U);
 }
 
+TEST(RequestRouter, AbandonedSlotIsFreedAfterTheLargestDeadline)
+{
+  RequestRouter router = MakeRouter();
+  const Actions admitted = router.Admit(Time(), Make(1));
+  router.OnEndpointFailure(Time(), Find<Dispatch>(admitted)->m_attempt, {});
+  Request next = Make(2);
+  next.m_deadline = Time() + 2 * kMaxDeadline;
+  EXPECT_EQ(Find<Dispatch>(router.Admit(Time(), next)), nullptr);
+  const Time end = Time() + kMaxDeadline;
+  EXPECT_EQ(Find<Dispatch>(router.OnTick(end - milliseconds(1))), nullptr);
+  ASSERT_TRUE(router.NextWakeup(end - milliseconds(1)));
+  EXPECT_LE(*router.NextWakeup(end - milliseconds(1)), end);
+  EXPECT_NE(Find<Dispatch>(router.OnTick(end)), nullptr);
+}
+
 TEST(RequestRouter, ShortAnswerIsNotPassedOn)
 {
   RequestRouter router = MakeRouter();
