--- a/tests/correctness/SettingsStore.cpp
+++ b/tests/correctness/SettingsStore.cpp
@@ -141,6 +141,32 @@
   EXPECT_TRUE(m_store.BadSubtrees().empty());
 }
 
+TEST_F(StoreTest, UnreadableVersionStopsTheKeysOfItsTeam)
+{
+  const std::string digest = leaf::try_handle_all(
+    [] { return DigestOf("secret"); }, [] { return std::string(); });
+  Put("settings/team.a",
+      EncodeSubtree({ 1, "[team]\nkey.k1 = " + digest + "\n", "s" }));
+  Begin();
+  const auto code = [&] {
+    return leaf::try_handle_all(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(
+          Authenticator(m_store).Authenticate(m_now, "lwk.a.k1.secret", ""));
+        return std::string("taken");
+      },
+      [](const Error& aError) { return std::string(NameOf(aError.m_code)); },
+      [] { return std::string(); });
+  };
+  EXPECT_EQ(code(), "taken");
+  Put("settings/index",
+      EncodeIndex({ 3, { { "system", 1 }, { "team.a", 2 } } }));
+  Put("settings/team.a", EncodeSubtree({ 2, "[team]\nkey.k1 = ?\n", "s" }));
+  Advance(seconds(2));
+  EXPECT_TRUE(m_store.KeysUsable(m_now));
+  EXPECT_EQ(code(), "stale_settings");
+}
+
 TEST_F(StoreTest, UnknownOutcomeIsAnsweredAsMayHaveRun)
 {
   Begin();
