Compare only the changed subtree when a version is taken

Cause: each taken subtree copied the tree and compared all subtrees, which is quadratic in the teams when a process starts. Change: the difference is made from the values of that subtree.

--- a/src/settings/SettingsStore.cpp
+++ b/src/settings/SettingsStore.cpp
@@ -361,7 +361,10 @@
     decoded =
       TryDecode<SubtreeRow>([&] { return DecodeSubtree(row->m_value); });
   }
-  const SettingsTree before = m_tree;
+  const auto found = m_tree.All().find(aName);
+  const auto before = found == m_tree.All().end()
+                        ? std::make_shared<const Subtree>()
+                        : found->second;
   if (decoded && decoded->m_version >= aVersion) {
     Subtree subtree;
     subtree.m_version = decoded->m_version;
@@ -376,11 +379,12 @@
   }
   const Subtree* taken = m_tree.Find(aName);
   aEffects.emplace_back(StepEffect{ Step::TakeInForce });
-  aEffects.emplace_back(InForceEffect{ aName,
-                                       taken->m_version,
-                                       m_index.m_fleet,
-                                       Diff(before, m_tree),
-                                       taken->m_fault });
+  aEffects.emplace_back(
+    InForceEffect{ aName,
+                   taken->m_version,
+                   m_index.m_fleet,
+                   DiffText(aName, before->m_values, taken->m_values),
+                   taken->m_fault });
   return true;
 }
 
