--- a/src/ownership/AllotmentBook.h
+++ b/src/ownership/AllotmentBook.h
@@ -14,6 +14,8 @@
 struct Demand
 {
   std::int64_t m_running = 0; ///< with starts that are under way
+  /// What could start now if the allotment were larger. Work for which the
+  /// slice has no room is left out: it would hold parts of the limit idle.
   std::int64_t m_waiting = 0;
 };
 
--- a/tests/correctness/OwnershipSchedules.cpp
+++ b/tests/correctness/OwnershipSchedules.cpp
@@ -28,6 +28,7 @@
   return text == nullptr ? kDefault : std::atoi(text); // NOLINT
 }
 
+/// Any value of an enum with a name table.
 template<typename Enum>
 rc::Gen<Enum>
 AnyOf()
--- a/tests/fakes/OwnershipCell.h
+++ b/tests/fakes/OwnershipCell.h
@@ -258,6 +258,17 @@
     return { TeamId("team" + std::to_string(aTeam)),
              ownership::LimitUnit::Millicores };
   }
+  /// What the owners count as running of a team.
+  std::int64_t Accounted(std::size_t aTeam) const
+  {
+    std::int64_t sum = 0;
+    for (const auto& [vm, member] : m_members) {
+      for (const auto& [slice, state] : member.m_slices) {
+        sum += m_processes.IsAlive(vm) ? Running(state, aTeam) : 0;
+      }
+    }
+    return sum;
+  }
   /// Starts accepted by workers in the whole run.
   std::size_t Starts() const { return m_starts; }
 
@@ -703,7 +714,13 @@
               const SliceState& aState)
   {
     std::vector<std::int64_t> waiting(m_options.m_limits.size());
+    std::int64_t room = static_cast<std::int64_t>(aState.m_adopted.size()) *
+                          (m_options.m_workerMillicores / kTaskMillicores) -
+                        static_cast<std::int64_t>(aState.m_placed.size());
     for (const TaskId& task : Waiting(aState, aSlice)) {
+      if (room-- <= 0) {
+        break;
+      }
       waiting[m_jobs.at(task).m_team] += kTaskMillicores;
     }
     std::map<ownership::LimitId, ownership::Demand> demands;
