--- a/tests/error/OwnershipFaultMatrix.cpp
+++ b/tests/error/OwnershipFaultMatrix.cpp
@@ -116,6 +116,7 @@
                          OwnershipFaultMatrix,
                          testing::ValuesIn([] {
                            std::vector<ownership::Step> steps;
+                           steps.reserve(kSteps);
                            for (const auto& [step, name] :
                                 EnumNames<ownership::Step>::kTable) {
                              steps.push_back(step);
--- a/tests/fakes/OwnershipFaults.h
+++ b/tests/fakes/OwnershipFaults.h
@@ -163,7 +163,7 @@
     for (std::size_t i = 0; i < m_plan.size(); ++i) {
       if (!m_plan[i].m_step) {
         const auto members = m_cell.Members();
-        const VmId vm = members[m_plan[i].m_member % members.size()];
+        const VmId& vm = members[m_plan[i].m_member % members.size()];
         m_cell.Queue().At(m_plan[i].m_time,
                           [this, i, vm] { Fire(m_plan[i].m_fault, vm); });
       }
@@ -183,7 +183,7 @@
   {
     const auto at = [&](int aSeconds, Fault aFault, std::size_t aMember) {
       const auto members = m_cell.Members(0);
-      const VmId vm = members[aMember % members.size()];
+      const VmId& vm = members[aMember % members.size()];
       m_cell.Queue().At(Time() + seconds(aSeconds),
                         [this, aFault, vm] { Apply(aFault, vm); });
     };
