Split the decisions and events of SliceScheduler by concept

Cause: SliceSchedulerDecide.h and SliceSchedulerEvents.h had grown to 1,006 and 834 lines that mix allotments, gangs, room, adoption and task ends. Change: the member functions move into 14 headers, one per concept; the private declarations in SliceScheduler.h are grouped by these headers. Apart from the sentence at the head of each file, the sorted lines of code and comments are the same before and after. Conclusion: no change of behaviour is intended, and none was seen.

--- a/src/sched/SliceScheduler.h
+++ b/src/sched/SliceScheduler.h
@@ -128,79 +128,77 @@
     Skipped, ///< waits for a time; does not count as blocked
   };
 
-  // Events; SliceSchedulerEvents.h.
-  TaskRef FindTask(const TaskId& aTask) const;
-  std::uint32_t AddJob(const JobSpec& aSpec);
-  void ClaimFound(Time aNow, std::uint32_t aJob);
-  void Claim(Time aNow,
-             std::uint32_t aWorker,
-             const worker::RunningTask& aFound);
-  bool CanClaim(TaskRef aRef) const;
-  void AddUnclaimed(std::uint32_t aWorker, const worker::RunningTask& aFound);
-  bool EndUnclaimed(std::uint32_t aWorker, const TaskId& aTask);
-  void LoseTasks(Time aNow,
-                 std::uint32_t aWorker,
-                 const std::unordered_set<TaskId>& aKept);
-  void SettleOpening(std::uint32_t aJob);
-  void SettleGang(std::uint32_t aJob);
-  void Unplace(TaskRef aRef);
-  void Finish(Time aNow, TaskRef aRef, worker::TaskOutcome aOutcome);
-  void FinishAttempt(Time aNow, TaskRef aRef, worker::TaskOutcome aOutcome);
-  void EndForGood(TaskRef aRef, TaskState aState);
-  void NoteSuccess(Time aNow, TaskRef aRef, std::uint32_t aWorker);
-  void NoteFailure(Time aNow, TaskRef aRef, std::uint32_t aWorker);
-  void GiveUp(std::uint32_t aJob);
-  void Requeue(TaskRef aRef);
-  void BeginTearDown(std::uint32_t aJob);
-  void EndTearDown(std::uint32_t aJob);
-  void NoteIfOver(std::uint32_t aJob);
-  void ApplyMeasured(TaskRef aRef, const Resources& aUsed);
-
-  // Decisions; SliceSchedulerDecide.h.
+  // SliceSchedulerDecide.h
   void Flush();
   void Emit(ActionKind aKind, TaskRef aRef);
+
+  // SliceSchedulerStops.h
   void StopTask(TaskRef aRef, ActionKind aKind);
   void StopForOthers(TaskRef aRef);
   void StopAbandoned();
   void StopUnclaimed();
+
+  // SliceSchedulerWorkers.h
+  void ApplyMeasured(TaskRef aRef, const Resources& aUsed);
   void RelieveWorkers(Time aNow);
+
+  // SliceSchedulerAllotments.h
   void CutToAllotments(Time aNow);
   void CutTeam(Time aNow, std::uint32_t aTeam);
   std::vector<TaskRef> StoppableByLoss(Time aNow,
                                        std::uint32_t aTeam,
                                        bool aPatientOnly) const;
+  bool WithinAllotment(const Job& aJob, std::size_t aTasks) const;
+  bool IsAboveAllotment(TaskRef aRef) const;
+
+  // SliceSchedulerSuspects.h
   void ReviewSuspects(Time aNow);
+  std::uint32_t TakeProbe(std::uint32_t aJob, const Request& aRequest);
+  void NoteSuccess(Time aNow, TaskRef aRef, std::uint32_t aWorker);
+  void NoteFailure(Time aNow, TaskRef aRef, std::uint32_t aWorker);
+
+  // SliceSchedulerMarks.h
+  bool NeedsMark(TaskRef aRef) const;
   void StartMarked(Time aNow);
   bool HasRoomToStart(TaskRef aRef) const;
-  void SettlePledges(Time aNow);
-  void SettleReservation(Time aNow);
-  void DropReservation();
-  void UrgentPass(Time aNow);
-  void SharePass(Time aNow);
-  void RunPass(Time aNow, bool aUrgentOnly);
-  bool IsAboveShare(std::uint32_t aTeam) const;
-  void Unthrottle(Time aNow);
+
+  // SliceSchedulerFairOrder.h
   void ComputeLevel();
   double KeyOf(const Team& aTeam, const Resources& aUsed) const;
-  bool DropDeadHead(Team& aTeam);
+  bool IsAboveShare(std::uint32_t aTeam) const;
   bool Alive(const QueueEntry& aEntry) const;
+  bool DropDeadHead(Team& aTeam);
+  void UrgentPass(Time aNow);
+  void SharePass(Time aNow);
+  void RunPass(Time aNow, bool aUrgentOnly);
   bool TryTeam(Time aNow, std::uint32_t aTeam, bool aUrgentOnly);
   Attempt TryJob(Time aNow, std::uint32_t aJob);
+
+  // SliceSchedulerSinglePlacement.h
   Attempt TrySingle(Time aNow, std::uint32_t aJob);
-  Attempt TryGang(Time aNow, std::uint32_t aJob);
-  bool WithinAllotment(const Job& aJob, std::size_t aTasks) const;
-  bool IsAboveAllotment(TaskRef aRef) const;
-  std::uint32_t Locate(std::uint32_t aJob, const Request& aRequest);
-  std::uint32_t TakeProbe(std::uint32_t aJob, const Request& aRequest);
   Request RequestOf(const Job& aJob) const;
+  std::uint32_t Locate(std::uint32_t aJob, const Request& aRequest);
   void Place(Time aNow, std::uint32_t aJob, std::uint32_t aWorker);
+  void Launch(Time aNow, TaskRef aRef);
+
+  // SliceSchedulerGangs.h
+  Attempt TryGang(Time aNow, std::uint32_t aJob);
   void PlaceGang(Time aNow,
                  std::uint32_t aJob,
                  const std::vector<std::uint32_t>& aPlaces);
-  void Launch(Time aNow, TaskRef aRef);
-  bool NeedsMark(TaskRef aRef) const;
+  bool Reserve(Time aNow, std::uint32_t aJob);
+  std::vector<std::uint32_t> ChooseHeldWorkers(std::uint32_t aJob) const;
+  void ClearHeldWorkers(std::uint32_t aJob);
+  void DropReservation();
+  void SettleReservation(Time aNow);
+  void SettleGang(std::uint32_t aJob);
+  void BeginTearDown(std::uint32_t aJob);
+  void EndTearDown(std::uint32_t aJob);
+
+  // SliceSchedulerRoom.h
   void MakeRoomForUrgent(Time aNow, std::uint32_t aJob, const Request& aNeed);
   void Reclaim(Time aNow, std::uint32_t aJob, const Request& aNeed);
+  RoomRules RulesForReclaim() const;
   void GuardFromStarvation(Time aNow, std::uint32_t aJob, const Request& aNeed);
   std::optional<RoomPlan> CheapestPlan(
     Time aNow,
@@ -209,7 +207,6 @@
     const RoomRules& aRules) const;
   std::vector<std::uint32_t> WorkersOfPatientTasks() const;
   std::vector<std::uint32_t> WorkersOfTeam(std::uint32_t aTeam) const;
-  RoomRules RulesForReclaim() const;
   void CarryOut(Time aNow,
                 std::uint32_t aJob,
                 const RoomPlan& aPlan,
@@ -218,9 +215,34 @@
               std::uint32_t aJob,
               std::uint32_t aWorker,
               Duration aPatience);
-  bool Reserve(Time aNow, std::uint32_t aJob);
-  std::vector<std::uint32_t> ChooseHeldWorkers(std::uint32_t aJob) const;
-  void ClearHeldWorkers(std::uint32_t aJob);
+  void SettlePledges(Time aNow);
+  void Unthrottle(Time aNow);
+
+  // SliceSchedulerAdoption.h
+  void LoseTasks(Time aNow,
+                 std::uint32_t aWorker,
+                 const std::unordered_set<TaskId>& aKept);
+  bool CanClaim(TaskRef aRef) const;
+  void Claim(Time aNow,
+             std::uint32_t aWorker,
+             const worker::RunningTask& aFound);
+  void AddUnclaimed(std::uint32_t aWorker, const worker::RunningTask& aFound);
+  bool EndUnclaimed(std::uint32_t aWorker, const TaskId& aTask);
+  void SettleOpening(std::uint32_t aJob);
+  void ClaimFound(Time aNow, std::uint32_t aJob);
+
+  // SliceSchedulerTaskEnds.h
+  void Unplace(TaskRef aRef);
+  void Requeue(TaskRef aRef);
+  void Finish(Time aNow, TaskRef aRef, worker::TaskOutcome aOutcome);
+  void FinishAttempt(Time aNow, TaskRef aRef, worker::TaskOutcome aOutcome);
+  void EndForGood(TaskRef aRef, TaskState aState);
+  void GiveUp(std::uint32_t aJob);
+  void NoteIfOver(std::uint32_t aJob);
+
+  // SliceSchedulerJobs.h
+  TaskRef FindTask(const TaskId& aTask) const;
+  std::uint32_t AddJob(const JobSpec& aSpec);
 
   SchedulerOptions m_options;
   SliceState m_state;
@@ -250,8 +272,20 @@
 
 } // namespace lacewing::sched
 
+#include "sched/SliceSchedulerAdoption.h"
+#include "sched/SliceSchedulerAllotments.h"
 #include "sched/SliceSchedulerDecide.h"
-#include "sched/SliceSchedulerEvents.h"
+#include "sched/SliceSchedulerFairOrder.h"
+#include "sched/SliceSchedulerGangs.h"
+#include "sched/SliceSchedulerJobs.h"
+#include "sched/SliceSchedulerMarks.h"
+#include "sched/SliceSchedulerQueries.h"
+#include "sched/SliceSchedulerRoom.h"
+#include "sched/SliceSchedulerSinglePlacement.h"
+#include "sched/SliceSchedulerStops.h"
+#include "sched/SliceSchedulerSuspects.h"
+#include "sched/SliceSchedulerTaskEnds.h"
+#include "sched/SliceSchedulerWorkers.h"
 
 namespace lacewing::sched {
 
