--- a/src/caller/JobSpec.cpp
+++ b/src/caller/JobSpec.cpp
@@ -1,6 +1,6 @@
 #include "caller/JobSpec.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 #include <set>
 
@@ -22,7 +22,7 @@
 {
   return Fail(Verdict::NotRun,
               ErrorCode::BadInput,
-              "field '" + aField + "' of the job is " + aValue.dump() +
+              "field '" + aField + "' of the job is " + ShortText(aValue) +
                 "; expected " + aExpected);
 }
 
--- a/src/cli/IniEdit.cpp
+++ b/src/cli/IniEdit.cpp
@@ -1,5 +1,6 @@
 #include "cli/IniEdit.h"
 
+#include <algorithm>
 #include <sstream>
 #include <vector>
 
@@ -59,7 +60,8 @@
       range.m_end = i;
       return range;
     }
-    if (line == "[" + aSection + "]") {
+    // A comment may follow the closing bracket.
+    if (line.starts_with("[" + aSection + "]")) {
       range.m_found = true;
       range.m_begin = i + 1;
     }
@@ -74,7 +76,7 @@
         const std::string& aKey)
 {
   for (std::size_t i = aRange.m_begin; i < aRange.m_end; ++i) {
-    const auto equals = aLines[i].find('=');
+    const auto equals = aLines[i].find_first_of("=:");
     if (equals != std::string::npos &&
         Trimmed(aLines[i].substr(0, equals)) == aKey) {
       return i;
@@ -83,6 +85,21 @@
   return std::nullopt;
 }
 
+/// Removes the indented lines that continue the value of a line, as the
+/// settings parser reads them.
+void
+EraseContinuation(std::vector<std::string>& aLines, std::size_t aLine)
+{
+  const auto isContinuation = [](const std::string& aText) {
+    const std::string trimmed = Trimmed(aText);
+    return !trimmed.empty() &&
+           (aText.front() == ' ' || aText.front() == '\t') &&
+           trimmed.front() != ';' && trimmed.front() != '#';
+  };
+  const auto first = aLines.begin() + static_cast<std::ptrdiff_t>(aLine) + 1;
+  aLines.erase(first, std::find_if_not(first, aLines.end(), isContinuation));
+}
+
 } // namespace
 
 std::string
@@ -101,6 +118,7 @@
   }
   if (const auto found = FindKey(lines, range, aKey)) {
     lines[*found] = line;
+    EraseContinuation(lines, *found);
     return Join(lines);
   }
   std::size_t at = range.m_end;
@@ -122,6 +140,7 @@
   if (!found) {
     return std::nullopt;
   }
+  EraseContinuation(lines, *found);
   lines.erase(lines.begin() + static_cast<std::ptrdiff_t>(*found));
   return Join(lines);
 }
--- a/src/daemon/PeerPayloads.cpp
+++ b/src/daemon/PeerPayloads.cpp
@@ -1,6 +1,6 @@
 #include "daemon/PeerPayloads.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 namespace lacewing::daemon {
 
@@ -8,6 +8,10 @@
 
 using Json = nlohmann::json;
 
+/// Largest age in a heartbeat. It is above any uptime, and adding it to a time
+/// does not overflow.
+constexpr Duration kMaxAge = std::chrono::hours(24 * 365 * 100);
+
 Json
 ToJson(const ownership::Hello& aMessage)
 {
@@ -103,41 +107,42 @@
 ownership::PeerMessage
 OwnershipFrom(const Json& aJson)
 {
-  const auto type = aJson.at("type").get<std::string>();
+  const auto type = TypedField<std::string>(aJson, "type");
   if (type == "hello") {
-    return ownership::Hello{ aJson.at("incarnation").get<Incarnation>(),
-                             RegionId(aJson.at("region").get<std::string>()) };
+    return ownership::Hello{ NumberField<Incarnation>(aJson, "incarnation"),
+                             RegionId(
+                               TypedField<std::string>(aJson, "region")) };
   }
   if (type == "hello_answer") {
     return ownership::HelloAnswer{
-      aJson.at("incarnation").get<Incarnation>(),
-      aJson.at("settings_version").get<std::uint64_t>()
+      NumberField<Incarnation>(aJson, "incarnation"),
+      NumberField<std::uint64_t>(aJson, "settings_version")
     };
   }
   if (type == "outage_probe") {
-    return ownership::OutageProbe{ aJson.at("round").get<std::uint64_t>(),
-                                   aJson.at("incarnation").get<Incarnation>() };
+    return ownership::OutageProbe{ NumberField<std::uint64_t>(aJson, "round"),
+                                   NumberField<Incarnation>(aJson,
+                                                            "incarnation") };
   }
   if (type == "promise") {
-    return ownership::Promise{
-      aJson.at("round").get<std::uint64_t>(),
-      aJson.at("incarnation").get<Incarnation>(),
-      aJson.at("no_takeover").get<bool>(),
-      aJson.at("no_settings").get<bool>(),
-      aJson.at("settings_version").get<std::uint64_t>()
-    };
+    return ownership::Promise{ NumberField<std::uint64_t>(aJson, "round"),
+                               NumberField<Incarnation>(aJson, "incarnation"),
+                               TypedField<bool>(aJson, "no_takeover"),
+                               TypedField<bool>(aJson, "no_settings"),
+                               NumberField<std::uint64_t>(aJson,
+                                                          "settings_version") };
   }
   if (type == "relay_renewal") {
-    return ownership::RelayRenewal{ aJson.at("version").get<RowVersion>(),
-                                    aJson.at("row").get<std::string>() };
+    return ownership::RelayRenewal{ NumberField<RowVersion>(aJson, "version"),
+                                    TypedField<std::string>(aJson, "row") };
   }
   if (type == "relay_answer") {
-    return ownership::RelayAnswer{ aJson.at("version").get<RowVersion>(),
-                                   aJson.at("row").get<std::string>() };
+    return ownership::RelayAnswer{ NumberField<RowVersion>(aJson, "version"),
+                                   TypedField<std::string>(aJson, "row") };
   }
   if (type == "slice_released") {
     return ownership::SliceReleased{ SliceId(
-      aJson.at("slice").get<std::string>()) };
+      TypedField<std::string>(aJson, "slice")) };
   }
   throw Json::other_error::create(600, "unknown type '" + type + "'", &aJson);
 }
@@ -146,14 +151,17 @@
 HeartbeatFrom(const Json& aJson)
 {
   settings::Heartbeat heartbeat;
-  heartbeat.m_incarnation = aJson.at("incarnation").get<Incarnation>();
-  heartbeat.m_number = aJson.at("number").get<std::uint64_t>();
-  heartbeat.m_echoIncarnation = aJson.at("echo_incarnation").get<Incarnation>();
-  heartbeat.m_echoNumber = aJson.at("echo_number").get<std::uint64_t>();
-  heartbeat.m_fleet = aJson.at("fleet").get<settings::FleetVersion>();
-  heartbeat.m_known = aJson.at("known").get<settings::FleetVersion>();
+  heartbeat.m_incarnation = NumberField<Incarnation>(aJson, "incarnation");
+  heartbeat.m_number = NumberField<std::uint64_t>(aJson, "number");
+  heartbeat.m_echoIncarnation =
+    NumberField<Incarnation>(aJson, "echo_incarnation");
+  heartbeat.m_echoNumber = NumberField<std::uint64_t>(aJson, "echo_number");
+  heartbeat.m_fleet = NumberField<settings::FleetVersion>(aJson, "fleet");
+  heartbeat.m_known = NumberField<settings::FleetVersion>(aJson, "known");
   if (aJson.contains("age_us")) {
-    heartbeat.m_age = Duration(aJson.at("age_us").get<Duration::rep>());
+    // A negative age would make settings look fresher than they are.
+    heartbeat.m_age =
+      Duration(NumberField<Duration::rep>(aJson, "age_us", 0, kMaxAge.count()));
   }
   return heartbeat;
 }
@@ -161,21 +169,24 @@
 settings::PeerMessage
 SettingsFrom(const Json& aJson)
 {
-  const auto type = aJson.at("type").get<std::string>();
+  const auto type = TypedField<std::string>(aJson, "type");
   if (type == "heartbeat") {
     return HeartbeatFrom(aJson);
   }
   if (type == "rows_request") {
-    return settings::RowsRequest{
-      aJson.at("fleet").get<settings::FleetVersion>(),
-      aJson.at("have").get<std::map<std::string, settings::SettingsVersion>>()
-    };
+    settings::RowsRequest request;
+    request.m_fleet = NumberField<settings::FleetVersion>(aJson, "fleet");
+    for (const auto& [subtree, version] : ObjectField(aJson, "have").items()) {
+      request.m_have[subtree] =
+        WholeNumber<settings::SettingsVersion>(version, "have." + subtree);
+    }
+    return request;
   }
   if (type == "rows_answer") {
     settings::RowsAnswer answer;
-    for (const auto& [key, row] : aJson.at("rows").items()) {
-      answer.m_rows[key] = { row.at("value").get<std::string>(),
-                             row.at("version").get<RowVersion>() };
+    for (const auto& [key, row] : ObjectField(aJson, "rows").items()) {
+      answer.m_rows[key] = { TypedField<std::string>(row, "value"),
+                             NumberField<RowVersion>(row, "version") };
     }
     return answer;
   }
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -1,6 +1,6 @@
 #include "jobs/JobRecord.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 #include <array>
 #include <cstdio>
@@ -28,13 +28,15 @@
 }
 
 std::set<std::uint32_t>
-FromRanges(const Json& aRanges)
+FromRanges(const Json& aBody, const char* aField)
 {
   std::set<std::uint32_t> indices;
-  for (const Json& range : aRanges) {
-    const auto first = range.at(0).get<std::uint32_t>();
+  for (const Json& range : ArrayField(aBody, aField)) {
+    constexpr std::uint32_t kLargest = caller::kMaxTasksPerJob - 1;
+    const auto first =
+      WholeNumber<std::uint32_t>(range.at(0), aField, 0, kLargest);
     const auto last =
-      std::min(range.at(1).get<std::uint32_t>(), caller::kMaxTasksPerJob);
+      WholeNumber<std::uint32_t>(range.at(1), aField, first, kLargest);
     for (std::uint32_t index = first; index <= last; ++index) {
       indices.insert(indices.end(), index);
     }
@@ -42,6 +44,39 @@
   return indices;
 }
 
+/// The job in a row. Bad input in a row is a fault of the system, not of the
+/// caller.
+Result<caller::JobSpec>
+SpecFrom(const JobId& aJob, const Json& aSpec)
+{
+  for (const Json& value : aSpec) {
+    // A nested value is never valid, and printing a deep one would overflow
+    // the stack.
+    if (value.is_structured()) {
+      ThrowBadField("spec", value, "fields with plain values");
+    }
+  }
+  std::string fault;
+  const auto spec = leaf::try_handle_all(
+    [&]() -> Result<caller::JobSpec> {
+      return caller::DecodeJobSpec(aSpec.dump());
+    },
+    [&](const Error& aError) {
+      fault = aError.m_message;
+      return caller::JobSpec();
+    },
+    [&] {
+      fault = "unknown error";
+      return caller::JobSpec();
+    });
+  if (!fault.empty()) {
+    return Fail(Verdict::Ran,
+                ErrorCode::Internal,
+                "row of job " + aJob.Value() + ": " + fault);
+  }
+  return spec;
+}
+
 } // namespace
 
 std::string
@@ -89,7 +124,7 @@
                         Json::parse(caller::EncodeJobSpec(aRecord.m_spec)) },
                       { "ending", NameOf(aRecord.m_ending) },
                       { "cancel_requested", aRecord.m_cancelRequested },
-    { "marked", ToRanges(aRecord.m_marked) },
+                      { "marked", ToRanges(aRecord.m_marked) },
                       { "succeeded", ToRanges(aRecord.m_succeeded) },
                       { "nonce", aRecord.m_nonce } };
   return body.dump();
@@ -102,21 +137,20 @@
     const Json body = Json::parse(aText);
     JobRecord record;
     record.m_id = aJob;
-    record.m_team = TeamId(body.at("team").get<std::string>());
-    BOOST_LEAF_ASSIGN(record.m_spec,
-                      caller::DecodeJobSpec(body.at("spec").dump()));
+    record.m_team = TeamId(TypedField<std::string>(body, "team"));
+    BOOST_LEAF_ASSIGN(record.m_spec, SpecFrom(aJob, body.at("spec")));
     const auto ending =
-      ParseName<JobEnding>(body.at("ending").get<std::string>());
+      ParseName<JobEnding>(TypedField<std::string>(body, "ending"));
     if (!ending) {
       return Fail(Verdict::Ran,
                   ErrorCode::Internal,
                   "row of job " + aJob.Value() + " has an unknown ending");
     }
     record.m_ending = *ending;
-    record.m_cancelRequested = body.at("cancel_requested").get<bool>();
-    record.m_marked = FromRanges(body.at("marked"));
-    record.m_succeeded = FromRanges(body.at("succeeded"));
-    record.m_nonce = body.at("nonce").get<std::string>();
+    record.m_cancelRequested = TypedField<bool>(body, "cancel_requested");
+    record.m_marked = FromRanges(body, "marked");
+    record.m_succeeded = FromRanges(body, "succeeded");
+    record.m_nonce = TypedField<std::string>(body, "nonce");
     return record;
   } catch (const Json::exception& error) {
     return Fail(Verdict::Ran,
--- a/src/net/Address.cpp
+++ b/src/net/Address.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 bool
-IsIpNumber(const std::string& aText)
+IsIpNumber(const std::string& aText, int aFamily)
 {
-  in_addr v4{};
-  in6_addr v6{};
-  return inet_pton(AF_INET, aText.c_str(), &v4) == 1 ||
-         inet_pton(AF_INET6, aText.c_str(), &v6) == 1;
+  in6_addr buffer{}; // large enough for both families
+  // inet_pton stops at a NUL byte and would accept any text behind it.
+  return aText.find('\0') == std::string::npos &&
+         inet_pton(aFamily, aText.c_str(), &buffer) == 1;
 }
 
 } // namespace
@@ -45,16 +45,18 @@
   }
   Address address;
   address.m_ip = std::string(aText.substr(0, colon));
+  int family = AF_INET;
   if (address.m_ip.size() > 2 && address.m_ip.front() == '[' &&
       address.m_ip.back() == ']') {
     address.m_ip = address.m_ip.substr(1, address.m_ip.size() - 2);
+    family = AF_INET6;
   }
   const std::string_view portText = aText.substr(colon + 1);
   const auto parsed = std::from_chars(
     portText.data(), portText.data() + portText.size(), address.m_port);
   const bool wholePort = parsed.ptr == portText.data() + portText.size();
   if (parsed.ec != std::errc() || !wholePort || address.m_port == 0 ||
-      !IsIpNumber(address.m_ip)) {
+      !IsIpNumber(address.m_ip, family)) {
     return fail();
   }
   return address;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -77,6 +77,19 @@
   return result;
 }
 
+/// Number of header lines; repeated names count each time.
+std::size_t
+HeaderCount(evhttp_request* aRequest)
+{
+  std::size_t count = 0;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* item = headers->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    ++count;
+  }
+  return count;
+}
+
 HttpRequest
 ToRequest(evhttp_request* aRequest)
 {
@@ -162,14 +175,14 @@
   SetNoDelay(bufferevent_getfd(evhttp_connection_get_bufferevent(
     evhttp_request_get_connection(aRequest))));
   const HttpRequest request = ToRequest(aRequest);
-  if (request.m_headers.size() > self->m_limits.m_maxHeaderCount) {
+  const std::size_t headerCount = HeaderCount(aRequest);
+  if (headerCount > self->m_limits.m_maxHeaderCount) {
     Send(
       aRequest,
       ErrorResponse(
         { Verdict::NotRun,
           ErrorCode::TooLarge,
-          "request has " + std::to_string(request.m_headers.size()) +
-            " headers; at most " +
+          "request has " + std::to_string(headerCount) + " headers; at most " +
             std::to_string(self->m_limits.m_maxHeaderCount) + " are taken" }));
     return;
   }
@@ -198,7 +211,11 @@
   const nlohmann::json body = { { "verdict", NameOf(aError.m_verdict) },
                                 { "error", NameOf(aError.m_code) },
                                 { "message", aError.m_message } };
-  return JsonResponse(HttpStatusOf(aError.m_code), body.dump());
+  // The message may quote bytes of the request that are not valid UTF-8; the
+  // library's default for these is an exception, which would end the process.
+  return JsonResponse(
+    HttpStatusOf(aError.m_code),
+    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 } // namespace lacewing::net
--- a/src/table/TableCodec.cpp
+++ b/src/table/TableCodec.cpp
@@ -1,6 +1,6 @@
 #include "table/TableCodec.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 namespace lacewing::table {
 
@@ -76,15 +76,15 @@
 {
   return Guarded(aBody, [](const Json& aJson) {
     Commit commit;
-    for (const Json& check : aJson.at("checks")) {
-      commit.m_checks.push_back({ check.at("key").get<std::string>(),
-                                  check.at("version").get<RowVersion>() });
+    for (const Json& check : ArrayField(aJson, "checks")) {
+      commit.m_checks.push_back({ TypedField<std::string>(check, "key"),
+                                  NumberField<RowVersion>(check, "version") });
     }
-    for (const Json& put : aJson.at("puts")) {
-      commit.m_puts.push_back({ put.at("key").get<std::string>(),
-                                put.at("value").get<std::string>() });
+    for (const Json& put : ArrayField(aJson, "puts")) {
+      commit.m_puts.push_back({ TypedField<std::string>(put, "key"),
+                                TypedField<std::string>(put, "value") });
     }
-    commit.m_deletes = aJson.at("deletes").get<std::vector<std::string>>();
+    commit.m_deletes = TypedField<std::vector<std::string>>(aJson, "deletes");
     return commit;
   });
 }
@@ -94,8 +94,8 @@
 {
   return Guarded(aBody, [](const Json& aJson) {
     Read read;
-    read.m_keys = aJson.at("keys").get<std::vector<std::string>>();
-    read.m_prefixes = aJson.at("prefixes").get<std::vector<std::string>>();
+    read.m_keys = TypedField<std::vector<std::string>>(aJson, "keys");
+    read.m_prefixes = TypedField<std::vector<std::string>>(aJson, "prefixes");
     return read;
   });
 }
@@ -106,10 +106,14 @@
   return Guarded(aBody, [](const Json& aJson) {
     CommitResult result;
     const auto state =
-      ParseName<CommitState>(aJson.at("state").get<std::string>());
-    result.m_state = state.value_or(CommitState::Unknown);
-    result.m_version = aJson.at("version").get<RowVersion>();
-    result.m_conflicts = aJson.at("conflicts").get<std::vector<std::string>>();
+      ParseName<CommitState>(TypedField<std::string>(aJson, "state"));
+    if (!state) {
+      ThrowBadField("state", aJson.at("state"), "the name of a commit state");
+    }
+    result.m_state = *state;
+    result.m_version = NumberField<RowVersion>(aJson, "version");
+    result.m_conflicts =
+      TypedField<std::vector<std::string>>(aJson, "conflicts");
     return result;
   });
 }
@@ -119,10 +123,10 @@
 {
   return Guarded(aBody, [](const Json& aJson) {
     ReadResult result;
-    for (const Json& row : aJson.at("rows")) {
-      result.m_rows[row.at("key").get<std::string>()] =
-        Row{ row.at("value").get<std::string>(),
-             row.at("version").get<RowVersion>() };
+    for (const Json& row : ArrayField(aJson, "rows")) {
+      result.m_rows[TypedField<std::string>(row, "key")] =
+        Row{ TypedField<std::string>(row, "value"),
+             NumberField<RowVersion>(row, "version") };
     }
     result.m_ok = true;
     return result;
--- a/src/vmlist/VmList.cpp
+++ b/src/vmlist/VmList.cpp
@@ -1,6 +1,6 @@
 #include "vmlist/VmList.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 namespace lacewing::vmlist {
 
@@ -8,6 +8,10 @@
 
 using Json = nlohmann::json;
 
+/// Largest number of slots or connections of an endpoint; sums over a fleet
+/// stay within an int.
+constexpr int kMaxSlots = 100'000;
+
 Json
 ToJson(const Vm& aVm)
 {
@@ -39,24 +43,37 @@
               "VM list has the unknown name '" + text + "'");
 }
 
+/// An optional whole number, 0 if it is absent.
+template<typename Number>
+Number
+AmountFrom(const Json& aJson, const char* aField, Number aMax)
+{
+  const auto found = aJson.find(aField);
+  return found == aJson.end() ? 0
+                              : WholeNumber<Number>(*found, aField, 0, aMax);
+}
+
 Result<Vm>
 VmFrom(const Json& aJson)
 {
   Vm vm;
-  vm.m_vm = VmId(aJson.at("vm").get<std::string>());
+  vm.m_vm = VmId(TypedField<std::string>(aJson, "vm"));
   BOOST_LEAF_ASSIGN(vm.m_kind, EnumFrom<VmKind>(aJson.at("kind")));
   BOOST_LEAF_ASSIGN(vm.m_state, EnumFrom<VmState>(aJson.at("state")));
-  BOOST_LEAF_ASSIGN(vm.m_address,
-                    net::ParseAddress(aJson.at("address").get<std::string>()));
-  vm.m_region = RegionId(aJson.at("region").get<std::string>());
-  vm.m_domain = DomainId(aJson.at("domain").get<std::string>());
+  BOOST_LEAF_ASSIGN(
+    vm.m_address, net::ParseAddress(TypedField<std::string>(aJson, "address")));
+  vm.m_region = RegionId(TypedField<std::string>(aJson, "region"));
+  vm.m_domain = DomainId(TypedField<std::string>(aJson, "domain"));
   vm.m_rack = aJson.value("rack", "");
-  vm.m_capacity.m_millicores = aJson.value("millicores", std::int64_t{ 0 });
-  vm.m_capacity.m_memoryMib = aJson.value("memory_mib", std::int64_t{ 0 });
-  vm.m_capacity.m_accelerators = aJson.value("accelerators", std::int64_t{ 0 });
+  vm.m_capacity.m_millicores =
+    AmountFrom(aJson, "millicores", kMaxResourceAmount);
+  vm.m_capacity.m_memoryMib =
+    AmountFrom(aJson, "memory_mib", kMaxResourceAmount);
+  vm.m_capacity.m_accelerators =
+    AmountFrom(aJson, "accelerators", kMaxResourceAmount);
   vm.m_service = ServiceId(aJson.value("service", ""));
-  vm.m_slots = aJson.value("slots", 0);
-  vm.m_connections = aJson.value("connections", 0);
+  vm.m_slots = AmountFrom(aJson, "slots", kMaxSlots);
+  vm.m_connections = AmountFrom(aJson, "connections", kMaxSlots);
   return vm;
 }
 
@@ -79,7 +96,7 @@
   try {
     const Json body = Json::parse(aBody);
     std::vector<Vm> vms;
-    for (const Json& item : body.at("vms")) {
+    for (const Json& item : ArrayField(body, "vms")) {
       BOOST_LEAF_AUTO(vm, VmFrom(item));
       vms.push_back(std::move(vm));
     }
--- a/src/worker/WorkerMessages.cpp
+++ b/src/worker/WorkerMessages.cpp
@@ -1,6 +1,6 @@
 #include "worker/WorkerMessages.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 namespace lacewing::worker {
 
@@ -16,19 +16,26 @@
            { "accelerators", aResources.m_accelerators } };
 }
 
+/// An amount of a resource, never negative.
+std::int64_t
+AmountFrom(const Json& aJson, const char* aField)
+{
+  return NumberField<std::int64_t>(aJson, aField, 0, kMaxResourceAmount);
+}
+
 Resources
 ResourcesFrom(const Json& aJson)
 {
-  return { aJson.at("millicores").get<std::int64_t>(),
-           aJson.at("memory_mib").get<std::int64_t>(),
-           aJson.at("accelerators").get<std::int64_t>() };
+  return { AmountFrom(aJson, "millicores"),
+           AmountFrom(aJson, "memory_mib"),
+           AmountFrom(aJson, "accelerators") };
 }
 
 TaskId
 TaskFrom(const Json& aJson)
 {
-  return { JobId(aJson.at("job").get<std::string>()),
-           aJson.at("index").get<std::uint32_t>() };
+  return { JobId(TypedField<std::string>(aJson, "job")),
+           NumberField<std::uint32_t>(aJson, "index") };
 }
 
 template<typename Enum>
@@ -60,9 +67,9 @@
   Command command;
   command.m_kind = EnumFrom<CommandKind>(aJson.at("kind"));
   command.m_task = TaskFrom(aJson);
-  command.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  command.m_attempt = NumberField<std::uint32_t>(aJson, "attempt");
   command.m_reserved = ResourcesFrom(aJson.at("reserved"));
-  command.m_runMs = aJson.at("run_ms").get<std::int64_t>();
+  command.m_runMs = NumberField<std::int64_t>(aJson, "run_ms");
   return command;
 }
 
@@ -82,10 +89,10 @@
 {
   RunningTask task;
   task.m_task = TaskFrom(aJson);
-  task.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  task.m_attempt = NumberField<std::uint32_t>(aJson, "attempt");
   task.m_reserved = ResourcesFrom(aJson.at("reserved"));
   task.m_used = ResourcesFrom(aJson.at("used"));
-  task.m_throttled = aJson.at("throttled").get<bool>();
+  task.m_throttled = TypedField<bool>(aJson, "throttled");
   return task;
 }
 
@@ -103,9 +110,9 @@
 EndedFrom(const Json& aJson)
 {
   EndedTask task;
-  task.m_sequence = aJson.at("sequence").get<std::uint64_t>();
+  task.m_sequence = NumberField<std::uint64_t>(aJson, "sequence");
   task.m_task = TaskFrom(aJson);
-  task.m_attempt = aJson.at("attempt").get<std::uint32_t>();
+  task.m_attempt = NumberField<std::uint32_t>(aJson, "attempt");
   task.m_outcome = EnumFrom<TaskOutcome>(aJson.at("outcome"));
   return task;
 }
@@ -168,12 +175,12 @@
 {
   return Guarded(aBody, [](const Json& aJson) {
     ControlRequest request;
-    request.m_slice = SliceId(aJson.at("slice").get<std::string>());
-    request.m_epoch = aJson.at("epoch").get<Epoch>();
-    request.m_token = aJson.at("token").get<std::uint64_t>();
-    request.m_sequence = aJson.at("sequence").get<std::uint64_t>();
-    request.m_endedSeen = aJson.at("ended_seen").get<std::uint64_t>();
-    for (const Json& command : aJson.at("commands")) {
+    request.m_slice = SliceId(TypedField<std::string>(aJson, "slice"));
+    request.m_epoch = NumberField<Epoch>(aJson, "epoch");
+    request.m_token = NumberField<std::uint64_t>(aJson, "token");
+    request.m_sequence = NumberField<std::uint64_t>(aJson, "sequence");
+    request.m_endedSeen = NumberField<std::uint64_t>(aJson, "ended_seen");
+    for (const Json& command : ArrayField(aJson, "commands")) {
       request.m_commands.push_back(CommandFrom(command));
     }
     return request;
@@ -185,14 +192,14 @@
 {
   return Guarded(aBody, [](const Json& aJson) {
     ControlReply reply;
-    reply.m_accepted = aJson.at("accepted").get<bool>();
-    reply.m_epoch = aJson.at("epoch").get<Epoch>();
-    reply.m_token = aJson.at("token").get<std::uint64_t>();
+    reply.m_accepted = TypedField<bool>(aJson, "accepted");
+    reply.m_epoch = NumberField<Epoch>(aJson, "epoch");
+    reply.m_token = NumberField<std::uint64_t>(aJson, "token");
     reply.m_capacity = ResourcesFrom(aJson.at("capacity"));
-    for (const Json& task : aJson.at("running")) {
+    for (const Json& task : ArrayField(aJson, "running")) {
       reply.m_running.push_back(RunningFrom(task));
     }
-    for (const Json& task : aJson.at("ended")) {
+    for (const Json& task : ArrayField(aJson, "ended")) {
       reply.m_ended.push_back(EndedFrom(task));
     }
     return reply;
