Refuse paths that are not UTF-8; read peers' job messages without exceptions

Cause: handlers put parts of the path and the query into JSON texts (a job id in the question to another owner, keys of a read), and the JSON library throws when it prints bytes that are not valid UTF-8. JobFront read fields of peers' messages and of submission rows with a function of the library that throws for a field of another type. No caller of either catches the exception.

Change: HttpServer answers 400 (not run) for such a path or query. JobFront treats a field of another type as missing; a submitted job without a row version is refused as bad input.

Conclusion: text from a caller's request line cannot raise this exception. The change in JobFront has no test of its own.

--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -51,6 +51,17 @@
   return body.dump();
 }
 
+/// A text field; empty if it is missing or not a text. The library's own
+/// function throws for a field of another type.
+std::string
+TextOf(const Json& aObject, const char* aField)
+{
+  const auto found = aObject.find(aField);
+  return found != aObject.end() && found->is_string()
+           ? found->get<std::string>()
+           : std::string();
+}
+
 Result<jobs::JobRecord>
 DecodeSubmission(const std::string& aText)
 {
@@ -60,8 +71,7 @@
                 ErrorCode::Internal,
                 "the submission's row is malformed");
   }
-  return jobs::DecodeRecord(JobId(body.value("job", "")),
-                            body.value("record", ""));
+  return jobs::DecodeRecord(JobId(TextOf(body, "job")), TextOf(body, "record"));
 }
 
 Error
@@ -363,7 +373,7 @@
       { Verdict::NotRun, ErrorCode::BadInput, "the submitted job is not JSON" }
     };
   }
-  const JobId job(body.value("job", ""));
+  const JobId job(TextOf(body, "job"));
   const auto owner = m_localOwner(jobs::SliceOf(job));
   if (!owner) {
     return peer::Refusal{ { Verdict::NotRun,
@@ -373,9 +383,15 @@
   }
   return leaf::try_handle_all(
     [&]() -> Result<peer::PeerMessage> {
-      BOOST_LEAF_AUTO(record,
-                      jobs::DecodeRecord(job, body.value("record", "")));
-      owner->Submit(record, body.value("version", RowVersion{ 0 }));
+      BOOST_LEAF_AUTO(record, jobs::DecodeRecord(job, TextOf(body, "record")));
+      const auto version = body.find("version");
+      if (version == body.end() || !version->is_number_unsigned()) {
+        return Fail(Verdict::NotRun,
+                    ErrorCode::BadInput,
+                    "the version of job " + job.Value() +
+                      "'s row is missing or no whole number");
+      }
+      owner->Submit(record, version->get<RowVersion>());
       return peer::PeerMessage(peer::JobReply{ kOk, "{}" });
     },
     [](const Error& aError) {
@@ -435,16 +451,14 @@
 JobFront::OnQuestion(const std::string& aBody)
 {
   const Json body = Json::parse(aBody, nullptr, false);
-  const auto question = body.is_object()
-                          ? ParseName<JobQuestion>(body.value("question", ""))
-                          : std::nullopt;
+  const auto question = ParseName<JobQuestion>(TextOf(body, "question"));
   if (!question) {
     return peer::Refusal{ { Verdict::NotRun,
                             ErrorCode::BadInput,
                             "the question about a job is malformed" } };
   }
-  const auto response = Answer(
-    JobId(body.value("job", "")), TeamId(body.value("team", "")), *question);
+  const auto response =
+    Answer(JobId(TextOf(body, "job")), TeamId(TextOf(body, "team")), *question);
   return peer::JobReply{ response.m_status, response.m_body };
 }
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <memory>
 
 namespace lacewing::net {
@@ -90,6 +91,34 @@
   return count;
 }
 
+bool
+IsUtf8(const std::string& aText)
+{
+  const auto isAscii = [](char aByte) {
+    return static_cast<unsigned char>(aByte) < 0x80;
+  };
+  if (std::ranges::all_of(aText, isAscii)) {
+    return true;
+  }
+  try {
+    const std::string quoted = nlohmann::json(aText).dump();
+    return !quoted.empty();
+  } catch (const nlohmann::json::type_error&) {
+    return false;
+  }
+}
+
+/// True if the path and the query are valid UTF-8. Handlers put parts of them
+/// into JSON texts, and the library refuses other bytes with an exception.
+bool
+HasTextTarget(const HttpRequest& aRequest)
+{
+  return IsUtf8(aRequest.m_path) &&
+         std::ranges::all_of(aRequest.m_query, [](const auto& aItem) {
+           return IsUtf8(aItem.first) && IsUtf8(aItem.second);
+         });
+}
+
 HttpRequest
 ToRequest(evhttp_request* aRequest)
 {
@@ -186,6 +215,14 @@
             std::to_string(self->m_limits.m_maxHeaderCount) + " are taken" }));
     return;
   }
+  if (!HasTextTarget(request)) {
+    Send(aRequest,
+         ErrorResponse(
+           { Verdict::NotRun,
+             ErrorCode::BadInput,
+             "path or query of '" + request.m_path + "' is not valid UTF-8" }));
+    return;
+  }
   ++*self->m_open;
   const auto open = self->m_open;
   self->m_handler(request, [aRequest, open](const HttpResponse& aResponse) {
--- a/tests/error/HttpLoopback.cpp
+++ b/tests/error/HttpLoopback.cpp
@@ -236,6 +236,16 @@
   EXPECT_TRUE(HasStatus(server.AnswerTo("GET / HTTP/1.1\r\n\r\n"), "200"));
 }
 
+TEST(HttpLoopback, PathsAndQueriesThatAreNotUtf8AreRefused)
+{
+  CountingServer server;
+  const std::string end = " HTTP/1.1\r\n\r\n";
+  EXPECT_TRUE(HasStatus(server.AnswerTo("GET /v1/jobs/s.%ff" + end), "400"));
+  EXPECT_TRUE(HasStatus(server.AnswerTo("GET /?team=%c0%80" + end), "400"));
+  EXPECT_EQ(server.m_handled, 0);
+  EXPECT_TRUE(HasStatus(server.AnswerTo("GET /%c3%bc" + end), "200"));
+}
+
 TEST(HttpLoopback, ClientThatGoesAwayBeforeTheReplyDoesNoHarm)
 {
   Loop loop;
