Fix lint findings in the decoder tests and JobRecord

Cause: clang-tidy reported a const value that is returned, adjacent string literals in a list and a captured structured binding. Change: the value is not const, the literal is a constant of its own, the binding is captured by an initializer. No check of a test changed. Conclusion: no change of behaviour.

--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -57,7 +57,7 @@
     }
   }
   std::string fault;
-  const auto spec = leaf::try_handle_all(
+  auto spec = leaf::try_handle_all(
     [&]() -> Result<caller::JobSpec> {
       return caller::DecodeJobSpec(aSpec.dump());
     },
--- a/tests/correctness/CodecRoundTrip.cpp
+++ b/tests/correctness/CodecRoundTrip.cpp
@@ -25,6 +25,9 @@
   EXPECT_EQ(nlohmann::json::parse(again), nlohmann::json::parse(aText));
 }
 
+const std::string kPromise =
+  R"({"type":"promise","round":1,"incarnation":2,"no_takeover":true,)"
+  R"("no_settings":false,"settings_version":3})";
 /// Packs an unpacked message.
 constexpr auto kPack = [](const auto& aMessage) {
   return daemon::Pack(aMessage).m_text;
@@ -112,12 +115,11 @@
 
 TEST(CodecRoundTrip, PeerMessages)
 {
-  for (const std::string text :
-       { R"({"type":"hello","incarnation":1,"region":"r"})",
+  for (const std::string& text : std::vector<std::string>{
+         R"({"type":"hello","incarnation":1,"region":"r"})",
          R"({"type":"hello_answer","incarnation":1,"settings_version":2})",
          R"({"type":"outage_probe","round":1,"incarnation":2})",
-         R"({"type":"promise","round":1,"incarnation":2,"no_takeover":true,)"
-         R"("no_settings":false,"settings_version":3})",
+         kPromise,
          R"({"type":"relay_renewal","version":1,"row":"x"})",
          R"({"type":"relay_answer","version":1,"row":"x"})",
          R"({"type":"slice_released","slice":"s"})" }) {
--- a/tests/error/JobDecoders.cpp
+++ b/tests/error/JobDecoders.cpp
@@ -107,7 +107,10 @@
   };
   for (const auto& [name, value] : headers) {
     FuzzDecoder(
-      [&](const std::string& aText) { return ContextOf(name, aText); }, value);
+      [header = name](const std::string& aText) {
+        return ContextOf(header, aText);
+      },
+      value);
   }
 }
 
--- a/tests/error/MessageDecoders.cpp
+++ b/tests/error/MessageDecoders.cpp
@@ -47,12 +47,14 @@
   R"({"type":"rows_request","fleet":1,"have":{"system":2}})";
 const std::string kRowsAnswer =
   R"({"type":"rows_answer","rows":{"a":{"value":"v","version":1}}})";
+const std::string kPromise =
+  R"({"type":"promise","round":1,"incarnation":2,"no_takeover":true,)"
+  R"("no_settings":false,"settings_version":3})";
 const std::vector<std::string> kOwnership = {
   R"({"type":"hello","incarnation":1,"region":"r"})",
   R"({"type":"hello_answer","incarnation":1,"settings_version":2})",
   R"({"type":"outage_probe","round":1,"incarnation":2})",
-  R"({"type":"promise","round":1,"incarnation":2,"no_takeover":true,)"
-  R"("no_settings":false,"settings_version":3})",
+  kPromise,
   R"({"type":"relay_renewal","version":1,"row":"x"})",
   R"({"type":"relay_answer","version":1,"row":"x"})",
   R"({"type":"slice_released","slice":"s"})"
