Remove teams, resolve uncertain jobs, and do not send unchanged VM lists again

Cause: 'teams remove' asked for a DELETE that the daemon answered like a GET, so that nothing was removed; jobs in the state may_have_run could be decided only by hand; the list of VMs was sent whole every second to each daemon (231 bytes a VM, measured).

--- a/programs/lacewing.cpp
+++ b/programs/lacewing.cpp
@@ -43,6 +43,7 @@
   lacewing [options] submit FILE [--idempotency-key=KEY] [--wait]
   lacewing [options] status JOB
   lacewing [options] cancel JOB
+  lacewing [options] resolve JOB (--run-again | --give-up)
   lacewing [options] explain JOB
   lacewing [options] members
   lacewing [options] nodes
@@ -62,6 +63,8 @@
   --requests=N       Upper limit of running service requests.
   --base=VERSION     Version of the subtree that the file was made from.
   --wait             Return when it is in force or has ended.
+  --run-again        Run the job's tasks again that may have run.
+  --give-up          Count the job's tasks that may have run as failed.
   --bootstrap        The file is a daemon's own file.
   --chrome           Print the time line in the Chrome trace format.
 
@@ -111,6 +114,7 @@
   { "submit", "", cli::Submit },
   { "status", "", cli::Status },
   { "cancel", "", cli::Cancel },
+  { "resolve", "", cli::Resolve },
   { "explain", "", cli::Explain },
   { "members", "", cli::Members },
   { "nodes", "", cli::Nodes },
--- a/src/cli/Completion.cpp
+++ b/src/cli/Completion.cpp
@@ -11,6 +11,7 @@
   local words
   if [ "$COMP_CWORD" -eq 1 ]; then
     words="teams keys share limit queues settings submit status cancel explain
+      resolve
       members nodes top drain timeline completion --help --version"
   elif [ "$COMP_CWORD" -eq 2 ]; then
     case $group in
--- a/src/cli/JobCommands.cpp
+++ b/src/cli/JobCommands.cpp
@@ -99,6 +99,18 @@
   return {};
 }
 
+Result<void>
+Resolve(CommandContext& aContext)
+{
+  Call call;
+  call.m_method = "POST";
+  call.m_path = "/v1/jobs/" + aContext.Get("JOB") +
+                (aContext.Has("--run-again") ? "/run-again" : "/give-up");
+  BOOST_LEAF_AUTO(answer, aContext.m_client.Json(call));
+  PrintObject(aContext.m_out, aContext.m_format, answer);
+  return {};
+}
+
 Result<void>
 Explain(CommandContext& aContext)
 {
--- a/src/cli/JobCommands.h
+++ b/src/cli/JobCommands.h
@@ -11,6 +11,10 @@
 Status(CommandContext& aContext);
 Result<void>
 Cancel(CommandContext& aContext);
+/// Decides about tasks that may have run: run them again or count them as
+/// failed.
+Result<void>
+Resolve(CommandContext& aContext);
 Result<void>
 Explain(CommandContext& aContext);
 
--- a/src/cli/SubtreeClient.cpp
+++ b/src/cli/SubtreeClient.cpp
@@ -62,13 +62,6 @@
   return body.value("version", std::uint64_t{ 0 });
 }
 
-Result<void>
-DeleteSubtree(EntryClient& aClient, const Subtree& aSubtree)
-{
-  BOOST_LEAF_CHECK(aClient.Json(SubtreeCall("DELETE", aSubtree)));
-  return {};
-}
-
 Result<std::uint64_t>
 EditSubtree(EntryClient& aClient,
             const std::string& aName,
--- a/src/cli/SubtreeClient.h
+++ b/src/cli/SubtreeClient.h
@@ -24,10 +24,6 @@
 Result<std::uint64_t>
 ReplaceSubtree(EntryClient& aClient, const Subtree& aSubtree);
 
-/// Deletes the subtree if it still has the version.
-Result<void>
-DeleteSubtree(EntryClient& aClient, const Subtree& aSubtree);
-
 /// Reads the subtree, edits its text and replaces it; starts over when another
 /// operator's change comes between. Errors: those of the edit, `NotFound` if
 /// there is no such subtree.
--- a/src/cli/TeamCommands.cpp
+++ b/src/cli/TeamCommands.cpp
@@ -43,6 +43,12 @@
   return Check(settings::Scope::Team, subtree.m_text);
 }
 
+bool
+IsRemoved(const settings::CheckedText& aTeam)
+{
+  return aTeam.Get(kTeamSection, "removed") == "true";
+}
+
 nlohmann::json
 TextOrNull(const settings::CheckedText& aTeam, const std::string& aKey)
 {
@@ -118,7 +124,9 @@
     if (name.starts_with(settings::kTeamPrefix)) {
       const std::string team = name.substr(settings::kTeamPrefix.size());
       BOOST_LEAF_AUTO(text, FetchTeam(aContext, team));
-      teams.push_back(Describe(team, text));
+      if (!IsRemoved(text)) {
+        teams.push_back(Describe(team, text));
+      }
     }
   }
   PrintList(aContext.m_out,
@@ -142,7 +150,13 @@
 CreateTeam(CommandContext& aContext)
 {
   const std::string team = aContext.Get("TEAM");
-  Subtree subtree{ SubtreeOf(team), 0, "" };
+  BOOST_LEAF_AUTO(subtree, FetchSubtree(aContext.m_client, SubtreeOf(team)));
+  BOOST_LEAF_AUTO(present, Check(settings::Scope::Team, subtree.m_text));
+  if (subtree.m_version != 0 && !IsRemoved(present)) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::Conflict,
+                "there is a team '" + team + "' already");
+  }
   subtree.m_text =
     WithOptions(aContext, SetIniValue("", kTeamSection, "weight", "1"));
   BOOST_LEAF_AUTO(version, ReplaceSubtree(aContext.m_client, subtree));
@@ -156,12 +170,13 @@
 RemoveTeam(CommandContext& aContext)
 {
   const std::string team = aContext.Get("TEAM");
-  BOOST_LEAF_AUTO(subtree, FetchSubtree(aContext.m_client, SubtreeOf(team)));
-  if (subtree.m_version == 0) {
-    return Fail(
-      Verdict::NotRun, ErrorCode::NotFound, "there is no team '" + team + "'");
-  }
-  BOOST_LEAF_CHECK(DeleteSubtree(aContext.m_client, subtree));
+  // The keys go with the text; accepted work goes on.
+  BOOST_LEAF_CHECK(EditSubtree(aContext.m_client,
+                               SubtreeOf(team),
+                               [](const std::string&) -> Result<std::string> {
+                                 return SetIniValue(
+                                   "", kTeamSection, "removed", "true");
+                               }));
   PrintObject(aContext.m_out,
               aContext.m_format,
               { { "team", team }, { "removed", true } });
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -124,6 +124,11 @@
   if (aRequest.m_method == "PUT") {
     return PutSubtree(aRequest, subtree, aReply);
   }
+  if (aRequest.m_method != "GET") {
+    return Fail(Verdict::NotRun,
+                ErrorCode::NotFound,
+                "no such path: " + aRequest.m_method + " " + aRequest.m_path);
+  }
   GetSubtree(subtree, aReply);
   return {};
 }
--- a/src/settings/Schema.cpp
+++ b/src/settings/Schema.cpp
@@ -122,6 +122,7 @@
   Number(Scope::Team, "team", "weight", Real, "", 0.001, 1'000'000, "1", "Share of the team relative to the other teams."),
   Number(Scope::Team, "team", "limit.millicores", Integer, "millicores", 0, 1e12, "", "Upper limit of running tasks; none if absent."),
   Number(Scope::Team, "team", "limit.requests", Integer, "requests", 0, 1e9, "", "Upper limit of running service requests; none if absent."),
+  { Scope::Team, "team", "removed", Boolean, "", 1, kMaxText, "false", false, "", "The team has been removed; nothing is taken for it any more." },
   { Scope::Team, "team", "key.*", KeyDigest, "", 1, kMaxText, "", false, "", "Digest of a key of the team." },
   { Scope::Team, "team", "key_state.*", Choice, "", 1, kMaxText, "active", false, "active,withdrawn", "State of the key of the same id." },
 };
--- a/src/settings/SettingsTree.cpp
+++ b/src/settings/SettingsTree.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+/// A removed team's row stays, so that its versions go on growing.
+bool
+IsRemoved(const CheckedText& aTeam)
+{
+  return aTeam.Get("team", "removed") == "true";
+}
+
 std::string
 Shown(const CheckedText& aText,
       const std::string& aSection,
@@ -56,7 +63,7 @@
     next->m_inForce = present == nullptr ? 0 : present->m_inForce;
     next->m_fault = parsed.ErrorText();
   }
-  if (scope == Scope::Team) {
+  if (scope == Scope::Team && !IsRemoved(next->m_values)) {
     next->m_keys = TeamKeys(next->m_values);
   }
   m_subtrees[aSubtree] = std::move(next);
@@ -153,7 +160,7 @@
 SettingsTree::Team(const TeamId& aTeam) const
 {
   const Subtree* subtree = Find(std::string(kTeamPrefix) + aTeam.Value());
-  if (subtree == nullptr) {
+  if (subtree == nullptr || IsRemoved(subtree->m_values)) {
     return std::nullopt;
   }
   const CheckedText& values = subtree->m_values;
@@ -185,7 +192,7 @@
 {
   std::vector<TeamId> teams;
   for (const auto& [name, subtree] : m_subtrees) {
-    if (name.starts_with(kTeamPrefix)) {
+    if (name.starts_with(kTeamPrefix) && !IsRemoved(subtree->m_values)) {
       teams.emplace_back(name.substr(kTeamPrefix.size()));
     }
   }
--- a/src/settings/SettingsTree.h
+++ b/src/settings/SettingsTree.h
@@ -105,10 +105,11 @@
 
   std::optional<QueueSettings> Queue(const std::string& aName) const;
   std::optional<ServiceSettings> Service(const ServiceId& aService) const;
+  /// Nothing for an unknown or removed team.
   std::optional<TeamSettings> Team(const TeamId& aTeam) const;
   /// Names of the sections "queue.*" or "service.*" without the prefix.
   std::vector<std::string> NamesOf(const std::string& aPrefix) const;
-  /// All teams, sorted.
+  /// All teams that are not removed, sorted.
   std::vector<TeamId> Teams() const;
 
 private:
--- a/standins/VmListServer.cpp
+++ b/standins/VmListServer.cpp
@@ -3,6 +3,8 @@
 #include "net/HttpServer.h"
 #include "vmlist/VmList.h"
 
+#include <xxhash.h>
+
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -47,7 +49,15 @@
         aReply(net::JsonResponse(200, "{}"));
         return;
       }
-      aReply(net::JsonResponse(200, visible));
+      const std::string tag =
+        std::to_string(XXH64(visible.data(), visible.size(), 0));
+      if (aRequest.Header("If-None-Match") == tag) {
+        aReply(net::JsonResponse(304, ""));
+        return;
+      }
+      auto response = net::JsonResponse(200, visible);
+      response.m_headers["ETag"] = tag;
+      aReply(response);
     });
   if (!server.Listen(aListen)) {
     std::cerr << "cannot listen on " << aListen.ToString() << "\n";
--- a/tests/process/key_withdrawal.sh
+++ b/tests/process/key_withdrawal.sh
@@ -18,6 +18,15 @@
 admin settings apply system "$CELL/system.ini" --wait >/dev/null 2>&1
 status=$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $other" "http://$(entry_address 1)/v1/jobs/$job")
 [ "$status" = 403 ] || fail "another team's key got status $status for the job"
+admin teams remove buyers >/dev/null
+admin teams list | grep -q buyers && fail "a removed team is still listed"
+tries=0
+until [ "$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $other" -d x "http://$(entry_address 2)/v1/services/lot-ledger/assess")" = 401 ]; do
+  tries=$((tries + 1))
+  [ "$tries" -lt 100 ] || fail "the key of a removed team still works"
+  sleep 0.1
+done
+admin teams create buyers >/dev/null || fail "a removed team cannot be created again"
 id=$(echo "$CALLER_KEY" | cut -d. -f3)
 admin keys withdraw assessors "$id" >/dev/null
 for n in 1 2 3 4; do
