Name the planned faults of the settings tests apart from those of ownership

Change: the type of the settings tests has a name of its own; a search over all test headers found no other pair in one namespace.

--- a/tests/correctness/SettingsFaultMatrix.cpp
+++ b/tests/correctness/SettingsFaultMatrix.cpp
@@ -28,7 +28,7 @@
 }
 
 std::string
-Describe(const PlannedFault& aFault)
+Describe(const PlannedSettingsFault& aFault)
 {
   return "fault " + std::to_string(static_cast<int>(aFault.m_kind)) + " at " +
          std::string(NameOf(aFault.m_step)) + " " +
@@ -41,7 +41,7 @@
   int fired = 0;
   for (int kind = 0; kind < kFaultKinds; ++kind) {
     for (int step = 0; step < kSteps; ++step) {
-      PlannedFault fault;
+      PlannedSettingsFault fault;
       fault.m_kind = static_cast<FaultKind>(kind);
       fault.m_step = static_cast<Step>(step);
       fault.m_occurrence = aOccurrence;
@@ -104,9 +104,9 @@
     return std::uniform_int_distribution<int>(0, aBound - 1)(random);
   };
   for (int i = 0; i < kPairs; ++i) {
-    std::vector<PlannedFault> faults(2);
+    std::vector<PlannedSettingsFault> faults(2);
     std::string what = "pair " + std::to_string(i);
-    for (PlannedFault& fault : faults) {
+    for (PlannedSettingsFault& fault : faults) {
       fault = { static_cast<FaultKind>(pick(kFaultKinds)),
                 static_cast<Step>(pick(kSteps)),
                 1 + pick(6),
--- a/tests/correctness/SettingsMutations.cpp
+++ b/tests/correctness/SettingsMutations.cpp
@@ -25,7 +25,7 @@
 /// Schedules in which the faults act at changing occurrences of the steps.
 int
 CountCaught(Mutation aMutation,
-            const std::vector<PlannedFault>& aFaults,
+            const std::vector<PlannedSettingsFault>& aFaults,
             Checker aCheck)
 {
   int caught = 0;
@@ -34,7 +34,7 @@
     options.m_mutation = aMutation;
     options.m_seed = 1 + static_cast<std::uint64_t>(i);
     auto faults = aFaults;
-    for (PlannedFault& fault : faults) {
+    for (PlannedSettingsFault& fault : faults) {
       fault.m_occurrence += i % 8;
     }
     SettingsCluster cluster(options, faults);
@@ -45,7 +45,7 @@
 
 void
 ExpectCaught(Mutation aMutation,
-             const std::vector<PlannedFault>& aFaults,
+             const std::vector<PlannedSettingsFault>& aFaults,
              Checker aCheck)
 {
   EXPECT_EQ(CountCaught(Mutation::None, aFaults, aCheck), 0);
--- a/tests/correctness/SettingsSchedules.cpp
+++ b/tests/correctness/SettingsSchedules.cpp
@@ -14,7 +14,7 @@
   std::uint64_t m_seed = 0;
   bool m_oneReader = true;
   bool m_loseFirstAnswer = false;
-  std::vector<PlannedFault> m_faults;
+  std::vector<PlannedSettingsFault> m_faults;
 };
 
 std::ostream&
@@ -23,7 +23,7 @@
   aOut << "seed " << aSchedule.m_seed << ", one reader "
        << aSchedule.m_oneReader << ", first answer lost "
        << aSchedule.m_loseFirstAnswer;
-  for (const PlannedFault& fault : aSchedule.m_faults) {
+  for (const PlannedSettingsFault& fault : aSchedule.m_faults) {
     aOut << "; fault " << static_cast<int>(fault.m_kind) << " at "
          << NameOf(fault.m_step) << " " << fault.m_occurrence << " of process "
          << fault.m_process;
@@ -36,9 +36,9 @@
 namespace rc {
 
 template<>
-struct Arbitrary<lacewing::fakes::PlannedFault>
+struct Arbitrary<lacewing::fakes::PlannedSettingsFault>
 {
-  using Fault = lacewing::fakes::PlannedFault;
+  using Fault = lacewing::fakes::PlannedSettingsFault;
   // NOLINTNEXTLINE(readability-identifier-naming): RapidCheck's own name
   static Gen<Fault> arbitrary()
   {
@@ -65,9 +65,9 @@
   static Gen<Schedule> arbitrary()
   {
     const auto faults = gen::mapcat(gen::inRange(0, 7), [](int aCount) {
-      return gen::container<std::vector<lacewing::fakes::PlannedFault>>(
+      return gen::container<std::vector<lacewing::fakes::PlannedSettingsFault>>(
         static_cast<std::size_t>(aCount),
-        gen::arbitrary<lacewing::fakes::PlannedFault>());
+        gen::arbitrary<lacewing::fakes::PlannedSettingsFault>());
     });
     return gen::build<Schedule>(
       gen::set(&Schedule::m_seed, gen::inRange<std::uint64_t>(0, 1U << 30U)),
--- a/tests/fakes/SettingsCluster.h
+++ b/tests/fakes/SettingsCluster.h
@@ -42,7 +42,7 @@
 
 /// The fault acts when the process reaches the step for the given time after
 /// the set-up.
-struct PlannedFault
+struct PlannedSettingsFault
 {
   FaultKind m_kind = FaultKind::Kill;
   settings::Step m_step = settings::Step::ConfirmSend;
@@ -68,7 +68,7 @@
 {
 public:
   explicit SettingsCluster(const ClusterOptions& aOptions,
-                           std::vector<PlannedFault> aFaults = {})
+                           std::vector<PlannedSettingsFault> aFaults = {})
     : m_options(aOptions)
     , m_faults(std::move(aFaults))
     , m_random(aOptions.m_seed)
@@ -142,7 +142,7 @@
     });
   }
 
-  void Apply(const PlannedFault& aFault, int aProcess)
+  void Apply(const PlannedSettingsFault& aFault, int aProcess)
   {
     StartFault(aFault.m_kind, aProcess);
   }
@@ -410,7 +410,7 @@
       return;
     }
     for (std::size_t i = 0; i < m_faults.size(); ++i) {
-      const PlannedFault& fault = m_faults[i];
+      const PlannedSettingsFault& fault = m_faults[i];
       const bool here = fault.m_process < 0 || fault.m_process == aIndex;
       if (fault.m_step == aEffect.m_step && here && !m_fired.contains(i) &&
           ++m_counts[i] == fault.m_occurrence) {
@@ -783,7 +783,7 @@
   static constexpr std::uint64_t kTableOverhead = 400;
 
   ClusterOptions m_options;
-  std::vector<PlannedFault> m_faults;
+  std::vector<PlannedSettingsFault> m_faults;
   std::map<std::size_t, int> m_counts;
   std::map<const void*, int> m_overlapping;
   std::set<std::size_t> m_fired;
