--- a/src/ownership/AllotmentBook.h
+++ b/src/ownership/AllotmentBook.h
@@ -14,6 +14,8 @@
 struct Demand
 {
   std::int64_t m_running = 0; ///< with starts that are under way
+  /// What could start now if the allotment were larger. Work for which the
+  /// slice has no room is left out: it would hold parts of the limit idle.
   std::int64_t m_waiting = 0;
 };
 
@@ -40,6 +42,8 @@
   /// What the team may have running in the slice; starts beyond it are not
   /// permitted, but after a limit was lowered more may still be running.
   std::int64_t Allotment(const SliceId& aSlice, const LimitId& aLimit) const;
+  /// True if a transaction of the slice is due, given the rows known.
+  bool IsDue(Time aNow, const SliceId& aSlice) const;
   /// The one transaction of the slice that is due, for all teams together;
   /// without effect if it is empty. `aSliceVersion` fences it.
   table::Commit Due(Time aNow,
--- a/src/ownership/Ownership.h
+++ b/src/ownership/Ownership.h
@@ -87,6 +87,12 @@
   void SetBusy(const SliceId& aSlice,
                std::map<std::string, std::int64_t> aBusy);
   /// Busy slots that the previous owner of a held slice left behind.
+  /// True if the slice was released by its owner before, or had none.
+  bool WasPlannedHandover(const SliceId& aSlice) const
+  {
+    const auto held = m_slices.Held().find(aSlice);
+    return held != m_slices.Held().end() && held->second.m_planned;
+  }
   std::map<std::string, std::int64_t> InheritedBusy(
     const SliceId& aSlice) const;
   /// Requests that this process still fronts or has dispatched.
@@ -207,6 +213,8 @@
   RowVersion m_joinVersion = 0; ///< of the own row when it was first written
   bool m_viewInFlight = false;
   bool m_viewSeen = false;
+  Time m_viewTaken = Time::min(); ///< when the latest view arrived
+  bool m_allotmentInFlight = false;
   Time m_nextView = Time::min();
   bool m_memberInFlight = false;
   bool m_renewalOnly = false; ///< after a conflict: renew without other rows
