--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -248,7 +248,7 @@
 
 bool
 EntryDaemon::RouteProbe(const net::HttpRequest& aRequest,
-                        const net::HttpReply& aReply) const
+                        const net::HttpReply& aReply)
 {
   if (aRequest.m_path == "/healthz") {
     aReply(net::JsonResponse(kOk, "{}"));
@@ -261,8 +261,7 @@
   if (aRequest.m_path == "/metrics") {
     net::HttpResponse response;
     response.m_headers["Content-Type"] = "text/plain; version=0.0.4";
-    response.m_body =
-      const_cast<EntryDaemon*>(this)->m_runtime.Metrics().Text();
+    response.m_body = m_runtime.Metrics().Text();
     aReply(response);
     return true;
   }
@@ -453,17 +452,13 @@
 EntryDaemon::OnOwnershipEvent(const ownership::OwnershipEvent& aEvent)
 {
   using ownership::EventKind;
-  m_runtime.Record({ {},
-                     0,
-                     "",
-                     observe::EventKind::MemberState,
-                     {},
-                     "",
-                     {},
-                     aEvent.m_worker,
-                     std::string(NameOf(aEvent.m_kind)) + " " +
-                       aEvent.m_slice.Value() + " epoch " +
-                       std::to_string(aEvent.m_epoch) });
+  observe::Event event;
+  event.m_kind = observe::EventKind::MemberState;
+  event.m_vm = aEvent.m_worker;
+  event.m_detail = std::string(NameOf(aEvent.m_kind)) + " " +
+                   aEvent.m_slice.Value() + " epoch " +
+                   std::to_string(aEvent.m_epoch);
+  m_runtime.Record(std::move(event));
   switch (aEvent.m_kind) {
     case EventKind::SliceClaimed:
       Claim(aEvent.m_slice, aEvent.m_epoch);
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -38,7 +38,7 @@
   Result<void> Route(const net::HttpRequest& aRequest,
                      const net::HttpReply& aReply);
   bool RouteProbe(const net::HttpRequest& aRequest,
-                  const net::HttpReply& aReply) const;
+                  const net::HttpReply& aReply);
   Result<void> RouteJob(const net::HttpRequest& aRequest,
                         const net::HttpReply& aReply);
   bool IsReady() const;
--- a/src/daemon/LimitReconciler.cpp
+++ b/src/daemon/LimitReconciler.cpp
@@ -25,14 +25,14 @@
   if (active && !m_wasActive) {
     // Changes before this process was active may not have been written.
     for (const TeamId& team : m_cell.m_settings.Tree().Teams()) {
-      m_toCheck[team] = true;
+      m_toCheck.insert(team);
     }
   }
   m_wasActive = active;
   if (!active) {
     return;
   }
-  for (const auto& [team, wanted] : m_toCheck) {
+  for (const TeamId& team : m_toCheck) {
     if (IsResponsible(team)) {
       Check(team);
     }
--- a/src/daemon/LimitReconciler.h
+++ b/src/daemon/LimitReconciler.h
@@ -5,7 +5,7 @@
 #include "daemon/CellState.h"
 #include "ownership/LimitRow.h"
 
-#include <map>
+#include <set>
 
 namespace lacewing::daemon {
 
@@ -18,7 +18,7 @@
   /// the settings; to be called every second.
   void Tick();
   /// The settings of the team changed; compare soon.
-  void OnTeamChanged(const TeamId& aTeam) { m_toCheck[aTeam] = true; }
+  void OnTeamChanged(const TeamId& aTeam) { m_toCheck.insert(aTeam); }
 
 private:
   bool IsResponsible(const TeamId& aTeam) const;
@@ -32,7 +32,7 @@
                  const std::optional<std::int64_t>& aWanted) const;
 
   CellState m_cell;
-  std::map<TeamId, bool> m_toCheck;
+  std::set<TeamId> m_toCheck;
   bool m_wasActive = false;
 };
 
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -299,15 +299,11 @@
   }
   m_scheduler.Adopt(now, aWorker.m_vm.m_vm, inventory);
   TakeEnds(aWorker, aReply);
-  m_runtime.Record({ {},
-                     0,
-                     "",
-                     EventKind::SliceAdopted,
-                     {},
-                     "",
-                     {},
-                     aWorker.m_vm.m_vm,
-                     m_slice.Value() });
+  observe::Event event;
+  event.m_kind = EventKind::SliceAdopted;
+  event.m_vm = aWorker.m_vm.m_vm;
+  event.m_detail = m_slice.Value();
+  m_runtime.Record(std::move(event));
 }
 
 void
