Decode JSON texts through one function

Cause: the same guard against the JSON library's exceptions stood in three codecs. Change: DecodeJson in core/JsonFields.h. Conclusion: no change of behaviour.

--- a/src/core/JsonFields.h
+++ b/src/core/JsonFields.h
@@ -2,11 +2,14 @@
 /// numbers without a range check: it reads -1 as the largest unsigned number.
 #pragma once
 
+#include "core/Verdict.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 namespace lacewing {
@@ -123,4 +126,20 @@
   }
 }
 
+/// Parses a text and runs a decoder over it. Errors: `BadInput` with what is
+/// wrong in the text; `aWhat` names it.
+template<typename Decode>
+auto
+DecodeJson(const std::string& aWhat, const std::string& aText, Decode aDecode)
+  -> Result<std::decay_t<decltype(aDecode(nlohmann::json()))>>
+{
+  try {
+    return aDecode(nlohmann::json::parse(aText));
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(Verdict::NotRun,
+                ErrorCode::BadInput,
+                aWhat + " is malformed: " + error.what());
+  }
+}
+
 } // namespace lacewing
--- a/src/daemon/PeerPayloads.cpp
+++ b/src/daemon/PeerPayloads.cpp
@@ -193,20 +193,6 @@
   throw Json::other_error::create(600, "unknown type '" + type + "'", &aJson);
 }
 
-/// Runs a decoder and turns the JSON library's exceptions into results.
-template<typename Message, typename Decode>
-Result<Message>
-Guarded(const std::string& aText, Decode aDecode)
-{
-  try {
-    return aDecode(Json::parse(aText));
-  } catch (const Json::exception& error) {
-    return Fail(Verdict::NotRun,
-                ErrorCode::BadInput,
-                std::string("peer message is malformed: ") + error.what());
-  }
-}
-
 template<typename Message>
 peer::Opaque
 PackAs(const char* aKind, const Message& aMessage)
@@ -233,13 +219,13 @@
 Result<ownership::PeerMessage>
 UnpackOwnership(const std::string& aText)
 {
-  return Guarded<ownership::PeerMessage>(aText, OwnershipFrom);
+  return DecodeJson("peer message", aText, OwnershipFrom);
 }
 
 Result<settings::PeerMessage>
 UnpackSettings(const std::string& aText)
 {
-  return Guarded<settings::PeerMessage>(aText, SettingsFrom);
+  return DecodeJson("peer message", aText, SettingsFrom);
 }
 
 } // namespace lacewing::daemon
--- a/src/table/TableCodec.cpp
+++ b/src/table/TableCodec.cpp
@@ -8,21 +8,6 @@
 
 using Json = nlohmann::json;
 
-/// Runs a decoder and turns the JSON library's exceptions into results.
-template<typename Decode>
-auto
-Guarded(const std::string& aBody, Decode aDecode)
-  -> Result<decltype(aDecode(Json()))>
-{
-  try {
-    return aDecode(Json::parse(aBody));
-  } catch (const Json::exception& error) {
-    return Fail(Verdict::NotRun,
-                ErrorCode::BadInput,
-                std::string("table message is malformed: ") + error.what());
-  }
-}
-
 } // namespace
 
 std::string
@@ -74,7 +59,7 @@
 Result<Commit>
 DecodeCommit(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("table message", aBody, [](const Json& aJson) {
     Commit commit;
     for (const Json& check : ArrayField(aJson, "checks")) {
       commit.m_checks.push_back({ TypedField<std::string>(check, "key"),
@@ -92,7 +77,7 @@
 Result<Read>
 DecodeRead(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("table message", aBody, [](const Json& aJson) {
     Read read;
     read.m_keys = TypedField<std::vector<std::string>>(aJson, "keys");
     read.m_prefixes = TypedField<std::vector<std::string>>(aJson, "prefixes");
@@ -103,7 +88,7 @@
 Result<CommitResult>
 DecodeCommitResult(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("table message", aBody, [](const Json& aJson) {
     CommitResult result;
     const auto state =
       ParseName<CommitState>(TypedField<std::string>(aJson, "state"));
@@ -121,7 +106,7 @@
 Result<ReadResult>
 DecodeReadResult(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("table message", aBody, [](const Json& aJson) {
     ReadResult result;
     for (const Json& row : ArrayField(aJson, "rows")) {
       result.m_rows[TypedField<std::string>(row, "key")] =
--- a/src/worker/WorkerMessages.cpp
+++ b/src/worker/WorkerMessages.cpp
@@ -117,21 +117,6 @@
   return task;
 }
 
-/// Runs a decoder and turns the JSON library's exceptions into results.
-template<typename Decode>
-auto
-Guarded(const std::string& aBody, Decode aDecode)
-  -> Result<decltype(aDecode(Json()))>
-{
-  try {
-    return aDecode(Json::parse(aBody));
-  } catch (const Json::exception& error) {
-    return Fail(Verdict::NotRun,
-                ErrorCode::BadInput,
-                std::string("worker message is malformed: ") + error.what());
-  }
-}
-
 } // namespace
 
 std::string
@@ -173,7 +158,7 @@
 Result<ControlRequest>
 DecodeRequest(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("worker message", aBody, [](const Json& aJson) {
     ControlRequest request;
     request.m_slice = SliceId(TypedField<std::string>(aJson, "slice"));
     request.m_epoch = NumberField<Epoch>(aJson, "epoch");
@@ -190,7 +175,7 @@
 Result<ControlReply>
 DecodeReply(const std::string& aBody)
 {
-  return Guarded(aBody, [](const Json& aJson) {
+  return DecodeJson("worker message", aBody, [](const Json& aJson) {
     ControlReply reply;
     reply.m_accepted = TypedField<bool>(aJson, "accepted");
     reply.m_epoch = NumberField<Epoch>(aJson, "epoch");
