Judge a repeated request by the verdicts of all its sends in the load tool

The load tool reports the verdict of the last send only. Both verdicts are true for their send; the report combined them wrongly. Ruled out: the verdict of the owner's queue and of the forward table, which keep "may have run" over retries, and the client connection, which says "not run" only if no byte was written. Change: a request without a key counts as not run only if every send says so. For a request with a key an entry daemon's "not run" still speaks of all sends, so that check is as strict as before.

--- a/src/load/LoadRunner.cpp
+++ b/src/load/LoadRunner.cpp
@@ -148,6 +148,7 @@
   }
   RequestState& request = m_requests.at(aToken);
   const Error error = ErrorOf(aOutcome);
+  request.m_errors.push_back({ error, aOutcome.m_response.has_value() });
   if (MayRepeat(request, error)) {
     ++m_report.m_kinds[request.m_kind->m_method].m_repeated;
     m_loop.After(kRepeatDelay, [this, aToken] { SendRequest(aToken); });
@@ -179,7 +180,7 @@
   RequestState& request = m_requests.at(aToken);
   --m_openRequests;
   KindReport& kind = m_report.m_kinds[request.m_kind->m_method];
-  if (aError.m_verdict == Verdict::NotRun) {
+  if (DidNotRun(request)) {
     request.m_ending = Ending::NotRun;
     ++kind.m_refused[std::string(NameOf(aError.m_code))];
     return;
@@ -188,6 +189,38 @@
   ++kind.m_mayHaveRun;
 }
 
+/// A refusal for an idempotency key speaks of every earlier send with that key.
+/// Without a key, and for a connection that failed, "not run" speaks only of
+/// the one send: an earlier one may have run all the same.
+bool
+LoadRunner::DidNotRun(const RequestState& aRequest)
+{
+  const bool hasKey = !aRequest.m_kind->m_idempotent;
+  const auto& errors = aRequest.m_errors;
+  for (auto send = errors.rbegin(); send != errors.rend(); ++send) {
+    if (send->m_error.m_verdict != Verdict::NotRun) {
+      return false;
+    }
+    if (hasKey && send->m_fromEntry) {
+      return true;
+    }
+  }
+  return true;
+}
+
+std::string
+LoadRunner::ErrorsOf(const RequestState& aRequest)
+{
+  std::string text;
+  for (const SendError& send : aRequest.m_errors) {
+    const Error& error = send.m_error;
+    text += text.empty() ? "" : "; ";
+    text += std::string(NameOf(error.m_verdict)) + " " +
+            std::string(NameOf(error.m_code)) + " (" + error.m_message + ")";
+  }
+  return text;
+}
+
 bool
 LoadRunner::MayRepeat(const RequestState& aRequest, const Error& aError) const
 {
@@ -373,7 +406,9 @@
   }
   if (aExecutions > 0 && aRequest.m_ending == Ending::NotRun) {
     Violation(m_report.m_violations.m_untrue,
-              aToken + " was refused as not run but ran");
+              aToken +
+                " was refused as not run but ran; errors of its sends: " +
+                ErrorsOf(aRequest));
   }
   if (aExecutions == 0 && aRequest.m_ending == Ending::Answered) {
     Violation(m_report.m_violations.m_untrue,
--- a/src/load/LoadRunner.h
+++ b/src/load/LoadRunner.h
@@ -46,12 +46,22 @@
     MayHaveRun,
   };
 
+  /// How one send of a request failed.
+  struct SendError
+  {
+    Error m_error;
+    /// An entry daemon said so; otherwise the connection failed.
+    bool m_fromEntry = false;
+  };
+
   struct RequestState
   {
     const RequestKind* m_kind = nullptr;
     Time m_sent{};
     int m_sends = 0;
     Ending m_ending = Ending::Open;
+    /// Errors of all sends, the last one included.
+    std::vector<SendError> m_errors;
   };
 
   struct JobState
@@ -70,6 +80,8 @@
   void FinishAnswered(const std::string& aToken,
                       const net::HttpResponse& aResponse);
   void FinishFailed(const std::string& aToken, const Error& aError);
+  static bool DidNotRun(const RequestState& aRequest);
+  static std::string ErrorsOf(const RequestState& aRequest);
   bool MayRepeat(const RequestState& aRequest, const Error& aError) const;
 
   void StartJob();
