Find the reference pages without the compiler's source path

Cause: correctness.ReferencePages failed in a local run with ccache's base_dir set: the compiler then sees relative paths, __FILE__ is relative, and the test depends on its working directory.

--- a/tests/correctness/ReferencePages.cpp
+++ b/tests/correctness/ReferencePages.cpp
@@ -16,8 +16,8 @@
 std::string
 ReadPage(const std::string& aName)
 {
-  const auto root = std::filesystem::path(__FILE__).parent_path() / "../..";
-  std::ifstream file(root / "docs" / aName);
+  // __FILE__ would not do: compiler caches may make it a relative path.
+  std::ifstream file(std::filesystem::path(LACEWING_DOCS_DIR) / aName);
   return { std::istreambuf_iterator<char>(file), {} };
 }
 
