Set the five metrics that were described but never set

Cause: lacewing_task_queue_length, lacewing_authentications_total, lacewing_cross_region_bytes_total, lacewing_loop_lag_seconds and lacewing_timeline_dropped_total stood in docs/metrics.md, but no part of the daemon set them.

Change: WorkerSliceOwner counts waiting tasks by class (urgent, other; the classes that lacewing_task_starts_total has), SettingsService counts checks of keys by result, RequestFront counts the bodies that cross regions by region and direction, LoopLagProbe measures the delay of a timer twenty times a second, and UpdateMetrics adds the events that the time line dropped.

The bytes across regions and the dropped events have no test of their own.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -199,6 +199,7 @@
                         const peer::PeerReply& aReply) {
                    HandlePeer(aFrom, aMessage, aReply);
                  })
+  , m_loopLag(aLoop, m_runtime.Metrics())
 {
 }
 
@@ -779,6 +780,22 @@
   }
   metrics.Set(
     Metric::RequestQueueLength, static_cast<double>(queued), { "all" });
+  WaitingTasks waiting;
+  for (const auto& [id, owner] : m_workerOwners) {
+    const WaitingTasks here = owner->CountWaiting();
+    waiting.m_urgent += here.m_urgent;
+    waiting.m_other += here.m_other;
+  }
+  metrics.Set(Metric::TaskQueueLength,
+              static_cast<double>(waiting.m_urgent),
+              { "urgent" });
+  metrics.Set(
+    Metric::TaskQueueLength, static_cast<double>(waiting.m_other), { "other" });
+  const std::uint64_t dropped = m_runtime.Timeline().Dropped();
+  metrics.Add(Metric::TimelineDropped,
+              {},
+              static_cast<double>(dropped - m_droppedCounted));
+  m_droppedCounted = dropped;
 }
 
 void
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -4,6 +4,7 @@
 
 #include "daemon/JobFront.h"
 #include "daemon/LimitReconciler.h"
+#include "daemon/LoopLagProbe.h"
 #include "daemon/OperatorApi.h"
 #include "daemon/RequestFront.h"
 #include "peer/PeerServer.h"
@@ -88,8 +89,11 @@
   LimitReconciler m_limits;
   net::HttpServer m_callerServer;
   peer::PeerServer m_peerServer;
+  LoopLagProbe m_loopLag;
   bool m_stopping = false;
   bool m_stopped = false;
+  /// Part of `Timeline::Dropped` that the metric already has.
+  std::uint64_t m_droppedCounted = 0;
 };
 
 } // namespace lacewing::daemon
--- a/src/daemon/JobStore.h
+++ b/src/daemon/JobStore.h
@@ -27,6 +27,16 @@
   bool Add(const jobs::JobRecord& aRecord, RowVersion aVersion);
   const jobs::JobRecord* Find(const JobId& aJob) const;
   std::size_t size() const { return m_entries.size(); }
+  /// Calls the function for each job that has not ended, ordered by id.
+  template<typename Function>
+  void ForEachOpen(Function aFunction) const
+  {
+    for (const auto& [id, entry] : m_entries) {
+      if (entry.m_record.m_ending == jobs::JobEnding::Open) {
+        aFunction(entry.m_record);
+      }
+    }
+  }
 
   /// Makes the mark of a start durable; false if another owner has the row.
   void Mark(const TaskId& aTask, Done aDone);
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -288,15 +288,15 @@
   message.m_idempotent = call.m_idempotent;
   message.m_remaining = std::max(remaining, Duration(milliseconds(1)));
   message.m_body = call.m_body;
-  m_chooser.CountBytes(aSlice.m_region, call.m_body.size());
-  m_cell.m_membership.Peers().Call(
-    aOwner.m_vm,
-    aOwner.m_address.m_peers,
-    message,
-    message.m_remaining,
-    [this, forward](const peer::PeerOutcome& aOutcome) {
-      OnPeerOutcome(forward, aOutcome);
-    });
+  CountBytes(aSlice.m_region, "sent", call.m_body.size());
+  m_cell.m_membership.Peers().Call(aOwner.m_vm,
+                                   aOwner.m_address.m_peers,
+                                   message,
+                                   message.m_remaining,
+                                   [this, forward, region = aSlice.m_region](
+                                     const peer::PeerOutcome& aOutcome) {
+                                     OnPeerOutcome(forward, region, aOutcome);
+                                   });
 }
 
 void
@@ -323,14 +323,29 @@
   });
 }
 
+void
+RequestFront::CountBytes(const RegionId& aRegion,
+                         std::string_view aDirection,
+                         std::size_t aBytes)
+{
+  m_chooser.CountBytes(aRegion, aBytes);
+  if (aRegion != m_cell.m_runtime.Config().m_region) {
+    m_cell.m_runtime.Metrics().Add(Metric::CrossRegionBytes,
+                                   { aRegion.Value(), aDirection },
+                                   static_cast<double>(aBytes));
+  }
+}
+
 void
 RequestFront::OnPeerOutcome(routing::ForwardId aForward,
+                            const RegionId& aRegion,
                             const peer::PeerOutcome& aOutcome)
 {
   routing::OwnerReply reply;
   reply.m_error = aOutcome.m_error;
   if (aOutcome.m_reply) {
     if (const auto* answer = std::get_if<peer::Answer>(&*aOutcome.m_reply)) {
+      CountBytes(aRegion, "received", answer->m_body.size());
       reply = FromPeerAnswer(*answer);
     } else {
       reply.m_error = { Verdict::MayHaveRun,
--- a/src/daemon/RequestFront.h
+++ b/src/daemon/RequestFront.h
@@ -61,7 +61,12 @@
   void SendLocal(routing::ForwardId aForward,
                  const Call& aCall,
                  ServiceSliceOwner& aOwner);
+  /// Counts the body of a request or an answer if it crosses regions.
+  void CountBytes(const RegionId& aRegion,
+                  std::string_view aDirection,
+                  std::size_t aBytes);
   void OnPeerOutcome(routing::ForwardId aForward,
+                     const RegionId& aRegion,
                      const peer::PeerOutcome& aOutcome);
   void EndForward(routing::CallId aCall, const routing::OwnerReply& aReply);
   void ReplyToCaller(routing::CallId aCall, const routing::OwnerReply& aReply);
--- a/src/daemon/SettingsService.cpp
+++ b/src/daemon/SettingsService.cpp
@@ -116,7 +116,22 @@
 SettingsService::Authenticate(const std::string& aKey,
                               const std::string& aQueue) const
 {
-  return m_authenticator.Authenticate(net::Loop::Now(), aKey, aQueue);
+  const auto count = [this](std::string_view aResult) {
+    m_runtime.Metrics().Add(Metric::Authentications, { aResult });
+  };
+  return leaf::try_handle_some(
+    [&]() -> Result<TeamId> {
+      BOOST_LEAF_AUTO(
+        team, m_authenticator.Authenticate(net::Loop::Now(), aKey, aQueue));
+      count("accepted");
+      return team;
+    },
+    // The same id is returned: LEAF hands the handled error on under it, and a
+    // new error of the same type would be overwritten.
+    [&](const leaf::error_info& aInfo, const Error& aError) -> Result<TeamId> {
+      count(NameOf(aError.m_code));
+      return aInfo.error();
+    });
 }
 
 void
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -536,6 +536,20 @@
   return std::max<std::int64_t>(m_capacityMillicores - running, 0);
 }
 
+WaitingTasks
+WorkerSliceOwner::CountWaiting() const
+{
+  WaitingTasks waiting;
+  m_store->ForEachOpen([&](const jobs::JobRecord& aJob) {
+    const auto status = m_scheduler.JobStatus(aJob.m_id);
+    if (status) {
+      (aJob.m_spec.m_urgent ? waiting.m_urgent : waiting.m_other) +=
+        status->m_pending;
+    }
+  });
+  return waiting;
+}
+
 void
 WorkerSliceOwner::RecordTask(EventKind aKind,
                              const TaskId& aTask,
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -21,6 +21,13 @@
   std::function<void(const VmId&, const worker::ControlReply&)> m_onReply;
 };
 
+/// Tasks that wait for a place, by the classes of the metrics.
+struct WaitingTasks
+{
+  std::size_t m_urgent = 0;
+  std::size_t m_other = 0;
+};
+
 class WorkerSliceOwner : public std::enable_shared_from_this<WorkerSliceOwner>
 {
 public:
@@ -59,6 +66,9 @@
   std::optional<sched::JobSummary> StatusOf(const JobId& aJob) const;
   std::optional<sched::Explanation> ExplanationOf(const JobId& aJob) const;
   std::vector<sched::TeamUsage> Usages() const { return m_scheduler.Usages(); }
+  /// Looks at every open job of the slice and its tasks; to be called about
+  /// once a second.
+  WaitingTasks CountWaiting() const;
   const SliceId& Id() const { return m_slice; }
   bool IsOpen() const { return m_opened && m_loaded; }
   /// Processors of the adopted workers that no task holds.
--- /dev/null
+++ b/tests/correctness/LoopLagMetric.cpp
@@ -0,0 +1,44 @@
+/// Guards against a loop lag that is documented but never measured, or that
+/// stays at zero while a callback holds the thread.
+#include "daemon/LoopLagProbe.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <thread>
+
+namespace lacewing::daemon {
+
+namespace {
+
+/// The value of a series in the text of `/metrics`; -1 if it is absent.
+double
+ValueIn(const std::string& aText, const std::string& aSeries)
+{
+  std::istringstream lines(aText);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(aSeries + " ")) {
+      return std::stod(line.substr(aSeries.size() + 1));
+    }
+  }
+  return -1;
+}
+
+} // namespace
+
+TEST(LoopLagMetric, ShowsTheDelayOfATimerWhileACallbackHoldsTheThread)
+{
+  constexpr Duration kHold = milliseconds(300);
+  net::Loop loop;
+  observe::Metrics metrics;
+  const LoopLagProbe probe(loop, metrics);
+  loop.After(milliseconds(5), [&] { std::this_thread::sleep_for(kHold); });
+  loop.After(milliseconds(400), [&] { loop.Stop(); });
+  loop.Run();
+  const std::string text = metrics.Text();
+  EXPECT_GE(ValueIn(text, "lacewing_loop_lag_seconds_count"), 2) << text;
+  // The first timer was due 50 ms after the start, and ran after 305 ms.
+  EXPECT_GE(ValueIn(text, "lacewing_loop_lag_seconds_sum"), 0.2) << text;
+}
+
+} // namespace lacewing::daemon
