Arm the timers of group commit, owners and front when something is due

Cause: An entry daemon without work woke up every 2 ms for group commit and every 5 ms for the owners of slices and the front.

Change: net::PacedTimer calls its function at a given time, with a least distance between two calls. TableGateway arms one from GroupCommit::NextWakeup (2 ms apart). Runtime holds one for the owners and the front (5 ms apart): ServiceSliceOwner arms it from RequestRouter::NextWakeup, RequestFront from ForwardTable and AtMostOnce, each after every input. WorkerSliceOwner arms it after its inputs, for the next poll of a worker, while a session has something to send, and in every period while the scheduler has queued or running tasks, because SliceScheduler names no next time. An input after a quiet period is decided at once instead of at the next tick. Metrics, allotments, heartbeats and the 50 ms tick of ownership and settings keep their periods: their state machines name no next time either.

Owners of workers with tasks still decide every 5 ms; that needs a next time from the scheduler.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -14,7 +14,6 @@
 using observe::Metric;
 
 constexpr Duration kOwnershipPeriod = milliseconds(50);
-constexpr Duration kOwnerPeriod = milliseconds(5);
 constexpr Duration kAllotmentPeriod = milliseconds(200);
 constexpr Duration kHeartbeatPeriod = milliseconds(500);
 constexpr Duration kSlowPeriod = seconds(1);
@@ -211,7 +210,7 @@
   PollVmList();
   m_settings.Start();
   loop.Every(kOwnershipPeriod, [this] { TickOwnership(); });
-  loop.Every(kOwnerPeriod, [this] { TickOwners(); });
+  m_runtime.SetOwnerTick([this] { TickOwners(); });
   loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
   loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
   loop.Every(kSlowPeriod, [this] {
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -91,6 +91,7 @@
   const routing::CallId id = ++m_lastCall;
   const Call& open = m_calls.emplace(id, std::move(call)).first->second;
   m_forwards.Open(id, open.m_deadline, open.m_idempotent);
+  ArmTimer();
   if (open.m_idempotent) {
     Forward(id, {});
     return {};
@@ -149,6 +150,17 @@
   const Time now = net::Loop::Now();
   Carry(m_forwards.OnTick(now));
   Carry(m_once.OnTick(now));
+  ArmTimer();
+}
+
+void
+RequestFront::ArmTimer()
+{
+  for (const auto& wakeup : { m_forwards.NextWakeup(), m_once.NextWakeup() }) {
+    if (wakeup) {
+      m_cell.m_runtime.OwnerTimer().CallBy(*wakeup);
+    }
+  }
 }
 
 void
@@ -157,6 +169,7 @@
   for (const routing::OnceAction& action : aActions) {
     std::visit([this](const auto& aOne) { CarryOne(aOne); }, action);
   }
+  ArmTimer();
 }
 
 void
@@ -213,6 +226,7 @@
   for (const routing::ForwardOutcome& outcome : aOutcomes) {
     std::visit([this](const auto& aOne) { CarryOne(aOne); }, outcome);
   }
+  ArmTimer();
 }
 
 void
--- a/src/daemon/RequestFront.h
+++ b/src/daemon/RequestFront.h
@@ -25,6 +25,7 @@
   /// Replies exactly once, or returns an error and does not reply.
   Result<void> Serve(const net::HttpRequest& aRequest,
                      const net::HttpReply& aReply);
+  /// Runs timers that are due and arms the timer of the owners for the next.
   void Tick();
   std::size_t OpenCalls() const { return m_calls.size(); }
 
@@ -54,6 +55,7 @@
   void CarryOne(const routing::FailCall& aFailure);
   void CarryOne(const routing::TryElsewhere& aRetry);
 
+  void ArmTimer();
   void Forward(routing::CallId aCall, const std::set<SliceId>& aTried);
   void SendTo(routing::CallId aCall,
               const routing::SliceLoad& aSlice,
--- a/src/daemon/Runtime.cpp
+++ b/src/daemon/Runtime.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// Least distance between two ticks of the owners; inputs in between are
+/// decided together.
+constexpr Duration kOwnerPeriod = milliseconds(5);
 constexpr std::size_t kTimelineBytes = 4 * 1024 * 1024;
 
 observe::LogOptions
@@ -38,6 +41,7 @@
   , m_workers(m_http)
   , m_endpoints(m_http)
   , m_random(RandomSeed())
+  , m_ownerTimer(aLoop, kOwnerPeriod, [this] { m_ownerTick(); })
 {
 }
 
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -32,6 +32,14 @@
   observe::Timeline& Timeline() { return m_timeline; }
   observe::Log& Log() { return m_log; }
   std::uint64_t Random() { return m_random(); }
+  /// Ticks the owners of slices and the front. Each of them arms it after its
+  /// inputs for the time when it has something to decide.
+  net::PacedTimer& OwnerTimer() { return m_ownerTimer; }
+  /// The function that the timer of the owners calls.
+  void SetOwnerTick(std::function<void()> aTick)
+  {
+    m_ownerTick = std::move(aTick);
+  }
 
   /// Adds an event to the time line, stamped now.
   void Record(observe::Event aEvent);
@@ -49,6 +57,8 @@
   worker::WorkerClient m_workers;
   endpoint::EndpointClient m_endpoints;
   std::mt19937_64 m_random;
+  std::function<void()> m_ownerTick = [] {};
+  net::PacedTimer m_ownerTimer;
 };
 
 /// Microseconds of the time of day.
--- a/src/daemon/ServiceSliceOwner.cpp
+++ b/src/daemon/ServiceSliceOwner.cpp
@@ -43,6 +43,7 @@
 ServiceSliceOwner::Adopt(const routing::BusyCounts& aCounts)
 {
   m_router.Adopt(net::Loop::Now(), aCounts);
+  ArmTimer();
 }
 
 void
@@ -130,6 +131,15 @@
   if (wakeup && *wakeup <= now) {
     Carry(m_router.OnTick(now));
   }
+  ArmTimer();
+}
+
+void
+ServiceSliceOwner::ArmTimer()
+{
+  if (const auto wakeup = m_router.NextWakeup(net::Loop::Now())) {
+    m_runtime.OwnerTimer().CallBy(*wakeup);
+  }
 }
 
 void
@@ -160,6 +170,7 @@
   for (const routing::Action& action : aActions) {
     std::visit([this](const auto& aOne) { CarryOne(aOne); }, action);
   }
+  ArmTimer();
 }
 
 void
--- a/src/daemon/ServiceSliceOwner.h
+++ b/src/daemon/ServiceSliceOwner.h
@@ -42,7 +42,7 @@
   void SetAuthorityEnd(Time aEnd);
 
   void Admit(const OwnedRequest& aRequest, OwnerReplyHandler aReply);
-  /// Runs timers; to be called every few milliseconds.
+  /// Runs timers that are due and arms the timer of the owners for the next.
   void Tick();
   /// Refuses the queue and new requests; dispatched ones finish.
   void BeginDrain();
@@ -67,6 +67,7 @@
   };
 
   void Carry(const routing::Actions& aActions);
+  void ArmTimer();
   void CarryOne(const routing::Dispatch& aDispatch);
   void CarryOne(const routing::Answer& aAnswer);
   void CarryOne(const routing::Refuse& aRefusal);
--- a/src/daemon/TableGateway.cpp
+++ b/src/daemon/TableGateway.cpp
@@ -7,6 +7,7 @@
 using observe::Metric;
 
 constexpr Duration kTableTimeout = seconds(1);
+/// Records that arrive within this time of a tick share the next one.
 constexpr Duration kGroupCommitTick = milliseconds(2);
 
 } // namespace
@@ -18,14 +19,27 @@
   : m_loop(aLoop)
   , m_client(aHttp, aAddress)
   , m_metrics(aMetrics)
+  , m_groupTimer(aLoop, kGroupCommitTick, [this] { TickGroup(); })
 {
-  m_loop.Every(kGroupCommitTick, [this] {
-    const Time now = net::Loop::Now();
-    const auto wakeup = m_group.NextWakeup();
-    if (wakeup && *wakeup <= now) {
-      Carry(m_group.OnTick(now));
-    }
-  });
+}
+
+void
+TableGateway::TickGroup()
+{
+  const Time now = net::Loop::Now();
+  const auto wakeup = m_group.NextWakeup();
+  if (wakeup && *wakeup <= now) {
+    Carry(m_group.OnTick(now));
+  }
+  ArmGroup();
+}
+
+void
+TableGateway::ArmGroup()
+{
+  if (const auto wakeup = m_group.NextWakeup()) {
+    m_groupTimer.CallBy(*wakeup);
+  }
 }
 
 void
@@ -74,6 +88,7 @@
     return;
   }
   m_records.emplace(*record, std::move(aDone));
+  ArmGroup();
 }
 
 void
@@ -102,6 +117,7 @@
       found.mapped()(result);
     }
   }
+  ArmGroup();
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/TableGateway.h
+++ b/src/daemon/TableGateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/Loop.h"
+#include "net/PacedTimer.h"
 #include "observe/Metrics.h"
 #include "table/GroupCommit.h"
 #include "table/TableClient.h"
@@ -38,6 +39,9 @@
   std::size_t PendingRecords() const { return m_group.size(); }
 
 private:
+  void TickGroup();
+  /// Arms the timer of the group commit; called after each of its inputs.
+  void ArmGroup();
   void Carry(const table::GroupCommitEffects& aEffects);
 
   net::Loop& m_loop;
@@ -45,6 +49,7 @@
   observe::Metrics& m_metrics;
   table::GroupCommit m_group;
   std::unordered_map<table::RecordId, RecordDone> m_records;
+  net::PacedTimer m_groupTimer;
 };
 
 } // namespace lacewing::daemon
--- a/src/daemon/WorkerSession.cpp
+++ b/src/daemon/WorkerSession.cpp
@@ -72,6 +72,12 @@
   }
 }
 
+bool
+WorkerSession::NeedsFlush() const
+{
+  return !m_busy && !m_closed && (m_request || !m_commands.empty());
+}
+
 void
 WorkerSession::Send(worker::ControlRequest aRequest)
 {
--- a/src/daemon/WorkerSession.h
+++ b/src/daemon/WorkerSession.h
@@ -40,6 +40,8 @@
   void Poll();
   /// Sends what is waiting, unless an exchange is under way.
   void Flush();
+  /// True if something waits to be sent and no exchange is under way.
+  bool NeedsFlush() const;
   /// Drops what is waiting and ignores the answer of the present exchange.
   void Close() { m_closed = true; }
 
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -156,6 +156,7 @@
   tasks.m_succeeded = ToVector(aRecord.m_succeeded);
   tasks.m_cancelled = aRecord.m_cancelRequested;
   m_scheduler.Recover(net::Loop::Now(), ToSchedSpec(aRecord), tasks);
+  m_runtime.OwnerTimer().CallSoon();
 }
 
 void
@@ -200,6 +201,7 @@
                           const settings::TeamSettings& aSettings)
 {
   const Time now = net::Loop::Now();
+  m_runtime.OwnerTimer().CallSoon();
   if (aSettings.m_limitMillicores) {
     m_scheduler.SetTeam(
       now, aTeam, aSettings.m_weight, *aSettings.m_limitMillicores);
@@ -222,6 +224,7 @@
   const auto found = m_workers.find(aWorker);
   if (found != m_workers.end()) {
     found->second.m_session->Request(aRequest);
+    m_runtime.OwnerTimer().CallSoon();
   }
 }
 
@@ -230,6 +233,7 @@
                             const worker::ControlOutcome& aOutcome,
                             const std::vector<worker::Command>& aCommands)
 {
+  m_runtime.OwnerTimer().CallSoon();
   Worker& worker = m_workers.at(aWorker);
   for (const worker::Command& command : aCommands) {
     worker.m_startsUnderWay.erase(command.m_task);
@@ -379,6 +383,7 @@
   found->second.m_startsUnderWay.clear();
   m_scheduler.RemoveWorker(net::Loop::Now(), aWorker);
   StoreFinished();
+  m_runtime.OwnerTimer().CallSoon();
 }
 
 void
@@ -394,20 +399,27 @@
   if (IsOpen()) {
     m_scheduler.SetOpen(true);
     StoreFinished();
+    m_runtime.OwnerTimer().CallSoon();
   }
 }
 
 void
 WorkerSliceOwner::Tick()
 {
-  if (!IsOpen() || !m_authority.m_mayAct()) {
-    return;
-  }
-  for (const sched::Action& action :
-       m_scheduler.Decide(net::Loop::Now(), kMaxStartsPerTick)) {
-    CarryOut(action);
+  if (IsOpen() && m_authority.m_mayAct()) {
+    for (const sched::Action& action :
+         m_scheduler.Decide(net::Loop::Now(), kMaxStartsPerTick)) {
+      CarryOut(action);
+    }
+    StoreFinished();
+    TickSessions();
   }
-  StoreFinished();
+  m_runtime.OwnerTimer().CallBy(NextWakeup());
+}
+
+void
+WorkerSliceOwner::TickSessions()
+{
   const Time now = net::Loop::Now();
   for (auto& [vm, worker] : m_workers) {
     if (worker.m_nextPoll <= now) {
@@ -419,6 +431,33 @@
   }
 }
 
+Time
+WorkerSliceOwner::NextWakeup() const
+{
+  if (!IsOpen()) {
+    return Time::max();
+  }
+  // No input tells when the authority comes back.
+  if (!m_authority.m_mayAct()) {
+    return Time::min();
+  }
+  // The scheduler does not tell when its waits and scores change its decision,
+  // so it decides in every period while it has tasks.
+  for (const sched::TeamUsage& usage : m_scheduler.Usages()) {
+    if (usage.m_runningMillicores > 0 || usage.m_waitingMillicores > 0) {
+      return Time::min();
+    }
+  }
+  Time next = Time::max();
+  for (const auto& [vm, worker] : m_workers) {
+    if (worker.m_session->NeedsFlush()) {
+      return Time::min();
+    }
+    next = std::min(next, worker.m_nextPoll);
+  }
+  return next;
+}
+
 void
 WorkerSliceOwner::CarryOut(const sched::Action& aAction)
 {
@@ -464,6 +503,7 @@
     } else {
       self->m_scheduler.OnMarkFailed(net::Loop::Now(), aTask);
     }
+    self->m_runtime.OwnerTimer().CallSoon();
   });
 }
 
@@ -475,6 +515,7 @@
   }
   const Time now = net::Loop::Now();
   const auto never = m_scheduler.Submit(now, ToSchedSpec(aRecord));
+  m_runtime.OwnerTimer().CallSoon();
   observe::Event event;
   event.m_kind = EventKind::JobQueued;
   event.m_job = aRecord.m_id;
@@ -492,6 +533,7 @@
 WorkerSliceOwner::Cancel(const JobId& aJob)
 {
   const bool known = m_scheduler.Cancel(net::Loop::Now(), aJob);
+  m_runtime.OwnerTimer().CallSoon();
   if (known) {
     m_store->RequestCancel(aJob, [](bool) {});
     observe::Event event;
@@ -505,6 +547,7 @@
 std::uint32_t
 WorkerSliceOwner::Resolve(const JobId& aJob, bool aRunAgain)
 {
+  m_runtime.OwnerTimer().CallSoon();
   return m_scheduler.Resolve(net::Loop::Now(), aJob, aRunAgain);
 }
 
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -45,7 +45,7 @@
   void SendControl(const VmId& aWorker, const worker::ControlRequest& aRequest);
   void OnWorkerLost(const VmId& aWorker);
   void OnOpened();
-  /// Decides and sends; to be called every few milliseconds.
+  /// Decides and sends, and arms the timer of the owners for the next time.
   void Tick();
 
   /// A job that a front has made durable. A reason if it can never run here.
@@ -90,6 +90,11 @@
   void CarryOut(const sched::Action& aAction);
   void MarkStarted(const TaskId& aTask);
   void StoreFinished();
+  /// Sends what is due or was not sent yet.
+  void TickSessions();
+  /// When `Tick` is due although there is no further input; `Time::max()` if
+  /// never.
+  Time NextWakeup() const;
   void Recover(const jobs::JobRecord& aRecord);
   void OpenIfReady();
   void RecordTask(observe::EventKind aKind,
