Start no tasks on workers that the VM list shows as leaving

Cause: the scheduler of a worker slice did not know which workers leave, so tasks were placed on a VM until it was gone and then had to run again.

Change: SliceScheduler::SetCordoned closes a worker to new tasks. It is not room for gangs, probes or room that is made for urgent work; a pledge, a mark under way or a reservation there is given up. Running tasks go on. The owner sets it from each VM list and at adoption, and reports the capacity of the other workers to the fronts. The explanation of a job that waits for room names the number of leaving workers. The random sequences cordon workers and their checker refuses a start there; this adds a kind of step, so the sequences of all seeds differ from the former ones.

A scheduler that is not told about the cordon is caught by the checker within 20 seeds.

Conclusion: covered in the scheduler; the wiring in the daemon has no test of its own.

--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -70,6 +70,12 @@
   return spec;
 }
 
+bool
+IsLeaving(const vmlist::Vm& aVm)
+{
+  return aVm.m_state == vmlist::VmState::Leaving;
+}
+
 template<typename Indices>
 std::vector<std::uint32_t>
 ToVector(const Indices& aIndices)
@@ -164,7 +170,9 @@
   m_capacityMillicores = 0;
   for (const vmlist::Vm& vm : aVms) {
     WorkerOf(vm).m_vm = vm;
-    m_capacityMillicores += vm.m_capacity.m_millicores;
+    // Fronts choose a slice by what it can still take.
+    m_capacityMillicores += IsLeaving(vm) ? 0 : vm.m_capacity.m_millicores;
+    m_scheduler.SetCordoned(vm.m_vm, IsLeaving(vm));
   }
 }
 
@@ -284,6 +292,7 @@
   const Time now = net::Loop::Now();
   aWorker.m_adopted = true;
   m_scheduler.UpsertWorker(now, ToWorkerSpec(aWorker.m_vm, aReply.m_capacity));
+  m_scheduler.SetCordoned(aWorker.m_vm.m_vm, IsLeaving(aWorker.m_vm));
   // Tasks that ended under the former owner are taken over as running and ended
   // at once, so that their ends are counted like all others.
   auto inventory = aReply.m_running;
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -61,8 +61,9 @@
   std::vector<sched::TeamUsage> Usages() const { return m_scheduler.Usages(); }
   const SliceId& Id() const { return m_slice; }
   bool IsOpen() const { return m_opened && m_loaded; }
-  /// Processors of the adopted workers that no task holds.
+  /// Processors of the workers that do not leave, less what all tasks hold.
   std::int64_t FreeMillicores() const;
+  /// Processors of the workers that do not leave.
   std::int64_t CapacityMillicores() const { return m_capacityMillicores; }
 
 private:
--- a/src/sched/JobReport.cpp
+++ b/src/sched/JobReport.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+/// What to add to a wait for room; empty if no worker leaves.
+std::string
+DescribeCordoned(const SliceState& aState)
+{
+  const std::size_t count = aState.CordonedCount();
+  return count == 0 ? std::string()
+                    : "; workers that are leaving and take no new tasks: " +
+                        std::to_string(count);
+}
+
 std::string
 DescribeWait(const SliceState& aState, Time aNow, const Job& aJob)
 {
@@ -21,7 +31,7 @@
       return "earlier work of the team or teams further below their share "
              "come first";
     case WaitReason::NoRoom:
-      return "no worker has " + size + " free";
+      return "no worker has " + size + " free" + DescribeCordoned(aState);
     case WaitReason::RoomBeingCleared:
       return "room for " + size + " is being cleared";
     case WaitReason::TeamAllotment:
@@ -30,7 +40,7 @@
              std::to_string(team.m_allotment) + " millicores";
     case WaitReason::GangRoom:
       return "no room for all " + std::to_string(aJob.m_pending.size()) +
-             " tasks of the gang at once";
+             " tasks of the gang at once" + DescribeCordoned(aState);
     case WaitReason::GangReservation:
       return "workers are being kept free for the gang";
     case WaitReason::RetryWait:
--- a/src/sched/RoomPlan.cpp
+++ b/src/sched/RoomPlan.cpp
@@ -140,7 +140,7 @@
 {
   const Worker& worker = aState.WorkerAt(aWorker);
   if (!worker.m_present || worker.m_suspect || worker.m_heldForGang ||
-      !aRequest.m_need.FitsIn(worker.m_spec.m_capacity)) {
+      worker.m_cordoned || !aRequest.m_need.FitsIn(worker.m_spec.m_capacity)) {
     return false;
   }
   const FreeSlot& slot = aState.Table().Slots()[aWorker];
--- a/src/sched/SliceScheduler.h
+++ b/src/sched/SliceScheduler.h
@@ -38,6 +38,9 @@
   /// The worker is gone, or its lease has surely lapsed: none of its tasks runs
   /// any more. They are queued again; at-most-once tasks end as `MayHaveRun`.
   void RemoveWorker(Time aNow, const VmId& aWorker);
+  /// A cordoned worker takes no new tasks; what runs on it goes on. Tasks that
+  /// were placed there and have not been started are placed elsewhere.
+  void SetCordoned(const VmId& aWorker, bool aCordoned);
   /// Takes over what runs on a known worker; false for an unknown one. Tasks
   /// that were thought to run there and are not in the inventory are lost.
   bool Adopt(Time aNow,
--- a/src/sched/SliceSchedulerMarks.h
+++ b/src/sched/SliceSchedulerMarks.h
@@ -83,15 +83,16 @@
   m_marked.swap(later);
 }
 
-/// False if measured sizes of other tasks have grown since the task, or one of
-/// its gang, was placed.
+/// False if, since the task or one of its gang was placed, measured sizes of
+/// other tasks have grown or its worker has begun to leave.
 LACEWING_SCHED_TEMPLATE
 bool
 LACEWING_SCHED::HasRoomToStart(TaskRef aRef) const
 {
   const auto hasRoom = [this](const Task& aTask) {
     return aTask.m_state != TaskState::Marked ||
-           m_state.Unheld(aTask.m_worker).IsNonNegative();
+           (m_state.Unheld(aTask.m_worker).IsNonNegative() &&
+            !m_state.WorkerAt(aTask.m_worker).m_cordoned);
   };
   const Job& job = m_state.JobAt(aRef.m_job);
   if (job.m_spec.m_kind != JobKind::Gang) {
--- a/src/sched/SliceSchedulerRoom.h
+++ b/src/sched/SliceSchedulerRoom.h
@@ -227,7 +227,8 @@
     const Task& task = m_state.TaskAt(ref);
     const bool fits = !Checks::kWaitForRoom ||
                       m_state.HeldBy(ref).FitsIn(m_state.Unheld(task.m_worker));
-    if (m_state.WorkerAt(task.m_worker).m_suspect || aNow > task.m_since ||
+    const Worker& worker = m_state.WorkerAt(task.m_worker);
+    if (worker.m_suspect || worker.m_cordoned || aNow > task.m_since ||
         IsAboveAllotment(ref)) {
       Unplace(ref);
     } else if (fits && m_budget > 0) {
--- a/src/sched/SliceSchedulerSuspects.h
+++ b/src/sched/SliceSchedulerSuspects.h
@@ -48,7 +48,7 @@
   }
   const auto fits = [&](std::uint32_t aWorker) {
     const Worker& worker = m_state.WorkerAt(aWorker);
-    return !worker.m_heldForGang &&
+    return !worker.m_heldForGang && !worker.m_cordoned &&
            aRequest.m_need.FitsIn(m_state.Free(aWorker)) &&
            (aRequest.m_need.m_accelerators == 0 ||
             worker.m_spec.m_accelerator == spec.m_accelerator);
--- a/src/sched/SliceSchedulerWorkers.h
+++ b/src/sched/SliceSchedulerWorkers.h
@@ -30,11 +30,28 @@
       m_state.SetCapacity(known, aSpec.m_capacity);
       return;
     }
+    const bool cordoned = m_state.WorkerAt(known).m_cordoned;
     RemoveWorker(aNow, aSpec.m_id);
+    m_state.SetCordoned(m_state.AddWorker(aSpec), cordoned);
+    return;
   }
   m_state.AddWorker(aSpec);
 }
 
+LACEWING_SCHED_TEMPLATE
+void
+LACEWING_SCHED::SetCordoned(const VmId& aWorker, bool aCordoned)
+{
+  const std::uint32_t index = m_state.FindWorker(aWorker);
+  if (index == kNone || m_state.WorkerAt(index).m_cordoned == aCordoned) {
+    return;
+  }
+  m_state.SetCordoned(index, aCordoned);
+  if (aCordoned && m_state.WorkerAt(index).m_heldForGang) {
+    DropReservation();
+  }
+}
+
 LACEWING_SCHED_TEMPLATE
 void
 LACEWING_SCHED::RemoveWorker(Time aNow, const VmId& aWorker)
--- a/src/sched/SliceState.cpp
+++ b/src/sched/SliceState.cpp
@@ -67,6 +67,22 @@
   m_freeWorkers.push_back(aWorker);
 }
 
+void
+SliceState::SetCordoned(std::uint32_t aWorker, bool aCordoned)
+{
+  m_workers[aWorker].m_cordoned = aCordoned;
+  Touch(aWorker);
+}
+
+std::size_t
+SliceState::CordonedCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    m_workers.begin(), m_workers.end(), [](const Worker& aWorker) {
+      return aWorker.m_present && aWorker.m_cordoned;
+    }));
+}
+
 std::uint32_t
 SliceState::FindWorker(const VmId& aId) const
 {
@@ -245,8 +261,8 @@
 {
   Worker& worker = m_workers[aWorker];
   worker.m_changed = false;
-  const bool open =
-    worker.m_present && !worker.m_suspect && !worker.m_heldForGang;
+  const bool open = worker.m_present && !worker.m_suspect &&
+                    !worker.m_heldForGang && !worker.m_cordoned;
   m_table.Set(aWorker, Free(aWorker), open);
 }
 
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -86,7 +86,8 @@
   bool m_present = false;
   bool m_suspect = false;
   bool m_heldForGang = false;
-  bool m_changed = false; ///< the row of the free table is out of date
+  bool m_cordoned = false; ///< leaves soon; takes no new tasks
+  bool m_changed = false;  ///< the row of the free table is out of date
   std::uint32_t m_throttled = 0;
   Resources m_held;
   Resources m_pledged; ///< room promised to tasks that wait for it
@@ -117,6 +118,9 @@
   std::uint32_t AddWorker(const WorkerSpec& aSpec);
   void DropWorker(std::uint32_t aWorker);
   void SetCapacity(std::uint32_t aWorker, const Resources& aCapacity);
+  void SetCordoned(std::uint32_t aWorker, bool aCordoned);
+  /// Number of present workers that take no new tasks because they leave.
+  std::size_t CordonedCount() const;
   std::uint32_t FindWorker(const VmId& aId) const;
   std::uint32_t FindOrAddTeam(const TeamId& aId);
   std::uint32_t FindTeam(const TeamId& aId) const;
--- a/tests/correctness/SchedRandomSequences.cpp
+++ b/tests/correctness/SchedRandomSequences.cpp
@@ -1,7 +1,7 @@
 /// Guards against workers above their capacity, tasks that run twice, teams
-/// above their allotment and gangs that start in part, over long random
-/// sequences with failures and takeovers. Each check is shown to notice the
-/// loss of its mechanism.
+/// above their allotment, gangs that start in part and starts on leaving
+/// workers, over long random sequences with failures and takeovers. Each check
+/// is shown to notice the loss of its mechanism.
 #include "fakes/SchedRandomRun.h"
 
 #include <gtest/gtest.h>
@@ -54,6 +54,13 @@
   }
 };
 
+/// Is not told which workers leave.
+class CordonBlindScheduler : public DaemonScheduler
+{
+public:
+  void SetCordoned(const VmId& /*aWorker*/, bool /*aCordoned*/) {}
+};
+
 std::vector<Step>
 RandomSteps(std::uint32_t aSeed, std::size_t aCount)
 {
@@ -67,13 +74,12 @@
 }
 
 /// The first violation within a few seeds, or an empty text.
-template<typename Placement, typename Checks>
+template<typename Scheduler>
 std::string
-FirstViolation()
+FirstViolationOf()
 {
   constexpr std::uint32_t kSeeds = 20;
   constexpr std::size_t kSteps = 400;
-  using Scheduler = sched::SliceScheduler<FairOrder, Placement, Checks>;
   for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
     SchedRandomRun<Scheduler> run;
     const auto violations = run.Run(RandomSteps(seed, kSteps));
@@ -84,6 +90,14 @@
   return "";
 }
 
+template<typename Placement, typename Checks>
+std::string
+FirstViolation()
+{
+  return FirstViolationOf<
+    sched::SliceScheduler<FairOrder, Placement, Checks>>();
+}
+
 } // namespace
 
 TEST(SchedRandomSequences, KeepsAllGuarantees)
@@ -133,6 +147,12 @@
                 .starts_with("started while the slice is closed"));
 }
 
+TEST(SchedRandomSequences, NoticesAStartOnALeavingWorker)
+{
+  EXPECT_TRUE((FirstViolationOf<CordonBlindScheduler>())
+                .starts_with("started on a leaving worker"));
+}
+
 TEST(SchedRandomSequences, NoticesPlacementThatIgnoresMemory)
 {
   EXPECT_TRUE((FirstViolation<MemoryBlindPlacement, AllChecks>())
--- a/tests/fakes/SchedChecker.h
+++ b/tests/fakes/SchedChecker.h
@@ -28,11 +28,25 @@
   void RemoveWorker(const VmId& aWorker)
   {
     m_capacity.erase(aWorker);
+    m_cordoned.erase(aWorker);
     std::erase_if(m_running, [&](const auto& aEntry) {
       return aEntry.second.m_worker == aWorker;
     });
   }
 
+  void SetCordoned(const VmId& aWorker, bool aCordoned)
+  {
+    if (aCordoned) {
+      m_cordoned.insert(aWorker);
+    } else {
+      m_cordoned.erase(aWorker);
+    }
+  }
+  bool IsCordoned(const VmId& aWorker) const
+  {
+    return m_cordoned.contains(aWorker);
+  }
+
   void AddJob(const sched::JobSpec& aSpec) { m_jobs[aSpec.m_id] = aSpec; }
   void SetAllotment(const TeamId& aTeam, std::int64_t aMillicores)
   {
@@ -118,6 +132,9 @@
     if (!m_open) {
       Violated("started while the slice is closed", aAction);
     }
+    if (m_cordoned.contains(aAction.m_worker)) {
+      Violated("started on a leaving worker", aAction);
+    }
     if (m_running.contains(aAction.m_task)) {
       Violated("task runs twice", aAction);
     }
@@ -198,6 +215,7 @@
   }
 
   std::map<VmId, Resources> m_capacity;
+  std::set<VmId> m_cordoned;
   std::map<JobId, sched::JobSpec> m_jobs;
   std::map<TeamId, std::int64_t> m_allotments;
   std::map<TaskId, Run> m_running;
--- a/tests/fakes/SchedRandomRun.h
+++ b/tests/fakes/SchedRandomRun.h
@@ -82,7 +82,7 @@
   void Carry(const Step& aStep)
   {
     const int choice = aStep.m_choice;
-    switch (aStep.m_kind % 16) {
+    switch (aStep.m_kind % 17) {
       case 0:
       case 1:
       case 2:
@@ -118,6 +118,9 @@
       case 14:
         AnswerMarks(choice);
         break;
+      case 15:
+        SetCordoned(choice % kWorkers, choice % 3 != 0);
+        break;
       default:
         (choice % 4 == 0) ? TakeOver() : SetOpen(choice % 4 != 1);
         break;
@@ -214,6 +217,15 @@
     m_checker.RemoveWorker(id);
   }
 
+  void SetCordoned(int aNumber, bool aCordoned)
+  {
+    if (m_workers.contains(aNumber)) {
+      const VmId id = MakeWorker(aNumber).m_id;
+      m_scheduler->SetCordoned(id, aCordoned);
+      m_checker.SetCordoned(id, aCordoned);
+    }
+  }
+
   void AnswerMarks(int aChoice)
   {
     for (const TaskId& task : m_marking) {
@@ -238,7 +250,9 @@
       m_scheduler->SetAllotment(TeamOf(team), millicores);
     }
     for (const int number : m_workers) {
-      m_scheduler->UpsertWorker(m_now, MakeWorker(number));
+      const sched::WorkerSpec spec = MakeWorker(number);
+      m_scheduler->UpsertWorker(m_now, spec);
+      m_scheduler->SetCordoned(spec.m_id, m_checker.IsCordoned(spec.m_id));
     }
     bool later = false;
     for (const auto& [id, spec] : m_checker.Jobs()) {
