--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -15,7 +15,7 @@
   lacewing-standin table --listen=ADDR
   lacewing-standin vmlist --listen=ADDR --file=FILE [--lag-ms=MS]
   lacewing-standin worker --listen=ADDR [--millicores=N] [--memory-mib=N]
-                   [--accelerators=N] [--lease-ms=MS] [--fail]
+                   [--accelerators=N] [--lease-ms=MS] [--fail] [--count=N]
   lacewing-standin endpoint --listen=ADDR [--name=NAME] [--slots=N]
                    [--service-ms=MS]
 
@@ -27,6 +27,7 @@
   --memory-mib=N     Memory of the worker in MiB [default: 131072].
   --accelerators=N   Accelerators of the worker [default: 0].
   --lease-ms=MS      Lease of the worker [default: 20000].
+  --count=N          Workers, on consecutive ports [default: 1].
   --fail             Every task on the worker fails.
   --name=NAME        Name in the endpoint's answers [default: endpoint].
   --slots=N          Requests that the endpoint runs at once [default: 8].
@@ -62,7 +63,8 @@
                               aOptions["--accelerators"].asLong() };
         worker.m_lease = milliseconds(aOptions["--lease-ms"].asLong());
         worker.m_failEverything = aOptions["--fail"].asBool();
-        return lacewing::standin::RunWorker(loop, listen, worker);
+        return lacewing::standin::RunWorker(
+          loop, listen, worker, static_cast<int>(aOptions["--count"].asLong()));
       }
       lacewing::standin::EndpointOptions endpoint;
       endpoint.m_name = aOptions["--name"].asString();
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -20,10 +20,13 @@
           const std::string& aFile,
           Duration aLag);
 
+/// Serves `aCount` workers, each on a port of its own, beginning with that of
+/// `aListen`. `GET /stats` on any of them sums up all of them.
 int
 RunWorker(net::Loop& aLoop,
           const net::Address& aListen,
-          const WorkerOptions& aOptions);
+          const WorkerOptions& aOptions,
+          int aCount);
 
 struct EndpointOptions
 {
--- a/standins/WorkerServer.cpp
+++ b/standins/WorkerServer.cpp
@@ -5,11 +5,23 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <memory>
+#include <vector>
 
 namespace lacewing::standin {
 
 namespace {
 
+/// The workers that one process serves, and what they have exchanged with
+/// their owners. Bytes are those of the bodies, without HTTP headers.
+struct WorkerGroup
+{
+  std::vector<WorkerModel> m_workers;
+  std::uint64_t m_controls = 0;
+  std::uint64_t m_bytesReceived = 0;
+  std::uint64_t m_bytesSent = 0;
+};
+
 net::HttpResponse
 Control(WorkerModel& aWorker, const std::string& aBody)
 {
@@ -36,29 +48,82 @@
   return net::JsonResponse(200, body.dump());
 }
 
+net::HttpResponse
+Stats(const WorkerGroup& aGroup)
+{
+  std::size_t running = 0;
+  std::size_t started = 0;
+  std::size_t doubled = 0;
+  for (const WorkerModel& worker : aGroup.m_workers) {
+    running += worker.RunningCount();
+    for (const auto& [task, count] : worker.Starts()) {
+      started += static_cast<std::size_t>(count);
+      doubled += count > 1 ? 1 : 0;
+    }
+  }
+  const nlohmann::json body = { { "workers", aGroup.m_workers.size() },
+                                { "running", running },
+                                { "started", started },
+                                { "started_twice_on_one_worker", doubled },
+                                { "controls", aGroup.m_controls },
+                                { "bytes_received", aGroup.m_bytesReceived },
+                                { "bytes_sent", aGroup.m_bytesSent } };
+  return net::JsonResponse(200, body.dump());
+}
+
+net::HttpResponse
+Answer(WorkerGroup& aGroup,
+       WorkerModel& aWorker,
+       const net::HttpRequest& aRequest)
+{
+  if (aRequest.m_path == "/stats") {
+    return Stats(aGroup);
+  }
+  if (aRequest.m_path != "/v1/control") {
+    return Starts(aWorker);
+  }
+  net::HttpResponse response = Control(aWorker, aRequest.m_body);
+  ++aGroup.m_controls;
+  aGroup.m_bytesReceived += aRequest.m_body.size();
+  aGroup.m_bytesSent += response.m_body.size();
+  return response;
+}
+
 } // namespace
 
 int
 RunWorker(net::Loop& aLoop,
           const net::Address& aListen,
-          const WorkerOptions& aOptions)
+          const WorkerOptions& aOptions,
+          int aCount)
 {
-  WorkerModel worker(aOptions);
-  net::HttpServer server(
-    aLoop,
-    {},
-    [&](const net::HttpRequest& aRequest, const net::HttpReply& aReply) {
-      if (aRequest.m_path == "/v1/control") {
-        aReply(Control(worker, aRequest.m_body));
-        return;
-      }
-      aReply(Starts(worker));
-    });
-  if (!server.Listen(aListen)) {
-    std::cerr << "cannot listen on " << aListen.ToString() << "\n";
-    return 1;
+  WorkerGroup group;
+  std::vector<std::unique_ptr<net::HttpServer>> servers;
+  group.m_workers.reserve(static_cast<std::size_t>(aCount));
+  for (int i = 0; i < aCount; ++i) {
+    group.m_workers.emplace_back(aOptions);
+  }
+  for (int i = 0; i < aCount; ++i) {
+    WorkerModel& worker = group.m_workers[static_cast<std::size_t>(i)];
+    servers.push_back(std::make_unique<net::HttpServer>(
+      aLoop,
+      net::HttpServerLimits(),
+      [&group, &worker](const net::HttpRequest& aRequest,
+                        const net::HttpReply& aReply) {
+        aReply(Answer(group, worker, aRequest));
+      }));
+    net::Address listen = aListen;
+    listen.m_port = static_cast<std::uint16_t>(aListen.m_port + i);
+    if (!servers.back()->Listen(listen)) {
+      std::cerr << "cannot listen on " << listen.ToString() << "\n";
+      return 1;
+    }
   }
-  aLoop.Every(milliseconds(50), [&] { worker.Advance(net::Loop::Now()); });
+  aLoop.Every(milliseconds(50), [&] {
+    for (WorkerModel& worker : group.m_workers) {
+      worker.Advance(net::Loop::Now());
+    }
+  });
   aLoop.Run();
   return 0;
 }
