Leave teams that use nothing out of heartbeats

Cause: A heartbeat told the usage of every team to every member twice a second, also of teams that use nothing at the sender. With 240 teams that was 4.3 kB a heartbeat on an idle cell, 69 kB/s for each of 9 entry VMs against a budget of 25 kB/s.

Change: UsagesToTell keeps only usages that are not zero. A heartbeat replaces the earlier one of its member in LoadView, and the only reader of usages, LoadView::UsageOf, sums what is told, so a team that is not told uses nothing; no explicit zero is needed. capacity_figures prints heartbeats with 0, 24 and 240 active teams of 240 through the same function.

--- a/bench/capacity_figures.cpp
+++ b/bench/capacity_figures.cpp
@@ -1,5 +1,6 @@
 /// Prints the sizes of messages and rows from which docs/CAPACITY.md works out
 /// the traffic of each role. Deterministic; takes no arguments.
+#include "daemon/LoadView.h"
 #include "jobs/JobRecord.h"
 #include "ownership/MemberRow.h"
 #include "ownership/SliceRow.h"
@@ -20,7 +21,7 @@
 }
 
 std::size_t
-HeartbeatBytes(int aSlices, int aTeams)
+HeartbeatBytes(int aSlices, int aTeams, int aActiveTeams)
 {
   peer::Heartbeat beat;
   beat.m_vm = VmId("entry-100");
@@ -33,10 +34,14 @@
         90'000,
         12 });
   }
+  std::map<TeamId, peer::TeamUsage> usages;
   for (int i = 0; i < aTeams; ++i) {
-    beat.m_teams.push_back(
-      { TeamId(Numbered("team-", i)), 250'000, 40, 9'000 });
+    peer::TeamUsage& usage = usages[TeamId(Numbered("team-", i))];
+    if (i < aActiveTeams) {
+      usage = { {}, 250'000, 40, 9'000 };
+    }
   }
+  beat.m_teams = daemon::UsagesToTell(usages);
   return peer::EncodeMessage(beat).size();
 }
 
@@ -122,11 +127,15 @@
   std::cout << "| message or row | size | bytes |\n|---|---|---|\n";
   for (const int slices : { 1, 10, 50 }) {
     std::cout << "| heartbeat | " << slices << " slices, no teams | "
-              << HeartbeatBytes(slices, 0) << " |\n";
+              << HeartbeatBytes(slices, 0, 0) << " |\n";
   }
   for (const int teams : { 6, 60, 240 }) {
-    std::cout << "| heartbeat | 1 slice, " << teams << " teams | "
-              << HeartbeatBytes(1, teams) << " |\n";
+    std::cout << "| heartbeat | 1 slice, " << teams << " active teams | "
+              << HeartbeatBytes(1, teams, teams) << " |\n";
+  }
+  for (const int active : { 0, 24, 240 }) {
+    std::cout << "| heartbeat | 1 slice, 240 teams, " << active << " active | "
+              << HeartbeatBytes(1, 240, active) << " |\n";
   }
   for (const int tasks : { 0, 12, 50 }) {
     std::cout << "| worker's answer | " << tasks << " tasks | "
--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -750,10 +750,7 @@
         static_cast<std::uint64_t>(owner->RunningOf(team));
     }
   }
-  for (auto& [team, usage] : teams) {
-    usage.m_team = team;
-    beat.m_teams.push_back(usage);
-  }
+  beat.m_teams = UsagesToTell(teams);
   for (const Draining& draining : m_draining) {
     // Reported once nothing is left: partial counts would not tell the next
     // owner which teams the remaining requests belong to.
--- a/src/daemon/LoadView.cpp
+++ b/src/daemon/LoadView.cpp
@@ -2,6 +2,20 @@
 
 namespace lacewing::daemon {
 
+std::vector<peer::TeamUsage>
+UsagesToTell(const std::map<TeamId, peer::TeamUsage>& aUsages)
+{
+  std::vector<peer::TeamUsage> told;
+  for (const auto& [team, usage] : aUsages) {
+    if (usage.m_millicores != 0 || usage.m_waitingMillicores != 0 ||
+        usage.m_requests != 0) {
+      told.push_back(usage);
+      told.back().m_team = team;
+    }
+  }
+  return told;
+}
+
 void
 LoadView::OnHeartbeat(Time aNow, const peer::Heartbeat& aHeartbeat)
 {
--- a/src/daemon/LoadView.h
+++ b/src/daemon/LoadView.h
@@ -14,6 +14,12 @@
 /// A heartbeat older than this says nothing about loads.
 inline constexpr Duration kLoadMaxAge = seconds(5);
 
+/// The usages that a heartbeat contains: those that are not zero, in the order
+/// of the teams. A heartbeat replaces the earlier one of its member, so a team
+/// that is not in it uses nothing there.
+std::vector<peer::TeamUsage>
+UsagesToTell(const std::map<TeamId, peer::TeamUsage>& aUsages);
+
 class LoadView
 {
 public:
@@ -24,7 +30,7 @@
   std::optional<peer::SliceLoad> Find(Time aNow,
                                       const VmId& aOwner,
                                       const SliceId& aSlice) const;
-  /// Usage of a team by all members.
+  /// Usage of a team by all members, by their latest heartbeats.
   peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
   std::uint64_t SettingsVersionOf(const VmId& aVm) const;
 
