Refuse requests of a slice whose endpoints all leave, and test leaving endpoints

Cause: no test had an endpoint that leaves, or a killed endpoint that the VM list still has, with real processes.

Change: the owner refuses the queue with "not run" while every known endpoint of the slice is leaving or gone, and the front sends the requests elsewhere. RequestRouter.RefusesTheQueueWhenEveryEndpointIsLeaving fails without the change.

A slice whose endpoints are all ejected still holds its queue, since they are probed and may return within 100 ms.

--- a/src/daemon/ServiceSliceOwner.cpp
+++ b/src/daemon/ServiceSliceOwner.cpp
@@ -11,6 +11,9 @@
 using observe::Metric;
 
 constexpr Duration kStatusTimeout = seconds(1);
+/// Load of a slice without an endpoint that takes work: above that of any other
+/// slice, since a front sends requests to the less loaded of two.
+constexpr double kLoadWithoutSlots = 1e6;
 
 int
 ToInt(std::int64_t aValue)
@@ -74,10 +77,8 @@
 ServiceSliceOwner::UpdateEndpoints(const std::vector<vmlist::Vm>& aVms)
 {
   std::vector<routing::EndpointInfo> list;
-  m_slots = 0;
   for (const vmlist::Vm& vm : aVms) {
     m_addresses[vm.m_vm] = vm.m_address;
-    m_slots += vm.m_slots;
     list.push_back({ vm.m_vm,
                      vm.m_slots,
                      vm.m_connections,
@@ -151,7 +152,8 @@
 ServiceSliceOwner::Load() const
 {
   const auto work = m_router.QueuedCount() + m_router.RunningCount();
-  return static_cast<double>(work) / std::max(m_slots, 1);
+  const int slots = m_router.TotalSlots();
+  return slots > 0 ? static_cast<double>(work) / slots : kLoadWithoutSlots;
 }
 
 void
--- a/src/daemon/ServiceSliceOwner.h
+++ b/src/daemon/ServiceSliceOwner.h
@@ -54,9 +54,9 @@
   int RunningOf(const TeamId& aTeam) const { return m_router.RunningOf(aTeam); }
   /// Requests of a team that wait here for an endpoint.
   int WaitingOf(const TeamId& aTeam) const;
-  /// Queued and running requests over the slots of the slice.
+  /// Queued and running requests over the slots of the endpoints that take
+  /// work.
   double Load() const;
-  int Slots() const { return m_slots; }
   const SliceId& Id() const { return m_slice; }
 
 private:
@@ -86,7 +86,6 @@
   routing::RequestRouter m_router;
   std::map<VmId, net::Address> m_addresses;
   std::map<routing::RequestId, Open> m_open;
-  int m_slots = 0;
 };
 
 /// Text of a request's id for headers and the time line.
--- a/src/routing/EndpointPool.cpp
+++ b/src/routing/EndpointPool.cpp
@@ -150,6 +150,17 @@
   return total;
 }
 
+template<EndpointChoice Choice>
+bool
+EndpointPool<Choice>::HasLeft() const
+{
+  return !m_endpoints.empty() &&
+         std::ranges::all_of(m_endpoints, [](const Endpoint& aEndpoint) {
+           return aEndpoint.m_state == EndpointState::Leaving ||
+                  aEndpoint.m_state == EndpointState::Gone;
+         });
+}
+
 template<EndpointChoice Choice>
 std::optional<VmId>
 EndpointPool<Choice>::Choose(bool aCountSlots)
--- a/src/routing/EndpointPool.h
+++ b/src/routing/EndpointPool.h
@@ -126,7 +126,10 @@
 
   const Endpoint* Find(const VmId& aVm) const;
   const std::vector<Endpoint>& Endpoints() const { return m_endpoints; }
+  /// Slots of the endpoints that take work.
   int TotalSlots() const;
+  /// True if endpoints are known and each of them is leaving or gone.
+  bool HasLeft() const;
   std::optional<Time> NextProbe() const;
 
 private:
--- a/src/routing/RequestRouter.h
+++ b/src/routing/RequestRouter.h
@@ -198,6 +198,8 @@
 
   /// When `OnTick` is due; nothing while there is nothing to wait for.
   std::optional<Time> NextWakeup(Time aNow) const;
+  /// Slots of the endpoints that take work.
+  int TotalSlots() const { return m_pool.TotalSlots(); }
   std::size_t QueuedCount() const { return m_queue.size() + m_delayed.size(); }
   std::size_t RunningCount() const { return m_waiting; }
   /// Requests of the team that run or may still run.
--- a/src/routing/RequestRouterImpl.h
+++ b/src/routing/RequestRouterImpl.h
@@ -239,6 +239,13 @@
     RefuseQueue(ErrorCode::NotOwner, "authority has ended", aActions);
     return aActions;
   }
+  // The front sends them to another slice; here they would wait for their
+  // deadline.
+  if (m_pool.HasLeft()) {
+    RefuseQueue(ErrorCode::Unavailable,
+                "every endpoint of the slice is leaving or gone",
+                aActions);
+  }
   if (aNow >= m_adopted + kMaxDeadline) {
     m_pool.ClearForeign();
   }
--- a/tests/correctness/RequestRouterRefusals.cpp
+++ b/tests/correctness/RequestRouterRefusals.cpp
@@ -180,6 +180,31 @@
   EXPECT_EQ(Find<Refuse>(ended)->m_error.m_verdict, Verdict::NotRun);
 }
 
+TEST(RequestRouter, RefusesTheQueueWhenEveryEndpointIsLeaving)
+{
+  // Kept in the queue, these requests would wait for their deadline although
+  // other slices have free slots.
+  RequestRouter router = MakeRouter();
+  router.Admit(Time(), Make(1));
+  router.Admit(Time(), Make(2));
+  const Actions left =
+    router.UpdateEndpoints(Time(), { { kEndpoint, 1, 64, true } });
+  ASSERT_NE(Find<Refuse>(left), nullptr);
+  EXPECT_EQ(Find<Refuse>(left)->m_request, Make(2).m_id);
+  EXPECT_EQ(Find<Refuse>(left)->m_error.m_code, ErrorCode::Unavailable);
+  EXPECT_EQ(Find<Refuse>(left)->m_error.m_verdict, Verdict::NotRun);
+  const Actions later = router.Admit(Time(), Make(3));
+  ASSERT_NE(Find<Refuse>(later), nullptr);
+  EXPECT_EQ(Find<Refuse>(later)->m_request, Make(3).m_id);
+}
+
+TEST(RequestRouter, KeepsTheQueueUntilTheListOfEndpointsIsThere)
+{
+  RequestRouter router(Time(), {}, 1);
+  router.Adopt(Time(), {});
+  EXPECT_EQ(Find<Refuse>(router.Admit(Time(), Make(1))), nullptr);
+}
+
 TEST(RequestRouter, DropsADuplicatedForward)
 {
   RequestRouter router = MakeRouter(8);
