Spread bursts of jobs over slices; drop needless polls and walks over all workers

All jobs that came between two heartbeats went to the slice that was emptiest in the last one. Workers with long tasks were polled each second with their whole inventory. Each renewal walked over all workers of the process and was recorded in the time line. Change: LoadView counts jobs that were sent lately; PollPlan leaves long, long overdue and taken-over tasks to the renewals; only a change of adoption walks over the workers of its slice; sessions with nothing to send return before they look up credentials.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -452,13 +452,11 @@
 EntryDaemon::OnOwnershipEvent(const ownership::OwnershipEvent& aEvent)
 {
   using ownership::EventKind;
-  observe::Event event;
-  event.m_kind = observe::EventKind::MemberState;
-  event.m_vm = aEvent.m_worker;
-  event.m_detail = std::string(NameOf(aEvent.m_kind)) + " " +
-                   aEvent.m_slice.Value() + " epoch " +
-                   std::to_string(aEvent.m_epoch);
-  m_runtime.Record(std::move(event));
+  // One comes with each renewal of each worker; the slice's owner records the
+  // first one.
+  if (aEvent.m_kind != EventKind::WorkerAdopted) {
+    RecordOwnershipEvent(aEvent);
+  }
   switch (aEvent.m_kind) {
     case EventKind::SliceClaimed:
       Claim(aEvent.m_slice, aEvent.m_epoch);
@@ -494,6 +492,18 @@
   }
 }
 
+void
+EntryDaemon::RecordOwnershipEvent(const ownership::OwnershipEvent& aEvent)
+{
+  observe::Event event;
+  event.m_kind = observe::EventKind::MemberState;
+  event.m_vm = aEvent.m_worker;
+  event.m_detail = std::string(NameOf(aEvent.m_kind)) + " " +
+                   aEvent.m_slice.Value() + " epoch " +
+                   std::to_string(aEvent.m_epoch);
+  m_runtime.Record(std::move(event));
+}
+
 void
 EntryDaemon::Claim(const SliceId& aSlice, Epoch aEpoch)
 {
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -54,6 +54,7 @@
   void PollVmList();
   void TakeVmList(Time aAsked, const std::vector<vmlist::Vm>& aVms);
   void OnOwnershipEvent(const ownership::OwnershipEvent& aEvent);
+  void RecordOwnershipEvent(const ownership::OwnershipEvent& aEvent);
   void Claim(const SliceId& aSlice, Epoch aEpoch);
   void ClaimWorkers(const vmlist::Slice& aSlice, Epoch aEpoch);
   void ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch);
--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -188,16 +188,9 @@
       continue;
     }
     const VmId owner = m_cell.m_membership.Machine().OwnerOf(id);
-    const auto load = m_cell.m_loads.Find(now, owner, id);
-    // An idle slice scores 1, one whose queue is as long as it is large less
-    // than 0; a slice in the preferred region goes before all others.
-    const auto capacity =
-      std::max<std::int64_t>(slice.Capacity().m_millicores, 1);
-    double score = load ? static_cast<double>(load->m_freeMillicores) /
-                              static_cast<double>(capacity) -
-                            static_cast<double>(load->m_queueLength) /
-                              static_cast<double>(slice.m_vms.size())
-                        : -1.0;
+    // A slice in the preferred region goes before all others.
+    double score = m_cell.m_loads.FreeShare(
+      now, owner, id, slice.Capacity().m_millicores, slice.m_vms.size());
     const RegionId& wanted = aSpec.m_region.empty()
                                ? m_cell.m_runtime.Config().m_region
                                : aSpec.m_region;
@@ -219,6 +212,8 @@
                 "the job can never run: " + Describe(aSpec) +
                   " fit in no slice of the fleet");
   }
+  m_cell.m_loads.OnJobSent(
+    now, best, aSpec.m_perTask.m_millicores * aSpec.m_tasks);
   return best;
 }
 
--- a/src/daemon/LoadView.cpp
+++ b/src/daemon/LoadView.cpp
@@ -1,7 +1,17 @@
 #include "daemon/LoadView.h"
 
+#include <algorithm>
+
 namespace lacewing::daemon {
 
+namespace {
+
+/// A heartbeat period of 500 ms, and as long for the job's record to be written
+/// and for the owner to take it.
+constexpr Duration kSentJobAge = seconds(1);
+
+} // namespace
+
 void
 LoadView::OnHeartbeat(Time aNow, const peer::Heartbeat& aHeartbeat)
 {
@@ -29,6 +39,41 @@
   return std::nullopt;
 }
 
+double
+LoadView::FreeShare(Time aNow,
+                    const VmId& aOwner,
+                    const SliceId& aSlice,
+                    std::int64_t aCapacityMillicores,
+                    std::size_t aWorkers) const
+{
+  const auto load = Find(aNow, aOwner, aSlice);
+  if (!load) {
+    return -1.0;
+  }
+  std::int64_t free = load->m_freeMillicores;
+  const auto sent = m_sentJobs.find(aSlice);
+  if (sent != m_sentJobs.end()) {
+    for (const SentJob& job : sent->second) {
+      free -= aNow - job.m_at <= kSentJobAge ? job.m_millicores : 0;
+    }
+  }
+  const auto capacity = std::max<std::int64_t>(aCapacityMillicores, 1);
+  const auto workers = std::max<std::size_t>(aWorkers, 1);
+  return static_cast<double>(free) / static_cast<double>(capacity) -
+         static_cast<double>(load->m_queueLength) /
+           static_cast<double>(workers);
+}
+
+void
+LoadView::OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores)
+{
+  auto& jobs = m_sentJobs[aSlice];
+  while (!jobs.empty() && aNow - jobs.front().m_at > kSentJobAge) {
+    jobs.pop_front();
+  }
+  jobs.push_back({ aNow, aMillicores });
+}
+
 peer::TeamUsage
 LoadView::UsageOf(Time aNow, const TeamId& aTeam) const
 {
--- a/src/daemon/LoadView.h
+++ b/src/daemon/LoadView.h
@@ -6,6 +6,7 @@
 #include "core/Time.h"
 #include "peer/PeerMessages.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -24,6 +25,17 @@
   std::optional<peer::SliceLoad> Find(Time aNow,
                                       const VmId& aOwner,
                                       const SliceId& aSlice) const;
+  /// Free part of a slice of workers with this capacity, as told by its owner,
+  /// less the jobs that this process has sent there lately: 1 for an idle
+  /// slice, below 0 for one whose queue is as long as it is large, -1 if the
+  /// load is not known.
+  double FreeShare(Time aNow,
+                   const VmId& aOwner,
+                   const SliceId& aSlice,
+                   std::int64_t aCapacityMillicores,
+                   std::size_t aWorkers) const;
+  /// Counts a job against the slice until heartbeats include it.
+  void OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores);
   /// Usage of a team by all members.
   peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
   std::uint64_t SettingsVersionOf(const VmId& aVm) const;
@@ -35,9 +47,17 @@
     peer::Heartbeat m_heartbeat;
   };
 
+  struct SentJob
+  {
+    Time m_at{};
+    std::int64_t m_millicores = 0;
+  };
+
   bool IsFresh(Time aNow, const Seen& aSeen) const;
 
   std::map<VmId, Seen> m_members;
+  /// Oldest first.
+  std::map<SliceId, std::deque<SentJob>> m_sentJobs;
 };
 
 } // namespace lacewing::daemon
--- a/src/daemon/WorkerSession.cpp
+++ b/src/daemon/WorkerSession.cpp
@@ -49,11 +49,13 @@
 void
 WorkerSession::Flush()
 {
-  if (m_busy || m_closed) {
+  // Asked every few milliseconds for each worker, mostly with nothing waiting;
+  // the credentials cost several look-ups.
+  if (m_busy || m_closed || (!m_request && m_commands.empty())) {
     return;
   }
   const auto credentials = m_credentials();
-  if (credentials && (m_request || !m_commands.empty())) {
+  if (credentials) {
     worker::ControlRequest request;
     request.m_slice = m_slice;
     request.m_epoch = credentials->m_epoch;
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -12,12 +12,6 @@
 constexpr Duration kLoadRetryDelay = seconds(1);
 /// Bounds the length of one decision, so that the loop stays responsive.
 constexpr std::size_t kMaxStartsPerTick = 256;
-/// Bounds of the time between two polls of a worker on which tasks run. A
-/// worker is polled when its next task should end; tasks that are overdue are
-/// polled for less and less often.
-constexpr Duration kMinPollPeriod = milliseconds(100);
-constexpr Duration kMaxPollPeriod = seconds(1);
-constexpr int kOverduePart = 4;
 /// Allotment of a team without an upper limit, in millicores.
 constexpr std::int64_t kUnlimitedMillicores = 1'000'000'000'000;
 /// The kind of all accelerators; callers cannot name kinds yet.
@@ -254,28 +248,25 @@
 WorkerSliceOwner::PlanPoll(Worker& aWorker, const worker::ControlReply& aReply)
 {
   const Time now = net::Loop::Now();
-  std::map<TaskId, Time> ends;
-  Time earliest = Time::max();
+  std::map<TaskId, ExpectedRun> runs;
+  aWorker.m_nextPoll = Time::max();
   for (const worker::RunningTask& task : aReply.m_running) {
     const jobs::JobRecord* job = m_store->Find(task.m_task.m_job);
     if (job == nullptr || job->m_spec.m_kind == caller::JobKind::Service) {
       continue;
     }
-    const auto known = aWorker.m_expectedEnds.find(task.m_task);
-    // The start of a task that was taken over is not known; it counts as due.
-    const Time end =
-      known == aWorker.m_expectedEnds.end() ? now : known->second;
-    ends[task.m_task] = end;
-    earliest = std::min(earliest, end);
-  }
-  aWorker.m_expectedEnds = std::move(ends);
-  if (earliest == Time::max()) {
-    aWorker.m_nextPoll = Time::max();
-    return;
+    const auto known = aWorker.m_expectedRuns.find(task.m_task);
+    const ExpectedRun run = known == aWorker.m_expectedRuns.end()
+                              ? ExpectedRun{ now, Time::max() }
+                              : known->second;
+    runs[task.m_task] = run;
+    aWorker.m_nextPoll = std::min(aWorker.m_nextPoll, now + PollWait(now, run));
+  }
+  // Starts that the worker does not know yet are in a later answer.
+  for (const auto& [task, start] : aWorker.m_startsUnderWay) {
+    runs[task] = aWorker.m_expectedRuns[task];
   }
-  const Duration wait =
-    earliest > now ? earliest - now : (now - earliest) / kOverduePart;
-  aWorker.m_nextPoll = now + std::clamp(wait, kMinPollPeriod, kMaxPollPeriod);
+  aWorker.m_expectedRuns = std::move(runs);
 }
 
 void
@@ -443,8 +434,10 @@
   start.m_task = aAction.m_task;
   start.m_attempt = aAction.m_attempt;
   start.m_reserved = aAction.m_reserved;
-  found->second.m_expectedEnds[aAction.m_task] =
-    net::Loop::Now() + milliseconds(aAction.m_runMs);
+  const Time now = net::Loop::Now();
+  found->second.m_expectedRuns[aAction.m_task] = {
+    now, now + milliseconds(aAction.m_runMs)
+  };
   const jobs::JobRecord* job = m_store->Find(aAction.m_task.m_job);
   const bool urgent = job != nullptr && job->m_spec.m_urgent;
   m_runtime.Metrics().Add(Metric::TaskStarts, { urgent ? "urgent" : "other" });
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/JobStore.h"
+#include "daemon/PollPlan.h"
 #include "daemon/WorkerSession.h"
 #include "sched/SliceScheduler.h"
 #include "settings/SettingsTree.h"
@@ -73,8 +74,8 @@
     bool m_adopted = false;
     /// Starts that were decided and whose exchange has not ended.
     std::map<TaskId, worker::RunningTask> m_startsUnderWay;
-    /// When the running tasks should end by their declared run times.
-    std::map<TaskId, Time> m_expectedEnds;
+    /// Of the running tasks and the starts under way.
+    std::map<TaskId, ExpectedRun> m_expectedRuns;
     Time m_nextPoll = Time::max();
   };
 
--- a/src/ownership/AdoptionTracker.cpp
+++ b/src/ownership/AdoptionTracker.cpp
@@ -116,6 +116,13 @@
   return m_open;
 }
 
+bool
+AdoptionTracker::IsAdopted(const VmId& aWorker) const
+{
+  const auto found = m_workers.find(aWorker);
+  return found != m_workers.end() && found->second.m_adopted;
+}
+
 std::uint64_t
 AdoptionTracker::Token(const VmId& aWorker) const
 {
--- a/src/ownership/AdoptionTracker.h
+++ b/src/ownership/AdoptionTracker.h
@@ -36,6 +36,7 @@
   bool IsOpen() const { return m_open; }
   /// Opens the slice if it may; true if it opened now.
   bool TryOpen(Time aNow);
+  bool IsAdopted(const VmId& aWorker) const;
   /// The token of the worker's latest answer; 0 if it is not adopted.
   std::uint64_t Token(const VmId& aWorker) const;
   Epoch OwnEpoch() const { return m_epoch; }
--- a/src/ownership/Ownership.cpp
+++ b/src/ownership/Ownership.cpp
@@ -44,16 +44,22 @@
   if (found == m_adoptions.end()) {
     return effects;
   }
-  if (found->second.OnReply(aNow, aWorker, aReply)) {
+  AdoptionTracker& tracker = found->second;
+  const bool wasAdopted = tracker.IsAdopted(aWorker);
+  if (tracker.OnReply(aNow, aWorker, aReply)) {
     OwnershipEvent event;
     event.m_kind = EventKind::WorkerAdopted;
     event.m_slice = aSlice;
-    event.m_epoch = found->second.OwnEpoch();
+    event.m_epoch = tracker.OwnEpoch();
     event.m_worker = aWorker;
     event.m_reply = aReply;
     effects.m_events.push_back(std::move(event));
   }
-  TickAdoption(aNow, effects);
+  // Only a change of adoption makes something due at once. A walk over all
+  // workers for each renewal would grow with the square of their number.
+  if (tracker.IsAdopted(aWorker) != wasAdopted) {
+    TickAdoption(aNow, aSlice, tracker, effects);
+  }
   return effects;
 }
 
@@ -265,7 +271,7 @@
   TickView(aNow, aEffects);
   TickOutage(aNow, aEffects);
   TickReleases(aNow, aEffects);
-  TickAdoption(aNow, aEffects);
+  TickAdoptions(aNow, aEffects);
   TickAllotments(aNow, aEffects);
   TickDraining(aNow, aEffects);
 }
@@ -309,27 +315,36 @@
 }
 
 void
-Ownership::TickAdoption(Time aNow, Effects& aEffects)
+Ownership::TickAdoptions(Time aNow, Effects& aEffects)
 {
   for (auto& [slice, tracker] : m_adoptions) {
-    for (const VmId& vm : tracker.TakeLost(aNow)) {
-      OwnershipEvent event;
-      event.m_kind = EventKind::WorkerLost;
-      event.m_slice = slice;
-      event.m_epoch = tracker.OwnEpoch();
-      event.m_worker = vm;
-      aEffects.m_events.push_back(std::move(event));
-    }
-    if (!MayAct(aNow, slice)) {
-      continue;
-    }
-    for (WorkerSend& send : tracker.Due(aNow)) {
-      aEffects.m_workerSends.push_back(std::move(send));
-    }
-    if (tracker.TryOpen(aNow)) {
-      aEffects.m_steps.push_back(Step::SliceOpened);
-      aEffects.Event(EventKind::SliceOpened, slice, tracker.OwnEpoch());
-    }
+    TickAdoption(aNow, slice, tracker, aEffects);
+  }
+}
+
+void
+Ownership::TickAdoption(Time aNow,
+                        const SliceId& aSlice,
+                        AdoptionTracker& aTracker,
+                        Effects& aEffects)
+{
+  for (const VmId& vm : aTracker.TakeLost(aNow)) {
+    OwnershipEvent event;
+    event.m_kind = EventKind::WorkerLost;
+    event.m_slice = aSlice;
+    event.m_epoch = aTracker.OwnEpoch();
+    event.m_worker = vm;
+    aEffects.m_events.push_back(std::move(event));
+  }
+  if (!MayAct(aNow, aSlice)) {
+    return;
+  }
+  for (WorkerSend& send : aTracker.Due(aNow)) {
+    aEffects.m_workerSends.push_back(std::move(send));
+  }
+  if (aTracker.TryOpen(aNow)) {
+    aEffects.m_steps.push_back(Step::SliceOpened);
+    aEffects.Event(EventKind::SliceOpened, aSlice, aTracker.OwnEpoch());
   }
 }
 
--- a/src/ownership/Ownership.h
+++ b/src/ownership/Ownership.h
@@ -137,7 +137,11 @@
   void TickJoin(Time aNow, Effects& aEffects);
   void TickOutage(Time aNow, Effects& aEffects);
   void TickReleases(Time aNow, Effects& aEffects);
-  void TickAdoption(Time aNow, Effects& aEffects);
+  void TickAdoptions(Time aNow, Effects& aEffects);
+  void TickAdoption(Time aNow,
+                    const SliceId& aSlice,
+                    AdoptionTracker& aTracker,
+                    Effects& aEffects);
   void TickAllotments(Time aNow, Effects& aEffects);
   void TickDraining(Time aNow, Effects& aEffects);
   void CheckAuthority(Time aNow, Effects& aEffects);
