Check that a job's row stays until its submission is known to be deleted

Cause: the test of a changed submission passed when both rows were deleted at once, since one transaction of the group commit then takes both.

Change: the test also expects the job's row after the conflict.

--- a/tests/correctness/JobExpiry.cpp
+++ b/tests/correctness/JobExpiry.cpp
@@ -201,6 +201,8 @@
   });
   world.Run(hours(1) + seconds(6));
   EXPECT_TRUE(world.Has(*job.m_submission));
+  EXPECT_TRUE(world.Has(jobs::JobRow(job.m_id)))
+    << "deleted before the delete of its submission was known";
 }
 
 TEST(JobExpiry, KeepsTheRateOfDeletes)
