Remove message kinds that no daemon sends from the peer codec

Cause: Hello, HelloAnswer, OutageProbe, Promise, RelayRenewal, RelayResult, CancelJob, TimelineQuery, TimelineReply and SettingsChanged had types, codec and tests, but no daemon sends or handles them: the ownership and settings protocols send JSON in Opaque. A daemon accepted them only to refuse them.

Conclusion: An unused kind is refused by the decoder, as unknown kinds are.

--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -102,20 +102,6 @@
 
 // One overload of Write for each message.
 
-void
-Write(const Hello& aIn, wire::Envelope& aOut)
-{
-  WriteProcess(aIn.m_vm, aIn.m_incarnation, *aOut.mutable_hello());
-  aOut.mutable_hello()->set_settings_version(aIn.m_settingsVersion);
-}
-
-void
-Write(const HelloAnswer& aIn, wire::Envelope& aOut)
-{
-  WriteProcess(aIn.m_vm, aIn.m_incarnation, *aOut.mutable_hello_answer());
-  aOut.mutable_hello_answer()->set_settings_version(aIn.m_settingsVersion);
-}
-
 void
 Write(const Heartbeat& aIn, wire::Envelope& aOut)
 {
@@ -150,35 +136,6 @@
   }
 }
 
-void
-Write(const OutageProbe& aIn, wire::Envelope& aOut)
-{
-  WriteProcess(aIn.m_vm, aIn.m_incarnation, *aOut.mutable_outage_probe());
-  aOut.mutable_outage_probe()->set_sequence(aIn.m_sequence);
-}
-
-void
-Write(const Promise& aIn, wire::Envelope& aOut)
-{
-  wire::Promise& out = *aOut.mutable_promise();
-  out.set_sequence(aIn.m_sequence);
-  out.set_given(aIn.m_given);
-  out.set_duration_us(static_cast<std::uint64_t>(aIn.m_duration.count()));
-  out.set_table_reachable(aIn.m_tableReachable);
-}
-
-void
-Write(const RelayRenewal& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_relay_renewal()->set_commit(aIn.m_commit);
-}
-
-void
-Write(const RelayResult& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_relay_result()->set_result(aIn.m_result);
-}
-
 void
 Write(const ForwardRequest& aIn, wire::Envelope& aOut)
 {
@@ -220,12 +177,6 @@
   aOut.mutable_submit_job()->set_body(aIn.m_body);
 }
 
-void
-Write(const CancelJob& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_cancel_job()->set_body(aIn.m_body);
-}
-
 void
 Write(const QueryJob& aIn, wire::Envelope& aOut)
 {
@@ -240,24 +191,6 @@
   aOut.mutable_job_reply()->set_body(aIn.m_body);
 }
 
-void
-Write(const TimelineQuery& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_timeline_query()->set_query(aIn.m_query);
-}
-
-void
-Write(const TimelineReply& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_timeline_reply()->set_events(aIn.m_events);
-}
-
-void
-Write(const SettingsChanged& aIn, wire::Envelope& aOut)
-{
-  aOut.mutable_settings_changed()->set_settings_version(aIn.m_settingsVersion);
-}
-
 void
 Write(const Opaque& aIn, wire::Envelope& aOut)
 {
@@ -279,22 +212,6 @@
 
 // One overload of Read for each message.
 
-Hello
-Read(const wire::Hello& aIn, FieldReader& aReader)
-{
-  return { VmId(aReader.Name(aIn.vm(), "hello.vm")),
-           aIn.incarnation(),
-           aIn.settings_version() };
-}
-
-HelloAnswer
-Read(const wire::HelloAnswer& aIn, FieldReader& aReader)
-{
-  return { VmId(aReader.Name(aIn.vm(), "hello_answer.vm")),
-           aIn.incarnation(),
-           aIn.settings_version() };
-}
-
 SliceLoad
 Read(const wire::SliceLoad& aIn, FieldReader& aReader)
 {
@@ -359,35 +276,6 @@
   return out;
 }
 
-OutageProbe
-Read(const wire::OutageProbe& aIn, FieldReader& aReader)
-{
-  return { VmId(aReader.Name(aIn.vm(), "outage_probe.vm")),
-           aIn.incarnation(),
-           aIn.sequence() };
-}
-
-Promise
-Read(const wire::Promise& aIn, FieldReader& aReader)
-{
-  return { aIn.sequence(),
-           aIn.given(),
-           aReader.Time(aIn.duration_us(), "promise.duration_us"),
-           aIn.table_reachable() };
-}
-
-RelayRenewal
-Read(const wire::RelayRenewal& aIn, FieldReader&)
-{
-  return { aIn.commit() };
-}
-
-RelayResult
-Read(const wire::RelayResult& aIn, FieldReader&)
-{
-  return { aIn.result() };
-}
-
 ForwardRequest
 Read(const wire::ForwardRequest& aIn, FieldReader& aReader)
 {
@@ -440,12 +328,6 @@
   return { aIn.body() };
 }
 
-CancelJob
-Read(const wire::CancelJob& aIn, FieldReader&)
-{
-  return { aIn.body() };
-}
-
 QueryJob
 Read(const wire::QueryJob& aIn, FieldReader&)
 {
@@ -458,24 +340,6 @@
   return { aReader.Status(aIn.status()), aIn.body() };
 }
 
-TimelineQuery
-Read(const wire::TimelineQuery& aIn, FieldReader&)
-{
-  return { aIn.query() };
-}
-
-TimelineReply
-Read(const wire::TimelineReply& aIn, FieldReader&)
-{
-  return { aIn.events() };
-}
-
-SettingsChanged
-Read(const wire::SettingsChanged& aIn, FieldReader&)
-{
-  return { aIn.settings_version() };
-}
-
 Opaque
 Read(const wire::Opaque& aIn, FieldReader& aReader)
 {
@@ -492,38 +356,18 @@
 ReadEnvelope(const wire::Envelope& aIn, FieldReader& aReader)
 {
   switch (aIn.message_case()) {
-    case wire::Envelope::kHello:
-      return Read(aIn.hello(), aReader);
-    case wire::Envelope::kHelloAnswer:
-      return Read(aIn.hello_answer(), aReader);
     case wire::Envelope::kHeartbeat:
       return Read(aIn.heartbeat(), aReader);
-    case wire::Envelope::kOutageProbe:
-      return Read(aIn.outage_probe(), aReader);
-    case wire::Envelope::kPromise:
-      return Read(aIn.promise(), aReader);
-    case wire::Envelope::kRelayRenewal:
-      return Read(aIn.relay_renewal(), aReader);
-    case wire::Envelope::kRelayResult:
-      return Read(aIn.relay_result(), aReader);
     case wire::Envelope::kForwardRequest:
       return Read(aIn.forward_request(), aReader);
     case wire::Envelope::kAnswer:
       return Read(aIn.answer(), aReader);
     case wire::Envelope::kSubmitJob:
       return Read(aIn.submit_job(), aReader);
-    case wire::Envelope::kCancelJob:
-      return Read(aIn.cancel_job(), aReader);
     case wire::Envelope::kQueryJob:
       return Read(aIn.query_job(), aReader);
     case wire::Envelope::kJobReply:
       return Read(aIn.job_reply(), aReader);
-    case wire::Envelope::kTimelineQuery:
-      return Read(aIn.timeline_query(), aReader);
-    case wire::Envelope::kTimelineReply:
-      return Read(aIn.timeline_reply(), aReader);
-    case wire::Envelope::kSettingsChanged:
-      return Read(aIn.settings_changed(), aReader);
     case wire::Envelope::kOpaque:
       return Read(aIn.opaque(), aReader);
     case wire::Envelope::kRefusal:
--- a/src/peer/PeerMessages.h
+++ b/src/peer/PeerMessages.h
@@ -19,25 +19,6 @@
 /// refuse each other.
 inline constexpr std::uint32_t kProtocolVersion = 1;
 
-/// Sent by a starting daemon to all members.
-struct Hello
-{
-  VmId m_vm;
-  Incarnation m_incarnation = 0;
-  std::uint64_t m_settingsVersion = 0;
-
-  bool operator==(const Hello&) const = default;
-};
-
-struct HelloAnswer
-{
-  VmId m_vm;
-  Incarnation m_incarnation = 0;
-  std::uint64_t m_settingsVersion = 0;
-
-  bool operator==(const HelloAnswer&) const = default;
-};
-
 /// State of one slice that the sender owns.
 struct SliceLoad
 {
@@ -94,44 +75,6 @@
   bool operator==(const Heartbeat&) const = default;
 };
 
-/// Asks for a promise, or for a relay of the renewal if the peer can reach the
-/// table.
-struct OutageProbe
-{
-  VmId m_vm;
-  Incarnation m_incarnation = 0;
-  std::uint64_t m_sequence = 0;
-
-  bool operator==(const OutageProbe&) const = default;
-};
-
-/// Answer to a probe. For `m_duration` the sender deposes nobody and accepts no
-/// setting change, if `m_given`.
-struct Promise
-{
-  std::uint64_t m_sequence = 0; ///< that of the probe
-  bool m_given = false;
-  Duration m_duration{};
-  bool m_tableReachable = false;
-
-  bool operator==(const Promise&) const = default;
-};
-
-/// A table commit that the receiver is asked to carry out for the sender.
-struct RelayRenewal
-{
-  std::string m_commit; ///< text of the table codec
-
-  bool operator==(const RelayRenewal&) const = default;
-};
-
-struct RelayResult
-{
-  std::string m_result; ///< text of the table codec
-
-  bool operator==(const RelayResult&) const = default;
-};
-
 /// A service request on its way from the front to the owner of a slice.
 struct ForwardRequest
 {
@@ -170,13 +113,6 @@
   bool operator==(const SubmitJob&) const = default;
 };
 
-struct CancelJob
-{
-  std::string m_body;
-
-  bool operator==(const CancelJob&) const = default;
-};
-
 struct QueryJob
 {
   std::string m_body;
@@ -184,7 +120,7 @@
   bool operator==(const QueryJob&) const = default;
 };
 
-/// Answer to `SubmitJob`, `CancelJob` and `QueryJob`.
+/// Answer to `SubmitJob` and `QueryJob`.
 struct JobReply
 {
   int m_status = 0; ///< of HTTP, 100 to 599
@@ -193,29 +129,6 @@
   bool operator==(const JobReply&) const = default;
 };
 
-struct TimelineQuery
-{
-  std::string m_query; ///< JSON
-
-  bool operator==(const TimelineQuery&) const = default;
-};
-
-struct TimelineReply
-{
-  std::string m_events; ///< JSON
-
-  bool operator==(const TimelineReply&) const = default;
-};
-
-/// The sender has seen this settings version; a receiver with a lower one reads
-/// the table.
-struct SettingsChanged
-{
-  std::uint64_t m_settingsVersion = 0;
-
-  bool operator==(const SettingsChanged&) const = default;
-};
-
 /// Extension point for messages that the codec does not know in detail.
 struct Opaque
 {
@@ -238,22 +151,12 @@
   bool operator==(const Acknowledgement&) const = default;
 };
 
-using PeerMessage = std::variant<Hello,
-                                 HelloAnswer,
-                                 Heartbeat,
-                                 OutageProbe,
-                                 Promise,
-                                 RelayRenewal,
-                                 RelayResult,
+using PeerMessage = std::variant<Heartbeat,
                                  ForwardRequest,
                                  Answer,
                                  SubmitJob,
-                                 CancelJob,
                                  QueryJob,
                                  JobReply,
-                                 TimelineQuery,
-                                 TimelineReply,
-                                 SettingsChanged,
                                  Opaque,
                                  Refusal,
                                  Acknowledgement>;
