Give every setting of the system subtree an effect, or remove it

Cause: most keys of the system subtree were checked and distributed, but the daemon used the defaults: an operator's accepted change did nothing. Queue bounds and the retry budget reached only slices claimed later.

Change: AppliedSettings turns the tree into the values that the parts of the daemon take, and EntryDaemon::ApplySystem gives them to the running parts when the subtree comes into force: deadlines, body size, queue bounds, retry budget and back-off, record budget, period and polls of the list of VMs, size of the ring, timings of allotments, and slots and connections where the list of VMs gives none. limits.stop_patient_ms and stop_any_ms reach the scheduler of a worker slice when it is claimed. The largest deadline (30 s) and body (960 KiB) that the daemon can keep are now the bounds of the schema as well; a larger value was accepted before and not kept.

Removed from the schema: membership.*, clock.*, worker.*. A member computes with its own lengths how long another one's lease or promise can last, so members with different values would break the argument that a slice has one owner; a bootstrap key has the same fault during a rolling restart. scheduling.slice_workers_max and service.*.parts: while a change spreads, two owners would have the same VM in slices of different divisions and give it more than it holds. scheduling.urgent_start_ms: a requirement on the scheduler, which nothing reads.

SettingsIni, SettingsTree, SettingsStore and SettingsFuzz used removed keys; they make the same checks with limits.* and vm_list.poll_ms.

Conclusion: an accepted key has an effect at once, but for the two stop times.

--- a/src/caller/CallerRequest.cpp
+++ b/src/caller/CallerRequest.cpp
@@ -25,23 +25,23 @@
 }
 
 Result<Duration>
-ParseDeadline(const std::string& aHeader)
+ParseDeadline(const std::string& aHeader, const DeadlineBounds& aBounds)
 {
   if (aHeader.empty()) {
-    return kDefaultDeadline;
+    return std::min(aBounds.m_default, aBounds.m_max);
   }
   std::int64_t value = 0;
   const char* end = aHeader.data() + aHeader.size();
   const auto parsed = std::from_chars(aHeader.data(), end, value);
   const Duration deadline = milliseconds(
-    std::clamp<std::int64_t>(value, 0, ToMilliseconds(kMaxDeadline) + 1));
+    std::clamp<std::int64_t>(value, 0, ToMilliseconds(aBounds.m_max) + 1));
   if (parsed.ec != std::errc() || parsed.ptr != end ||
-      deadline <= Duration::zero() || deadline > kMaxDeadline) {
+      deadline <= Duration::zero() || deadline > aBounds.m_max) {
     return Fail(Verdict::NotRun,
                 ErrorCode::BadInput,
                 "X-Deadline-Ms is '" + aHeader +
                   "'; expected a number of milliseconds from 1 to " +
-                  std::to_string(ToMilliseconds(kMaxDeadline)));
+                  std::to_string(ToMilliseconds(aBounds.m_max)));
   }
   return deadline;
 }
@@ -82,12 +82,12 @@
 } // namespace
 
 Result<CallerContext>
-ParseContext(const net::HttpRequest& aRequest)
+ParseContext(const net::HttpRequest& aRequest, const DeadlineBounds& aBounds)
 {
   CallerContext context;
   BOOST_LEAF_ASSIGN(context.m_key, ParseKey(aRequest.Header("Authorization")));
   BOOST_LEAF_ASSIGN(context.m_deadline,
-                    ParseDeadline(aRequest.Header("X-Deadline-Ms")));
+                    ParseDeadline(aRequest.Header("X-Deadline-Ms"), aBounds));
   BOOST_LEAF_ASSIGN(context.m_class,
                     ParseClass(aRequest.Header("X-Request-Class")));
   BOOST_LEAF_ASSIGN(context.m_idempotencyKey,
--- a/src/caller/CallerRequest.h
+++ b/src/caller/CallerRequest.h
@@ -26,12 +26,21 @@
 /// Deadline of a request without the header X-Deadline-Ms.
 inline constexpr Duration kDefaultDeadline = seconds(10);
 /// Largest deadline that a caller may set; bounds the time of a planned stop.
+/// The settings may lower it but not raise it.
 inline constexpr Duration kMaxDeadline = seconds(30);
+
+struct DeadlineBounds
+{
+  Duration m_default = kDefaultDeadline;
+  Duration m_max = kMaxDeadline;
+};
+
 inline constexpr std::size_t kMaxIdempotencyKeyBytes = 128;
 
 /// Errors: `BadInput` naming the header and its value; a malformed
 /// Authorization header is `Unauthenticated`, without its text.
 Result<CallerContext>
-ParseContext(const net::HttpRequest& aRequest);
+ParseContext(const net::HttpRequest& aRequest,
+             const DeadlineBounds& aBounds = {});
 
 } // namespace lacewing::caller
--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/EntryDaemon.h"
 
+#include "daemon/AppliedSettings.h"
 #include "daemon/PeerPayloads.h"
 
 #include <nlohmann/json.hpp>
@@ -71,22 +72,6 @@
   return number;
 }
 
-routing::RouterOptions
-RouterOptionsOf(const settings::SettingsTree& aTree)
-{
-  const auto bound = [&](const char* aKey) {
-    return static_cast<std::size_t>(aTree.Integer("requests", aKey));
-  };
-  routing::RouterOptions options;
-  options.m_queue.m_maxPerClass = { bound("queue_urgent"),
-                                    bound("queue_interactive"),
-                                    bound("queue_patient") };
-  options.m_queue.m_maxTotal =
-    bound("queue_urgent") + bound("queue_interactive") + bound("queue_patient");
-  options.m_retryRatio = aTree.Real("requests", "retry_budget");
-  return options;
-}
-
 std::set<VmId>
 WorkersOf(const vmlist::Slice& aSlice)
 {
@@ -420,8 +405,18 @@
 
 void
 EntryDaemon::PollVmList()
+{
+  if (net::Loop::Now() >= m_nextVmListPoll) {
+    PollVmListNow();
+  }
+}
+
+void
+EntryDaemon::PollVmListNow()
 {
   const Time asked = net::Loop::Now();
+  m_nextVmListPoll =
+    asked + m_settings.Tree().Milliseconds("vm_list", "poll_ms");
   m_runtime.VmList().Fetch(
     kVmListTimeout,
     [this, asked](const std::optional<std::vector<vmlist::Vm>>& aVms) {
@@ -434,7 +429,9 @@
 void
 EntryDaemon::TakeVmList(Time aAsked, const std::vector<vmlist::Vm>& aVms)
 {
-  m_slices = vmlist::DivideIntoSlices(aVms, {});
+  auto vms = aVms;
+  FillEndpointBounds(m_settings.Tree(), vms);
+  m_slices = vmlist::DivideIntoSlices(vms, {});
   m_membership.OnVmList(ToView(aAsked, aVms, m_slices));
   for (const auto& [id, owner] : m_workerOwners) {
     const auto slice = m_slices.find(id);
@@ -482,7 +479,7 @@
       break;
     }
     case EventKind::VmListWanted:
-      PollVmList();
+      PollVmListNow();
       break;
     case EventKind::Stopped:
       m_stopped = true;
@@ -526,8 +523,8 @@
                                    const worker::ControlReply& aReply) {
     m_membership.OnWorkerReply(id, aWorker, aReply);
   };
-  auto owner =
-    std::make_shared<WorkerSliceOwner>(m_runtime, id, aEpoch, authority);
+  auto owner = std::make_shared<WorkerSliceOwner>(
+    m_runtime, id, aEpoch, authority, SchedulerOptionsOf(m_settings.Tree()));
   m_workerOwners[id] = owner;
   owner->UpdateWorkers(aSlice.m_vms);
   owner->LoadJobs();
@@ -537,7 +534,8 @@
 EntryDaemon::ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch)
 {
   auto owner = std::make_shared<ServiceSliceOwner>(
-    m_runtime, aSlice.m_id, aEpoch, RouterOptionsOf(m_settings.Tree()));
+    m_runtime, aSlice.m_id, aEpoch, routing::RouterOptions());
+  owner->SetTuning(RouterTuningOf(m_settings.Tree()));
   m_serviceOwners[aSlice.m_id] = owner;
   const auto& machine = m_membership.Machine();
   owner->SetAuthorityEnd(machine.Authority(net::Loop::Now()));
@@ -581,7 +579,7 @@
 EntryDaemon::OnSettingsInForce(const settings::InForceEffect& aEffect)
 {
   if (aEffect.m_subtree == settings::kSystemSubtree) {
-    m_settings.ApplyTimings();
+    ApplySystem();
   }
   if (aEffect.m_subtree.starts_with(settings::kTeamPrefix)) {
     m_limits.OnTeamChanged(
@@ -590,9 +588,30 @@
   }
 }
 
+void
+EntryDaemon::ApplySystem()
+{
+  const auto& tree = m_settings.Tree();
+  m_settings.ApplyTimings();
+  const RecordBudget budget = RecordBudgetOf(tree);
+  m_runtime.Table().SetRecordBudget(budget.m_writesPerSecond,
+                                    budget.m_maxBatch);
+  m_runtime.Timeline().SetMaxBytes(TimelineBytes(tree));
+  auto& machine = m_membership.Machine();
+  machine.SetAllotmentTimings(AllotmentTimingsOf(tree));
+  machine.SetGonePolls(GonePolls(tree));
+  const routing::RouterTuning tuning = RouterTuningOf(tree);
+  for (const auto& [id, owner] : m_serviceOwners) {
+    owner->SetTuning(tuning);
+  }
+  // The next poll applies the bounds of endpoints, and starts the new period.
+  m_nextVmListPoll = Time::min();
+}
+
 void
 EntryDaemon::TickOwnership()
 {
+  PollVmList();
   auto& machine = m_membership.Machine();
   for (const auto& [id, owner] : m_serviceOwners) {
     machine.SetBusy(id, ToRowCounts(owner->CountBusy()));
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -52,7 +52,9 @@
                      const peer::ForwardRequest& aMessage,
                      const peer::PeerReply& aReply);
 
+  /// Polls if the time of the settings has passed since the last poll.
   void PollVmList();
+  void PollVmListNow();
   void TakeVmList(Time aAsked, const std::vector<vmlist::Vm>& aVms);
   void OnOwnershipEvent(const ownership::OwnershipEvent& aEvent);
   void Claim(const SliceId& aSlice, Epoch aEpoch);
@@ -60,6 +62,7 @@
   void ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch);
   void DropSlice(const SliceId& aSlice);
   void ApplyTeams();
+  void ApplySystem();
   void OnSettingsInForce(const settings::InForceEffect& aEffect);
 
   void TickOwnership();
@@ -90,6 +93,7 @@
   net::HttpServer m_callerServer;
   peer::PeerServer m_peerServer;
   LoopLagProbe m_loopLag;
+  Time m_nextVmListPoll = Time::min();
   bool m_stopping = false;
   bool m_stopped = false;
   /// Part of `Timeline::Dropped` that the metric already has.
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -1,5 +1,7 @@
 #include "daemon/RequestFront.h"
 
+#include "daemon/AppliedSettings.h"
+
 #include <algorithm>
 
 namespace lacewing::daemon {
@@ -9,8 +11,6 @@
 using observe::EventKind;
 using observe::Metric;
 
-/// A body above this size does not fit into a frame between daemons.
-constexpr std::size_t kMaxForwardBytes = 960 * 1024;
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
 /// `Retry-After` in whole seconds, at least one.
@@ -85,7 +85,9 @@
 RequestFront::Serve(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply)
 {
-  BOOST_LEAF_AUTO(context, caller::ParseContext(aRequest));
+  BOOST_LEAF_AUTO(
+    context,
+    caller::ParseContext(aRequest, DeadlineBoundsOf(m_cell.m_settings.Tree())));
   BOOST_LEAF_AUTO(call, Parse(aRequest, context));
   call.m_reply = aReply;
   const routing::CallId id = ++m_lastCall;
@@ -129,12 +131,12 @@
                 "method '" + call.m_method +
                   "' is not idempotent; the header Idempotency-Key is missing");
   }
-  if (aRequest.m_body.size() > kMaxForwardBytes) {
+  const std::size_t maxBody = MaxBodyBytes(m_cell.m_settings.Tree());
+  if (aRequest.m_body.size() > maxBody) {
     return Fail(Verdict::NotRun,
                 ErrorCode::TooLarge,
                 "the body has " + std::to_string(aRequest.m_body.size()) +
-                  " bytes; at most " + std::to_string(kMaxForwardBytes) +
-                  " are taken");
+                  " bytes; at most " + std::to_string(maxBody) + " are taken");
   }
   call.m_class = aContext.m_class;
   call.m_received = net::Loop::Now();
--- a/src/daemon/ServiceSliceOwner.h
+++ b/src/daemon/ServiceSliceOwner.h
@@ -37,6 +37,10 @@
   /// The same about this owner, once it has released the slice.
   peer::ReleasedSlice Remaining() const;
   void UpdateEndpoints(const std::vector<vmlist::Vm>& aVms);
+  void SetTuning(const routing::RouterTuning& aTuning)
+  {
+    m_router.SetTuning(aTuning);
+  }
   void SetTeam(const TeamId& aTeam, const settings::TeamSettings& aSettings);
   void SetAllotment(const TeamId& aTeam, std::int64_t aRequests);
   void SetAuthorityEnd(Time aEnd);
--- a/src/daemon/TableGateway.h
+++ b/src/daemon/TableGateway.h
@@ -35,6 +35,11 @@
   void WriteRecord(table::RecordWrite aWrite, RecordDone aDone);
   /// Members that share the budget of writes.
   void SetMembers(int aMembers) { m_group.SetMembers(aMembers); }
+  /// Budget of the group commits of all members, and records of one.
+  void SetRecordBudget(int aWritesPerSecond, std::size_t aMaxBatch)
+  {
+    m_group.SetBudget(aWritesPerSecond, aMaxBatch);
+  }
   std::size_t PendingRecords() const { return m_group.size(); }
 
 private:
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -102,12 +102,14 @@
 WorkerSliceOwner::WorkerSliceOwner(Runtime& aRuntime,
                                    SliceId aSlice,
                                    Epoch aEpoch,
-                                   SliceAuthority aAuthority)
+                                   SliceAuthority aAuthority,
+                                   sched::SchedulerOptions aOptions)
   : m_runtime(aRuntime)
   , m_slice(std::move(aSlice))
   , m_authority(std::move(aAuthority))
   , m_epoch(aEpoch)
   , m_store(std::make_shared<JobStore>(aRuntime, m_slice, aEpoch))
+  , m_scheduler(aOptions)
 {
 }
 
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -37,7 +37,8 @@
   WorkerSliceOwner(Runtime& aRuntime,
                    SliceId aSlice,
                    Epoch aEpoch,
-                   SliceAuthority aAuthority);
+                   SliceAuthority aAuthority,
+                   sched::SchedulerOptions aOptions = {});
   ~WorkerSliceOwner();
   WorkerSliceOwner(const WorkerSliceOwner&) = delete;
   WorkerSliceOwner& operator=(const WorkerSliceOwner&) = delete;
--- a/src/observe/Timeline.cpp
+++ b/src/observe/Timeline.cpp
@@ -194,12 +194,25 @@
   const HybridStamp stamp = aEvent.m_at;
   m_bytes += BytesOf(aEvent);
   m_events.push_back(std::move(aEvent));
+  DropOldest();
+  return stamp;
+}
+
+void
+Timeline::SetMaxBytes(std::size_t aMaxBytes)
+{
+  m_maxBytes = aMaxBytes;
+  DropOldest();
+}
+
+void
+Timeline::DropOldest()
+{
   while (m_bytes > m_maxBytes && !m_events.empty()) {
     m_bytes -= BytesOf(m_events.front());
     m_events.pop_front();
     ++m_dropped;
   }
-  return stamp;
 }
 
 void
--- a/src/observe/Timeline.h
+++ b/src/observe/Timeline.h
@@ -78,6 +78,8 @@
 public:
   Timeline(std::string aProcess, std::size_t aMaxBytes);
 
+  /// A smaller ring drops its oldest events at once.
+  void SetMaxBytes(std::size_t aMaxBytes);
   /// Records an event with the next stamp; the oldest ones give way. Keys in
   /// the event are replaced.
   HybridStamp Add(std::int64_t aWallMicros, Event aEvent);
@@ -93,6 +95,8 @@
   std::uint64_t Dropped() const { return m_dropped; }
 
 private:
+  void DropOldest();
+
   std::string m_process;
   std::size_t m_maxBytes;
   HybridClock m_clock;
--- a/src/ownership/AllotmentBook.cpp
+++ b/src/ownership/AllotmentBook.cpp
@@ -11,6 +11,21 @@
 {
 }
 
+void
+AllotmentBook::SetTimings(const AllotmentTimings& aTimings)
+{
+  const Duration change = aTimings.m_interval - m_options.m_allotmentInterval;
+  for (auto& [id, slice] : m_slices) {
+    if (slice.m_next != Time::min()) {
+      slice.m_next += change;
+    }
+  }
+  m_options.m_allotmentInterval = aTimings.m_interval;
+  m_options.m_allotmentIdle = aTimings.m_idle;
+  m_options.m_stopPatientAfter = aTimings.m_stopPatientAfter;
+  m_options.m_stopAnyAfter = aTimings.m_stopAnyAfter;
+}
+
 void
 AllotmentBook::Hold(const SliceId& aSlice)
 {
--- a/src/ownership/AllotmentBook.h
+++ b/src/ownership/AllotmentBook.h
@@ -24,6 +24,8 @@
 public:
   explicit AllotmentBook(OwnershipOptions aOptions);
 
+  /// Takes effect at once, also for a transaction that waits for its time.
+  void SetTimings(const AllotmentTimings& aTimings);
   void Hold(const SliceId& aSlice);
   void Drop(const SliceId& aSlice);
   /// Takes newer versions of limit rows. Other keys are ignored.
--- a/src/ownership/MembershipView.h
+++ b/src/ownership/MembershipView.h
@@ -34,6 +34,9 @@
   /// Takes newer versions of rows and ignores older ones, which a stale read
   /// returns. Other keys are ignored.
   void OnRows(Time aNow, const table::Rows& aRows);
+  /// Polls of the VM list without a VM after which it is gone. Members may
+  /// differ in it, since the list never reports a live VM as gone.
+  void SetGonePolls(int aPolls) { m_options.m_gonePolls = aPolls; }
   /// The entry VMs in one answer of the VM list.
   void OnVmList(const std::set<VmId>& aEntryVms);
 
--- a/src/ownership/Ownership.h
+++ b/src/ownership/Ownership.h
@@ -95,6 +95,12 @@
   }
   std::map<std::string, std::int64_t> InheritedBusy(
     const SliceId& aSlice) const;
+  void SetAllotmentTimings(const AllotmentTimings& aTimings)
+  {
+    m_allotments.SetTimings(aTimings);
+  }
+  /// Polls of the VM list without a VM after which it is gone.
+  void SetGonePolls(int aPolls) { m_view.SetGonePolls(aPolls); }
   /// Requests that this process still fronts or has dispatched.
   void SetOpenRequests(std::size_t aCount);
   /// The settings were confirmed with the table, or with a peer that did.
--- a/src/ownership/OwnershipOptions.h
+++ b/src/ownership/OwnershipOptions.h
@@ -23,6 +23,16 @@
   bool m_promiseContinuity = true;   ///< promises extend only a live authority
 };
 
+/// The timings of allotments. They concern no lease, so members may differ in
+/// them while a change spreads.
+struct AllotmentTimings
+{
+  Duration m_interval = seconds(1);
+  Duration m_idle = seconds(5);
+  Duration m_stopPatientAfter = seconds(5);
+  Duration m_stopAnyAfter = seconds(10);
+};
+
 struct OwnershipOptions
 {
   Duration m_renewInterval = seconds(1);
--- a/src/routing/Backoff.h
+++ b/src/routing/Backoff.h
@@ -18,6 +18,9 @@
 public:
   Backoff(BackoffOptions aOptions, std::uint64_t aSeed);
 
+  /// Takes effect from the next delay on.
+  void SetOptions(BackoffOptions aOptions) { m_options = aOptions; }
+
   /// A delay between half of and the whole of `base * 2^aRetry`, bounded.
   Duration Delay(int aRetry);
 
--- a/src/routing/EndpointPool.h
+++ b/src/routing/EndpointPool.h
@@ -84,6 +84,8 @@
 public:
   EndpointPool(PoolOptions aOptions, std::uint64_t aSeed);
 
+  /// Polls of the VM list without an endpoint after which it is gone.
+  void SetMissesToGone(int aPolls) { m_options.m_missesToGone = aPolls; }
   /// Takes over a poll of the VM list. Returns endpoints that became gone.
   std::vector<VmId> Update(Time aNow, const std::vector<EndpointInfo>& aList);
 
--- a/src/routing/RequestQueue.h
+++ b/src/routing/RequestQueue.h
@@ -50,6 +50,8 @@
   /// Takes all requests.
   std::vector<QueuedRequest> Clear();
 
+  /// Bounds for requests that come from now on; queued ones stay.
+  void SetOptions(QueueOptions aOptions) { m_options = aOptions; }
   /// Weight of a team, above 0; 1 for a team that was never set.
   void SetWeight(const TeamId& aTeam, double aWeight);
 
--- a/src/routing/RequestRouter.h
+++ b/src/routing/RequestRouter.h
@@ -94,6 +94,15 @@
   Safeguards m_safeguards;
 };
 
+/// The options that may change while the router runs.
+struct RouterTuning
+{
+  QueueOptions m_queue;
+  BackoffOptions m_backoff; ///< of retries
+  double m_retryRatio = 0.1;
+  int m_missesToGone = 3; ///< polls of the VM list
+};
+
 struct RouterCounters
 {
   std::uint64_t m_admitted = 0;
@@ -165,6 +174,9 @@
   /// Slots that this owner's attempts take, for the row of the slice.
   BusyCounts CountBusy() const;
 
+  /// Takes effect for the next request, retry and poll; queued requests stay.
+  void SetTuning(const RouterTuning& aTuning);
+
   Actions Admit(Time aNow, const Request& aRequest);
   Actions OnEndpointAnswer(Time aNow,
                            AttemptId aAttempt,
--- a/src/routing/RequestRouterImpl.h
+++ b/src/routing/RequestRouterImpl.h
@@ -54,6 +54,16 @@
 {
 }
 
+template<RouterQueue Queue, EndpointChoice Choice>
+void
+BasicRequestRouter<Queue, Choice>::SetTuning(const RouterTuning& aTuning)
+{
+  m_queue.SetOptions(aTuning.m_queue);
+  m_backoff.SetOptions(aTuning.m_backoff);
+  m_budget.SetRatio(aTuning.m_retryRatio);
+  m_pool.SetMissesToGone(aTuning.m_missesToGone);
+}
+
 // ---- Takeover ----
 
 template<RouterQueue Queue, EndpointChoice Choice>
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -24,6 +24,12 @@
 {
 }
 
+void
+RetryBudget::SetRatio(double aRatio)
+{
+  m_perRequest = ToParts(aRatio);
+}
+
 void
 RetryBudget::OnRequest()
 {
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -11,6 +11,8 @@
   /// Each request adds `aRatio` tokens, up to `aBurst`; a retry takes one.
   explicit RetryBudget(double aRatio = 0.1, double aBurst = 10.0);
 
+  /// Tokens that were earned stay.
+  void SetRatio(double aRatio);
   void OnRequest();
   /// Takes a token; false when there is none.
   bool TryRetry();
--- a/src/settings/Schema.cpp
+++ b/src/settings/Schema.cpp
@@ -14,6 +14,12 @@
 
 constexpr double kMinute = 60'000; // in milliseconds
 constexpr double kHour = 60 * kMinute;
+/// The front and the owner of a slice keep counts for this long after a
+/// dispatch, and a planned stop is bounded by it. The settings can only lower
+/// the deadline of requests.
+constexpr double kLargestDeadlineMs = 30'000;
+/// A larger body does not fit into a frame of 1 MiB between daemons.
+constexpr double kLargestBody = 960 * 1024;
 /// Keeps a value on one line of the INI text.
 constexpr double kMaxText = 150;
 
@@ -68,6 +74,13 @@
 using enum ValueType;
 
 // clang-format off
+//
+// Values on which all daemons must agree at every moment are constants and no
+// settings, because a change reaches the daemons one after the other:
+// * lengths of leases and promises, and the bound on clock rates: a member
+//   computes with its own values how long another one's lease can last;
+// * the numbers of parts into which workers and endpoints are divided: two
+//   owners would have the same VM in slices of different divisions.
 constexpr SettingDef kSettings[] = {
   Boot("process", "vm", Name, "", true, "Name of the VM that the process runs on."),
   Boot("process", "region", Name, "", true, "Region of the VM."),
@@ -84,22 +97,13 @@
   Boot("log", "format", Choice, "json", false, "Form of the log lines.", "json,text"),
   Boot("log", "level", Choice, "info", false, "Least level that is written.", "debug,info,warn,error"),
 
-  System("membership", "renew_ms", "ms", 50, kMinute, "1000", "Time between two renewals of a member lease."),
-  System("membership", "lease_ms", "ms", 100, kMinute, "3000", "Length of a member lease."),
-  System("membership", "store_down_ms", "ms", 100, kMinute, "2000", "Time without a successful call after which the table counts as down."),
-  System("membership", "promise_ms", "ms", 100, kMinute, "3000", "Length of a promise during an outage of the table."),
-  Number(Scope::System, "clock", "max_rate_error", Real, "fraction", 0, 0.1, "0.01", "Largest relative difference between the rates of two clocks."),
-  System("worker", "lease_ms", "ms", 1000, kHour, "20000", "Length of a worker lease."),
-  System("worker", "renew_ms", "ms", 100, kHour, "5000", "Time between two renewals of a worker lease."),
-  System("scheduling", "urgent_start_ms", "ms", 10, kMinute, "1900", "Time within which urgent work starts."),
-  System("scheduling", "slice_workers_max", "workers", 1, 100'000, "512", "Workers above which a worker slice is split by rack groups."),
   System("limits", "idle_return_ms", "ms", 100, kHour, "5000", "Time after which an idle allotment is given back."),
-  System("limits", "stop_patient_ms", "ms", 0, kHour, "5000", "Time after which a lowered limit stops patient work."),
-  System("limits", "stop_any_ms", "ms", 0, kHour, "10000", "Time after which a lowered limit stops any work."),
+  System("limits", "stop_patient_ms", "ms", 0, kHour, "5000", "Time after which a lowered limit stops patient work; for slices that are claimed after the change."),
+  System("limits", "stop_any_ms", "ms", 0, kHour, "10000", "Time after which a lowered limit stops any work; for slices that are claimed after the change."),
   System("limits", "transaction_ms", "ms", 10, kMinute, "1000", "Least time between two allotment transactions of a slice."),
-  System("requests", "deadline_max_ms", "ms", 100, kHour, "30000", "Largest deadline of a service request."),
-  System("requests", "deadline_default_ms", "ms", 100, kHour, "10000", "Deadline of a request that names none."),
-  System("requests", "body_max_bytes", "bytes", 1024, 1'073'741'824, "1048576", "Largest body of a request."),
+  System("requests", "deadline_max_ms", "ms", 100, kLargestDeadlineMs, "30000", "Largest deadline of a service request; a larger one is refused."),
+  System("requests", "deadline_default_ms", "ms", 100, kLargestDeadlineMs, "10000", "Deadline of a service request that names none; deadline_max_ms if that is smaller."),
+  System("requests", "body_max_bytes", "bytes", 1024, kLargestBody, "983040", "Largest body of a service request."),
   System("requests", "queue_urgent", "requests", 1, 1'000'000, "1000", "Bound of the queue of urgent requests of a slice."),
   System("requests", "queue_interactive", "requests", 1, 1'000'000, "2000", "Bound of the queue of interactive requests of a slice."),
   System("requests", "queue_patient", "requests", 1, 1'000'000, "10000", "Bound of the queue of patient requests of a slice."),
@@ -114,9 +118,8 @@
   System("timeline", "ring_bytes", "bytes", 65'536, 67'108'864, "4194304", "Bound of the ring of time line events of a process."),
   { Scope::System, "queue.*", "access", Choice, "", 1, kMaxText, "team", false, "team,open", "Who may submit: listed teams with a key, or anyone." },
   { Scope::System, "queue.*", "teams", NameList, "", 1, 4000, "", true, "", "Teams of the queue; work on an open queue counts for the first." },
-  System("service.*", "parts", "slices", 1, 64, "4", "Slices per failure domain."),
-  System("service.*", "slots", "requests", 1, 1024, "8", "Requests that an endpoint runs at once."),
-  System("service.*", "connections", "connections", 1, 4096, "64", "Connections to one endpoint."),
+  System("service.*", "slots", "requests", 1, 1024, "8", "Requests that an endpoint runs at once, if the list of VMs does not say."),
+  System("service.*", "connections", "connections", 1, 4096, "64", "Connections to one endpoint, if the list of VMs does not say."),
   { Scope::System, "service.*", "idempotent_methods", NameList, "", 1, 4000, "", false, "", "Methods that may be retried after dispatch." },
 
   Number(Scope::Team, "team", "weight", Real, "", 0.001, 1'000'000, "1", "Share of the team relative to the other teams."),
--- a/src/settings/SettingsTree.cpp
+++ b/src/settings/SettingsTree.cpp
@@ -148,7 +148,6 @@
     return std::nullopt;
   }
   ServiceSettings service;
-  service.m_parts = static_cast<int>(System().GetInteger(section, "parts"));
   service.m_slots = static_cast<int>(System().GetInteger(section, "slots"));
   service.m_connections =
     static_cast<int>(System().GetInteger(section, "connections"));
--- a/src/settings/SettingsTree.h
+++ b/src/settings/SettingsTree.h
@@ -50,7 +50,6 @@
 
 struct ServiceSettings
 {
-  int m_parts = 4;
   int m_slots = 8;
   int m_connections = 64;
   std::vector<std::string> m_idempotentMethods;
--- a/src/table/GroupCommit.cpp
+++ b/src/table/GroupCommit.cpp
@@ -16,6 +16,13 @@
   m_members = std::max(1, aMembers);
 }
 
+void
+GroupCommit::SetBudget(int aWritesPerSecond, std::size_t aMaxBatch)
+{
+  m_options.m_writesPerSecond = aWritesPerSecond;
+  m_options.m_maxBatch = aMaxBatch;
+}
+
 Duration
 GroupCommit::Pause() const
 {
--- a/src/table/GroupCommit.h
+++ b/src/table/GroupCommit.h
@@ -77,6 +77,9 @@
 
   /// Active members, which share the rate of writes.
   void SetMembers(int aMembers);
+  /// Transactions that all fronts together may start in a second, and records
+  /// of one; for transactions that start from now on.
+  void SetBudget(int aWritesPerSecond, std::size_t aMaxBatch);
   /// Time between the starts of two operations.
   Duration Pause() const;
 
--- a/src/vmlist/Fleet.cpp
+++ b/src/vmlist/Fleet.cpp
@@ -15,7 +15,7 @@
 SliceId
 WorkerSliceOf(const Vm& aVm, int aParts)
 {
-  // The number of parts is a setting and is not derived from the number of
+  // The number of parts is fixed and is not derived from the number of
   // workers, since a worker must not change its slice when others come or go.
   // A rack is never divided, so that gangs can be placed within one.
   const auto parts = static_cast<std::uint64_t>(std::max(aParts, 1));
--- a/tests/correctness/SettingsIni.cpp
+++ b/tests/correctness/SettingsIni.cpp
@@ -35,27 +35,27 @@
 
 TEST(SettingsIni, ReportsEveryErrorWithItsPlace)
 {
-  const std::string text = "[membership]\n"    // 1
-                           "lease_ms = soon\n" // 2
-                           "renew_ms = 100\n"  // 3
-                           "renew_ms = 200\n"  // 4
-                           "leese_ms = 1\n"    // 5
-                           "[memberships]\n"   // 6
-                           "x = 1\n"           // 7
-                           "[worker]\n"        // 8
-                           "no value here\n"   // 9
-                           "lease_ms = 1\n";   // 10
+  const std::string text = "[limits]\n"              // 1
+                           "transaction_ms = soon\n" // 2
+                           "idle_return_ms = 100\n"  // 3
+                           "idle_return_ms = 200\n"  // 4
+                           "transaktion_ms = 1\n"    // 5
+                           "[limit]\n"               // 6
+                           "x = 1\n"                 // 7
+                           "[vm_list]\n"             // 8
+                           "no value here\n"         // 9
+                           "poll_ms = 1\n";          // 10
   const auto result = ParseIni(Scope::System, "system", text);
   ASSERT_EQ(result.m_errors.size(), 6U) << result.ErrorText();
   EXPECT_EQ(result.m_errors[0].ToString(),
-            "system:2: [membership] lease_ms = 'soon': expected an integer "
-            "from 100 to 60000 (ms)");
+            "system:2: [limits] transaction_ms = 'soon': expected an integer "
+            "from 10 to 60000 (ms)");
   EXPECT_EQ(result.m_errors[1].m_line, 4);
   EXPECT_EQ(result.m_errors[1].m_expected, "duplicate of line 3");
   EXPECT_EQ(result.m_errors[2].m_expected,
-            "unknown key; the nearest known name is 'lease_ms'");
+            "unknown key; the nearest known name is 'transaction_ms'");
   EXPECT_EQ(result.m_errors[3].m_expected,
-            "unknown section; the nearest known name is 'membership'");
+            "unknown section; the nearest known name is 'limits'");
   EXPECT_EQ(result.m_errors[4].m_line, 9);
   EXPECT_EQ(result.m_errors[5].m_line, 10);
 }
@@ -95,25 +95,25 @@
 TEST(SettingsTree, GivesTypedValuesAndKeepsThemWhenTheNewTextIsBad)
 {
   SettingsTree tree;
-  EXPECT_EQ(tree.Milliseconds("worker", "lease_ms"), seconds(20));
+  EXPECT_EQ(tree.Milliseconds("vm_list", "poll_ms"), seconds(1));
   Subtree row;
   row.m_version = 1;
-  row.m_text = "[worker]\nlease_ms = 30000\n[queue.desk]\nteams = a, b\n"
-               "[service.lot-ledger]\nparts = 2\n";
+  row.m_text = "[vm_list]\npoll_ms = 30000\n[queue.desk]\nteams = a, b\n"
+               "[service.lot-ledger]\nslots = 2\n";
   tree.Set("system", row);
   const SettingsTree before = tree;
   row.m_version = 2;
-  row.m_text = "[worker]\nlease_ms = never\n";
+  row.m_text = "[vm_list]\npoll_ms = never\n";
   tree.Set("system", row);
-  EXPECT_EQ(tree.Milliseconds("worker", "lease_ms"), seconds(30));
+  EXPECT_EQ(tree.Milliseconds("vm_list", "poll_ms"), seconds(30));
   EXPECT_TRUE(tree.Find("system")->IsBad());
   EXPECT_NE(tree.Find("system")->m_fault.find("never"), std::string::npos);
   ASSERT_TRUE(tree.Queue("desk"));
   EXPECT_EQ(tree.Queue("desk")->m_teams.size(), 2U);
-  EXPECT_EQ(tree.Service(ServiceId("lot-ledger"))->m_parts, 2);
+  EXPECT_EQ(tree.Service(ServiceId("lot-ledger"))->m_slots, 2);
   EXPECT_TRUE(Diff(before, tree).empty());
   row.m_version = 3;
-  row.m_text = "[worker]\nlease_ms = 40000\n";
+  row.m_text = "[vm_list]\npoll_ms = 40000\n";
   tree.Set("system", row);
   const auto changes = Diff(before, tree);
   ASSERT_EQ(changes.size(), 3U);
--- a/tests/correctness/SettingsStore.cpp
+++ b/tests/correctness/SettingsStore.cpp
@@ -215,7 +215,8 @@
   m_table = table::MemoryTable();
   Begin();
   EXPECT_TRUE(m_store.Ready());
-  EXPECT_EQ(m_store.Tree().Milliseconds("membership", "lease_ms"), seconds(3));
+  EXPECT_EQ(m_store.Tree().Milliseconds("limits", "idle_return_ms"),
+            seconds(5));
   Answer(m_store.Change(m_now, Weight(0, "2")));
   ASSERT_EQ(m_done.size(), 1U);
   EXPECT_FALSE(m_done[0].m_error);
--- a/tests/error/SettingsFuzz.cpp
+++ b/tests/error/SettingsFuzz.cpp
@@ -79,8 +79,8 @@
 {
   Fuzzer fuzz(1);
   const std::string system =
-    "[membership]\nlease_ms = 3000\n[queue.q]\nteams = a,\n b\naccess = open\n"
-    "[service.s]\nparts = 2 ; comment\n";
+    "[limits]\nstop_any_ms = 3000\n[queue.q]\nteams = a,\n b\naccess = open\n"
+    "[service.s]\nslots = 2 ; comment\n";
   for (int i = 0; i < kRounds; ++i) {
     const bool isTeam = fuzz.Pick(2) == 0;
     const std::string text =
