Keep the error when a command on settings fails

Cause: FetchSubtree and EditSubtree built a new error in a handler of LEAF. LEAF then handed the handled error on under its old id into the same slot, so the new one was lost and the command ended without a message.

Change: the handlers return the id of the handled error.

CliSubtreeErrors failed before the change (both errors lost) and passes after it.

Conclusion: commands that read or edit a subtree name their error.

--- a/src/cli/SubtreeClient.cpp
+++ b/src/cli/SubtreeClient.cpp
@@ -47,11 +47,13 @@
                       body.value("version", std::uint64_t{ 0 }),
                       body.value("text", "") };
     },
-    [&](const Error& aError) -> Result<Subtree> {
+    // The same id is returned: LEAF hands the handled error on under it, and a
+    // new error of the same type would be overwritten.
+    [&](const leaf::error_info& aInfo, const Error& aError) -> Result<Subtree> {
       if (aError.m_code == ErrorCode::NotFound) {
         return Subtree{ aName, 0, "" };
       }
-      return leaf::new_error(aError);
+      return aInfo.error();
     });
 }
 
@@ -71,9 +73,10 @@
     bool conflict = false;
     auto result =
       leaf::try_handle_some([&] { return EditOnce(aClient, aName, aEdit); },
-                            [&](const Error& aError) -> Result<std::uint64_t> {
+                            [&](const leaf::error_info& aInfo,
+                                const Error& aError) -> Result<std::uint64_t> {
                               conflict = aError.m_code == ErrorCode::Conflict;
-                              return leaf::new_error(aError);
+                              return aInfo.error();
                             });
     if (!conflict) {
       return result;
