--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -129,7 +129,8 @@
 WorkerSliceOwner::WorkerSliceOwner(Runtime& aRuntime,
                                    SliceId aSlice,
                                    Epoch aEpoch,
-                                   SliceAuthority aAuthority)
+                                   SliceAuthority aAuthority,
+                                   sched::SchedulerOptions aOptions)
   : m_runtime(aRuntime)
   , m_slice(std::move(aSlice))
   , m_authority(std::move(aAuthority))
@@ -147,6 +148,7 @@
       [this](const JobId& aJob) {
         return !m_scheduler.JobStatus(aJob) || m_scheduler.Forget(aJob);
       }))
+  , m_scheduler(aOptions)
 {
 }
 
