Test the loss of one region's link to the table and VM list

Cause: no process test cut a link; a table that is down is down for every member, a cut link only for one region.

Change: lacewing-standin has a role "link", a TCP relay that drops bytes in one direction or both, by POST /control on an address of its own.

Links between entry daemons are not covered: a daemon advertises the address that it listens on, so that no relay can stand between them.

--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -18,6 +18,7 @@
                    [--accelerators=N] [--lease-ms=MS] [--fail]
   lacewing-standin endpoint --listen=ADDR [--name=NAME] [--slots=N]
                    [--service-ms=MS]
+  lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
 
 Options:
   --listen=ADDR      IP:PORT to listen on.
@@ -31,6 +32,9 @@
   --name=NAME        Name in the endpoint's answers [default: endpoint].
   --slots=N          Requests that the endpoint runs at once [default: 8].
   --service-ms=MS    Time to answer a request [default: 5].
+  --to=ADDR          IP:PORT to which connections are relayed.
+  --control=ADDR     IP:PORT for POST /control?cut=CUT[&close=1]; CUT is none,
+                     forward (from the connecting side), backward or both.
 )";
 
 using lacewing::milliseconds;
@@ -64,6 +68,14 @@
         worker.m_failEverything = aOptions["--fail"].asBool();
         return lacewing::standin::RunWorker(loop, listen, worker);
       }
+      if (aOptions["link"].asBool()) {
+        BOOST_LEAF_AUTO(
+          to, lacewing::net::ParseAddress(aOptions["--to"].asString()));
+        BOOST_LEAF_AUTO(
+          control,
+          lacewing::net::ParseAddress(aOptions["--control"].asString()));
+        return lacewing::standin::RunLink(loop, listen, to, control);
+      }
       lacewing::standin::EndpointOptions endpoint;
       endpoint.m_name = aOptions["--name"].asString();
       endpoint.m_slots = static_cast<int>(aOptions["--slots"].asLong());
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -37,4 +37,12 @@
             const net::Address& aListen,
             const EndpointOptions& aOptions);
 
+/// TCP relay to an address. POST /control on `aControl` cuts one direction or
+/// both, or closes the connections.
+int
+RunLink(net::Loop& aLoop,
+        const net::Address& aListen,
+        const net::Address& aTo,
+        const net::Address& aControl);
+
 } // namespace lacewing::standin
