--- a/src/sched/SliceSchedulerSuspects.h
+++ b/src/sched/SliceSchedulerSuspects.h
@@ -12,6 +12,12 @@
   template<TeamOrder Order, PlacementPolicy Placement, typename Checks>
 #define LACEWING_SCHED SliceScheduler<Order, Placement, Checks>
 
+inline bool
+Contains(const std::vector<std::uint32_t>& aWorkers, std::uint32_t aWorker)
+{
+  return std::find(aWorkers.begin(), aWorkers.end(), aWorker) != aWorkers.end();
+}
+
 /// Takes back workers whose score has decayed and lists those that may get a
 /// probe task.
 LACEWING_SCHED_TEMPLATE
@@ -41,7 +47,8 @@
 std::uint32_t
 LACEWING_SCHED::TakeProbe(std::uint32_t aJob, const Request& aRequest)
 {
-  const JobSpec& spec = m_state.JobAt(aJob).m_spec;
+  const Job& job = m_state.JobAt(aJob);
+  const JobSpec& spec = job.m_spec;
   if (m_probeReady.empty() || spec.m_kind != JobKind::Batch ||
       spec.m_atMostOnce || aRequest.m_restricted) {
     return kNone;
@@ -49,6 +56,7 @@
   const auto fits = [&](std::uint32_t aWorker) {
     const Worker& worker = m_state.WorkerAt(aWorker);
     return !worker.m_heldForGang && !worker.m_cordoned &&
+           !Contains(job.m_noProbeOn, aWorker) &&
            aRequest.m_need.FitsIn(m_state.Free(aWorker)) &&
            (aRequest.m_need.m_accelerators == 0 ||
             worker.m_spec.m_accelerator == spec.m_accelerator);
@@ -60,7 +68,7 @@
   }
   const std::uint32_t worker = *found;
   m_probeReady.erase(found);
-  m_probes[worker] = { aJob, m_state.JobAt(aJob).m_pending.back() };
+  m_probes[worker] = { aJob, job.m_pending.back() };
   return worker;
 }
 
@@ -78,7 +86,13 @@
 {
   Worker& worker = m_state.WorkerAt(aWorker);
   Job& job = m_state.JobAt(aRef.m_job);
-  job.m_notBefore = aNow + m_options.m_retryWait;
+  if (!Contains(job.m_noProbeOn, aWorker)) {
+    job.m_noProbeOn.push_back(aWorker);
+  }
+  // The other tasks of the job need not wait because a probe has failed.
+  if (!worker.m_suspect) {
+    job.m_notBefore = aNow + m_options.m_retryWait;
+  }
   // A job that has failed elsewhere too says little about this worker, and a
   // failure on a suspect worker says little about the job.
   const bool failedElsewhere =
@@ -101,8 +115,7 @@
     return;
   }
   ++m_state.TaskAt(aRef).m_failures;
-  if (std::find(job.m_failedOn.begin(), job.m_failedOn.end(), aWorker) ==
-      job.m_failedOn.end()) {
+  if (!Contains(job.m_failedOn, aWorker)) {
     job.m_failedOn.push_back(aWorker);
   }
   if (job.m_failedOn.size() >= m_options.m_jobFailureWorkers) {
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -78,6 +78,8 @@
   Time m_notBefore = Time::min();
   std::uint32_t m_learnedMemoryMib = 0;  ///< highest measured peak of a task
   std::vector<std::uint32_t> m_failedOn; ///< different, since a success
+  /// Workers on which a task has failed; they get no probe task of the job.
+  std::vector<std::uint32_t> m_noProbeOn;
 };
 
 struct Worker
--- a/tests/error/SchedSuspectWorkers.cpp
+++ b/tests/error/SchedSuspectWorkers.cpp
@@ -102,6 +102,35 @@
   EXPECT_EQ(scheduler.JobStatus(JobId("good"))->m_state, JobState::Queued);
 }
 
+TEST(SchedSuspectWorkers, GetNoSecondProbeOfAJobThatFailedThere)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  scheduler.Submit(kNow, MakeJob("j", "t", 1, { 1000, 1024, 0 }));
+  const auto probes = scheduler.Decide(kNow, 10);
+  ASSERT_EQ(probes.size(), 1U);
+  End(scheduler, kNow, probes[0], worker::TaskOutcome::Failed);
+  const Time later = kNow + seconds(6);
+  EXPECT_TRUE(scheduler.IsSuspect(kBroken));
+  EXPECT_TRUE(scheduler.Decide(later, 10).empty());
+}
+
+TEST(SchedSuspectWorkers, FailedProbeDoesNotDelayItsJobElsewhere)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  scheduler.Submit(kNow, MakeJob("j", "t", 2, { 1000, 1024, 0 }));
+  const auto probes = scheduler.Decide(kNow, 10);
+  ASSERT_EQ(probes.size(), 1U);
+  scheduler.UpsertWorker(kNow, MakeWorker(1));
+  End(scheduler, kNow, probes[0], worker::TaskOutcome::Failed);
+  const auto starts = scheduler.Decide(kNow, 10);
+  ASSERT_EQ(starts.size(), 2U);
+  for (const auto& start : starts) {
+    EXPECT_EQ(start.m_worker, MakeWorker(1).m_id);
+  }
+}
+
 TEST(SchedSuspectWorkers, FailingTaskWaitsBeforeItsNextAttempt)
 {
   auto scheduler = MakeSlice(2);
