--- a/src/daemon/JobExpiry.cpp
+++ b/src/daemon/JobExpiry.cpp
@@ -1,5 +1,7 @@
 #include "daemon/JobExpiry.h"
 
+#include "core/TryDecode.h"
+
 namespace lacewing::daemon {
 
 namespace {
@@ -7,20 +9,6 @@
 /// A delete that was not written by then is left to a later sweep.
 constexpr Duration kDeleteDeadline = seconds(10);
 
-template<typename Decode>
-std::optional<jobs::JobRecord>
-DecodeOrNothing(const Decode& aDecode)
-{
-  std::optional<jobs::JobRecord> record;
-  leaf::try_handle_all(
-    [&]() -> Result<void> {
-      BOOST_LEAF_ASSIGN(record, aDecode());
-      return {};
-    },
-    [] {});
-  return record;
-}
-
 } // namespace
 
 JobExpiry::JobExpiry(RowAccess aAccess,
@@ -91,14 +79,14 @@
     m_store->Remove(aJob); // Deleted by a write whose answer was lost.
     return;
   }
-  const auto record = DecodeOrNothing(
+  const auto record = TryDecode<jobs::JobRecord>(
     [&] { return jobs::DecodeRecord(aJob, row->second.m_value); });
   if (!record || !jobs::MayExpire(*record)) {
     return;
   }
   const auto submission = aRows.find(*record->m_submission);
   const auto named =
-    submission == aRows.end() ? std::nullopt : DecodeOrNothing([&] {
+    submission == aRows.end() ? std::nullopt : TryDecode<jobs::JobRecord>([&] {
       return jobs::DecodeSubmission(submission->second.m_value);
     });
   // The row may belong to a later job with the same idempotency key.
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -1,5 +1,7 @@
 #include "daemon/JobStore.h"
 
+#include "core/TryDecode.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -30,14 +32,8 @@
 std::optional<jobs::JobRecord>
 DecodeOrNothing(const JobId& aJob, const std::string& aText)
 {
-  std::optional<jobs::JobRecord> record;
-  leaf::try_handle_all(
-    [&]() -> Result<void> {
-      BOOST_LEAF_ASSIGN(record, jobs::DecodeRecord(aJob, aText));
-      return {};
-    },
-    [] {});
-  return record;
+  return TryDecode<jobs::JobRecord>(
+    [&] { return jobs::DecodeRecord(aJob, aText); });
 }
 
 } // namespace
