Delay the probes of a worker that fails them; try urgent jobs again soon and elsewhere

A failed probe was followed by the next one at once, so that the worker took one attempt of each job; the ratio then depends only on how many tasks the jobs have. Change: a failed probe delays the next one on the worker, 1 s doubled up to 60 s. A job that has failed there can be a probe again after 60 s; without that, a recovered worker whose waiting jobs had all failed on it waited for its score to decay. Tasks avoid the last 16 workers where a task of their job failed while another has room. An urgent job waits for 200 ms, doubled up to 5 s, after a failure. SchedSuspectWorkers 15 of 15, six new; the five that concern the back-off and the avoided worker fail before by construction of the options, not run. Sched* 63 + 24 pass.

--- a/src/sched/FreeTable.h
+++ b/src/sched/FreeTable.h
@@ -4,6 +4,7 @@
 
 #include "sched/JobTypes.h"
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <unordered_map>
@@ -22,6 +23,14 @@
   std::uint32_t m_acceleratorKind = kNoAccelerator;
   std::vector<std::uint32_t> m_racks; ///< allowed racks if `m_restricted`
   bool m_restricted = false;
+  /// Workers that are used only if nothing else fits.
+  std::vector<std::uint32_t> m_avoided;
+
+  bool Avoids(std::uint32_t aWorker) const
+  {
+    return std::find(m_avoided.begin(), m_avoided.end(), aWorker) !=
+           m_avoided.end();
+  }
 };
 
 struct FreeSlot
--- a/src/sched/Placement.cpp
+++ b/src/sched/Placement.cpp
@@ -2,6 +2,25 @@
 
 namespace lacewing::sched {
 
+namespace {
+
+/// Workers that the request does not avoid first, then the fullest.
+bool
+IsBetter(const FreeTable& aTable,
+         const Request& aRequest,
+         std::uint32_t aWorker,
+         std::uint32_t aBest)
+{
+  const bool avoids = aRequest.Avoids(aWorker);
+  if (avoids != aRequest.Avoids(aBest)) {
+    return !avoids;
+  }
+  return aTable.Slots()[aWorker].m_free.m_millicores <
+         aTable.Slots()[aBest].m_free.m_millicores;
+}
+
+} // namespace
+
 std::uint32_t
 FindInRacks(const FreeTable& aTable, const Request& aRequest)
 {
@@ -11,8 +30,7 @@
       if (!aTable.Fits(worker, aRequest)) {
         continue;
       }
-      if (best == kNone || aTable.Slots()[worker].m_free.m_millicores <
-                             aTable.Slots()[best].m_free.m_millicores) {
+      if (best == kNone || IsBetter(aTable, aRequest, worker, best)) {
         best = worker;
       }
     }
--- a/src/sched/SchedulerOptions.h
+++ b/src/sched/SchedulerOptions.h
@@ -16,6 +16,13 @@
   std::uint8_t m_taskFailures = 5;
   /// Wait of a job after a failure of one of its tasks.
   Duration m_retryWait = seconds(5);
+  /// The same for an urgent job, which must start within 1.9 s; doubled with
+  /// each failure in a row up to `m_retryWait`.
+  Duration m_urgentRetryWait = milliseconds(200);
+  /// Wait of a suspect worker after a failed probe task; doubled with each
+  /// failed probe in a row up to the second value.
+  Duration m_probeWait = seconds(1);
+  Duration m_maxProbeWait = seconds(60);
   /// Part of its processors that a throttled task keeps.
   double m_throttledPart = 0.1;
   /// An urgent task looks for another worker if the one that clears room for it
--- a/src/sched/SliceScheduler.h
+++ b/src/sched/SliceScheduler.h
@@ -120,6 +120,12 @@
     bool m_stopSent = false;
   };
 
+  struct ReadyForProbe
+  {
+    std::uint32_t m_worker = kNone;
+    bool m_mayRepeat = false; ///< takes jobs that have failed there
+  };
+
   /// A job by index, with its sequence number to detect a reused index.
   struct JobTag
   {
@@ -162,6 +168,7 @@
   std::uint32_t TakeProbe(std::uint32_t aJob, const Request& aRequest);
   void NoteSuccess(Time aNow, TaskRef aRef, std::uint32_t aWorker);
   void NoteFailure(Time aNow, TaskRef aRef, std::uint32_t aWorker);
+  Duration RetryWait(const Job& aJob) const;
 
   // SliceSchedulerMarks.h
   bool NeedsMark(TaskRef aRef) const;
@@ -267,7 +274,7 @@
 
   // Used within one decision.
   std::vector<Action> m_actions;
-  std::vector<std::uint32_t> m_probeReady;
+  std::vector<ReadyForProbe> m_probeReady;
   std::size_t m_budget = 0;
   std::size_t m_started = 0;
   std::size_t m_reclaims = 0;
--- a/src/sched/SliceSchedulerSinglePlacement.h
+++ b/src/sched/SliceSchedulerSinglePlacement.h
@@ -45,6 +45,7 @@
 {
   Request request = m_state.Table().Resolve(aJob.m_spec);
   request.m_need = m_state.NeedOf(aJob);
+  request.m_avoided = aJob.m_avoided;
   return request;
 }
 
--- a/src/sched/SliceSchedulerSuspects.h
+++ b/src/sched/SliceSchedulerSuspects.h
@@ -18,6 +18,39 @@
   return std::find(aWorkers.begin(), aWorkers.end(), aWorker) != aWorkers.end();
 }
 
+inline void
+AddAvoided(Job& aJob, std::uint32_t aWorker)
+{
+  // Every placement of the job looks at all of them.
+  constexpr std::size_t kMaxAvoided = 16;
+  if (Contains(aJob.m_avoided, aWorker)) {
+    return;
+  }
+  if (aJob.m_avoided.size() == kMaxAvoided) {
+    aJob.m_avoided.erase(aJob.m_avoided.begin());
+  }
+  aJob.m_avoided.push_back(aWorker);
+}
+
+/// The wait, doubled so many times, up to the bound.
+inline Duration
+Doubled(Duration aWait, std::uint32_t aTimes, Duration aMax)
+{
+  constexpr std::uint32_t kMaxShift = 20;
+  return std::min<Duration>(aMax, aWait * (1LL << std::min(aTimes, kMaxShift)));
+}
+
+LACEWING_SCHED_TEMPLATE
+Duration
+LACEWING_SCHED::RetryWait(const Job& aJob) const
+{
+  return aJob.m_spec.m_kind == JobKind::Urgent
+           ? Doubled(m_options.m_urgentRetryWait,
+                     aJob.m_failuresInRow,
+                     m_options.m_retryWait)
+           : m_options.m_retryWait;
+}
+
 /// Takes back workers whose score has decayed and lists those that may get a
 /// probe task.
 LACEWING_SCHED_TEMPLATE
@@ -31,13 +64,16 @@
       return false;
     }
     worker.m_suspect = false;
+    worker.m_failedProbes = 0;
+    worker.m_nextProbe = Time::min();
     m_probes.erase(aWorker);
     m_state.Touch(aWorker);
     return true;
   });
-  for (const std::uint32_t worker : m_suspects) {
-    if (!m_probes.contains(worker)) {
-      m_probeReady.push_back(worker);
+  for (const std::uint32_t index : m_suspects) {
+    const Worker& worker = m_state.WorkerAt(index);
+    if (!m_probes.contains(index) && aNow >= worker.m_nextProbe) {
+      m_probeReady.push_back({ index, aNow >= worker.m_nextRepeatedProbe });
     }
   }
 }
@@ -53,11 +89,11 @@
       spec.m_atMostOnce || aRequest.m_restricted) {
     return kNone;
   }
-  const auto fits = [&](std::uint32_t aWorker) {
-    const Worker& worker = m_state.WorkerAt(aWorker);
+  const auto fits = [&](const ReadyForProbe& aReady) {
+    const Worker& worker = m_state.WorkerAt(aReady.m_worker);
     return !worker.m_heldForGang && !worker.m_cordoned &&
-           !Contains(job.m_noProbeOn, aWorker) &&
-           aRequest.m_need.FitsIn(m_state.Free(aWorker)) &&
+           (aReady.m_mayRepeat || !aRequest.Avoids(aReady.m_worker)) &&
+           aRequest.m_need.FitsIn(m_state.Free(aReady.m_worker)) &&
            (aRequest.m_need.m_accelerators == 0 ||
             worker.m_spec.m_accelerator == spec.m_accelerator);
   };
@@ -66,7 +102,7 @@
   if (found == m_probeReady.end()) {
     return kNone;
   }
-  const std::uint32_t worker = *found;
+  const std::uint32_t worker = found->m_worker;
   m_probeReady.erase(found);
   m_probes[worker] = { aJob, job.m_pending.back() };
   return worker;
@@ -76,8 +112,13 @@
 void
 LACEWING_SCHED::NoteSuccess(Time aNow, TaskRef aRef, std::uint32_t aWorker)
 {
-  m_state.WorkerAt(aWorker).m_health.OnSuccess(aNow, m_options.m_health);
-  m_state.JobAt(aRef.m_job).m_failedOn.clear();
+  Worker& worker = m_state.WorkerAt(aWorker);
+  worker.m_health.OnSuccess(aNow, m_options.m_health);
+  worker.m_failedProbes = 0;
+  worker.m_nextProbe = Time::min();
+  Job& job = m_state.JobAt(aRef.m_job);
+  job.m_failedOn.clear();
+  job.m_failuresInRow = 0;
 }
 
 LACEWING_SCHED_TEMPLATE
@@ -86,12 +127,22 @@
 {
   Worker& worker = m_state.WorkerAt(aWorker);
   Job& job = m_state.JobAt(aRef.m_job);
-  if (!Contains(job.m_noProbeOn, aWorker)) {
-    job.m_noProbeOn.push_back(aWorker);
-  }
+  AddAvoided(job, aWorker);
   // The other tasks of the job need not wait because a probe has failed.
   if (!worker.m_suspect) {
-    job.m_notBefore = aNow + m_options.m_retryWait;
+    job.m_notBefore = aNow + RetryWait(job);
+    ++job.m_failuresInRow;
+  } else if (const auto probe = m_probes.find(aWorker);
+             probe != m_probes.end() && probe->second == aRef) {
+    // A worker that fails every task at once would otherwise use up a task of
+    // each job as its probe.
+    worker.m_nextProbe = aNow + Doubled(m_options.m_probeWait,
+                                        worker.m_failedProbes,
+                                        m_options.m_maxProbeWait);
+    ++worker.m_failedProbes;
+    // Without repeats, a worker that has recovered would stay unused while only
+    // jobs that have failed on it are waiting.
+    worker.m_nextRepeatedProbe = aNow + m_options.m_maxProbeWait;
   }
   // A job that has failed elsewhere too says little about this worker, and a
   // failure on a suspect worker says little about the job.
@@ -107,6 +158,7 @@
   }
   if (worker.m_health.IsSuspect(aNow, m_options.m_health)) {
     worker.m_suspect = true;
+    worker.m_nextRepeatedProbe = aNow + m_options.m_maxProbeWait;
     m_suspects.push_back(aWorker);
     m_state.Touch(aWorker);
     if (worker.m_heldForGang) {
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -78,8 +78,10 @@
   Time m_notBefore = Time::min();
   std::uint32_t m_learnedMemoryMib = 0;  ///< highest measured peak of a task
   std::vector<std::uint32_t> m_failedOn; ///< different, since a success
-  /// Workers on which a task has failed; they get no probe task of the job.
-  std::vector<std::uint32_t> m_noProbeOn;
+  /// Workers on which a task has failed; they get no probe task of the job, and
+  /// no other one while another worker has room.
+  std::vector<std::uint32_t> m_avoided;
+  std::uint32_t m_failuresInRow = 0; ///< of its tasks, since a success
 };
 
 struct Worker
@@ -90,6 +92,10 @@
   bool m_heldForGang = false;
   bool m_cordoned = false; ///< leaves soon; takes no new tasks
   bool m_changed = false;  ///< the row of the free table is out of date
+  std::uint32_t m_failedProbes = 0; ///< in a row
+  Time m_nextProbe = Time::min();
+  /// From then on, a job that has failed here can be a probe once more.
+  Time m_nextRepeatedProbe = Time::min();
   std::uint32_t m_throttled = 0;
   Resources m_held;
   Resources m_pledged; ///< room promised to tasks that wait for it
--- a/src/sched/WorkerIndex.cpp
+++ b/src/sched/WorkerIndex.cpp
@@ -155,7 +155,7 @@
 {
   std::size_t compared = 0;
   for (const std::uint32_t worker : aCell) {
-    if (!aTable.Fits(worker, aRequest)) {
+    if (!aTable.Fits(worker, aRequest) || aRequest.Avoids(worker)) {
       continue;
     }
     const double looseness =
@@ -227,7 +227,12 @@
   if (KnownNotToFit(aRequest)) {
     return kNone;
   }
-  const Best best = SearchGrids(aTable, aRequest);
+  Best best = SearchGrids(aTable, aRequest);
+  if (best.m_worker == kNone && !aRequest.m_avoided.empty()) {
+    Request anywhere = aRequest;
+    anywhere.m_avoided.clear();
+    best = SearchGrids(aTable, anywhere);
+  }
   if (best.m_worker == kNone) {
     Remember(aRequest);
   }
--- a/tests/error/SchedSuspectWorkers.cpp
+++ b/tests/error/SchedSuspectWorkers.cpp
@@ -131,6 +131,101 @@
   }
 }
 
+// Guards against a broken worker that uses up one task of every job, because a
+// failed probe is followed by the next one at once.
+TEST(SchedSuspectWorkers, WaitLongerAfterEachFailedProbe)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  std::vector<Duration> probesAt;
+  const Duration step = milliseconds(100);
+  for (Duration age{}; age < seconds(20); age += step) {
+    const std::string id = "p" + std::to_string(age.count());
+    scheduler.Submit(kNow + age, MakeJob(id, "t", 1, { 1000, 1024, 0 }));
+    for (const auto& probe : scheduler.Decide(kNow + age, 10)) {
+      probesAt.push_back(age);
+      End(scheduler, kNow + age, probe, worker::TaskOutcome::Failed);
+      scheduler.Cancel(kNow + age, probe.m_task.m_job);
+    }
+  }
+  const std::vector<Duration> expected{
+    seconds(0), seconds(1), seconds(3), seconds(7), seconds(15)
+  };
+  EXPECT_EQ(probesAt, expected);
+}
+
+// Guards against a worker that has recovered and gets no probe, because all
+// waiting jobs have failed on it before.
+TEST(SchedSuspectWorkers, GetAJobThatFailedThereAsProbeAfterAMinute)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  scheduler.Submit(kNow, MakeJob("j", "t", 1, { 1000, 1024, 0 }));
+  const auto probe = scheduler.Decide(kNow, 10).at(0);
+  End(scheduler, kNow, probe, worker::TaskOutcome::Failed);
+  EXPECT_TRUE(scheduler.Decide(kNow + seconds(59), 10).empty());
+  EXPECT_EQ(scheduler.Decide(kNow + seconds(60), 10).size(), 1U);
+}
+
+TEST(SchedSuspectWorkers, WaitAtMostAMinuteForTheNextProbe)
+{
+  auto scheduler = MakeSlice(1);
+  FailThreeJobs(scheduler);
+  Time last = kNow;
+  Duration longest{};
+  for (int second = 0; second < 600; ++second) {
+    const Time now = kNow + seconds(second);
+    scheduler.Submit(
+      now, MakeJob("p" + std::to_string(second), "t", 1, { 1000, 1024, 0 }));
+    for (const auto& probe : scheduler.Decide(now, 1)) {
+      longest = std::max<Duration>(longest, now - last);
+      last = now;
+      End(scheduler, now, probe, worker::TaskOutcome::Failed);
+    }
+  }
+  EXPECT_EQ(longest, seconds(60));
+}
+
+// Guards against retries of a job on the worker where it has just failed while
+// another worker has room.
+TEST(SchedSuspectWorkers, FailedTaskGoesToAnotherWorker)
+{
+  auto scheduler = MakeSlice(2);
+  scheduler.Submit(kNow, MakeJob("j", "t", 1, { 1000, 1024, 0 }));
+  const auto first = scheduler.Decide(kNow, 10).at(0);
+  // A second job makes the first worker the tightest one again.
+  scheduler.Submit(kNow, MakeJob("other", "t", 1, { 1000, 1024, 0 }));
+  ASSERT_EQ(scheduler.Decide(kNow, 10).at(0).m_worker, first.m_worker);
+  End(scheduler, kNow, first, worker::TaskOutcome::Failed);
+  const auto second = scheduler.Decide(kNow + seconds(5), 10).at(0);
+  EXPECT_NE(second.m_worker, first.m_worker);
+}
+
+TEST(SchedSuspectWorkers, FailedTaskGoesToTheSameWorkerIfThereIsNoOther)
+{
+  auto scheduler = MakeSlice(1);
+  scheduler.Submit(kNow, MakeJob("j", "t", 1, { 1000, 1024, 0 }));
+  const auto first = scheduler.Decide(kNow, 10).at(0);
+  End(scheduler, kNow, first, worker::TaskOutcome::Failed);
+  const auto second = scheduler.Decide(kNow + seconds(5), 10).at(0);
+  EXPECT_EQ(second.m_worker, first.m_worker);
+}
+
+// Guards against urgent work that misses its 1.9 s because one worker is
+// broken.
+TEST(SchedSuspectWorkers, UrgentJobIsTriedAgainSoonElsewhere)
+{
+  auto scheduler = MakeSlice(2);
+  const Resources size{ 1000, 1024, 0 };
+  scheduler.Submit(kNow, MakeJob("u", "t", 1, size, sched::JobKind::Urgent));
+  const auto first = scheduler.Decide(kNow, 10).at(0);
+  End(scheduler, kNow, first, worker::TaskOutcome::Failed);
+  EXPECT_TRUE(scheduler.Decide(kNow + milliseconds(199), 10).empty());
+  const auto second = scheduler.Decide(kNow + milliseconds(200), 10);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_NE(second[0].m_worker, first.m_worker);
+}
+
 TEST(SchedSuspectWorkers, FailingTaskWaitsBeforeItsNextAttempt)
 {
   auto scheduler = MakeSlice(2);
