Choose owners that answer; send waiting idempotent requests elsewhere

An owner without fresh heartbeats counted as idle (load 0), so that it was even preferred, and a request waited for its whole deadline. Ruled out: the connection's liveness check, which closes a silent connection after 6 s, later than the deadlines of the load. Change: PeerClient tells whether a peer is suspect: a ping unanswered for 0.5 s after 1 s of silence, or a failed connection attempt. SliceChooser ranks suspect owners last, behind those of another region. ForwardTable gives up the present try of idempotent calls at a suspect owner within the retry budget, if there is an owner that answers. Job submissions prefer such owners.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kOwnershipPeriod = milliseconds(50);
 constexpr Duration kAllotmentPeriod = milliseconds(200);
 constexpr Duration kHeartbeatPeriod = milliseconds(500);
+constexpr Duration kSuspectPeriod = milliseconds(250);
 constexpr Duration kSlowPeriod = seconds(1);
 /// From the loss of a member to the next reading of job rows; by then its last
 /// writes have taken effect or never will.
@@ -117,6 +118,7 @@
   m_runtime.SetOwnerTick([this] { TickOwners(); });
   loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
   loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
+  loop.Every(kSuspectPeriod, [this] { m_requests.LeaveSuspectOwners(); });
   loop.Every(kSlowPeriod, [this] {
     PollVmList();
     m_jobs.Tick();
--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -180,6 +180,8 @@
                                : aSpec.m_region;
     constexpr double kRegionBonus = 1000.0;
     score += slice.m_region == wanted ? kRegionBonus : 0.0;
+    // The row is durable, but an owner that does not answer starts it late.
+    score -= m_cell.m_membership.IsSuspect(owner) ? 2 * kRegionBonus : 0.0;
     if (best.empty() || score > bestScore) {
       best = id;
       bestScore = score;
--- a/src/daemon/Membership.cpp
+++ b/src/daemon/Membership.cpp
@@ -120,6 +120,12 @@
   }
 }
 
+bool
+Membership::IsSuspect(const VmId& aVm) const
+{
+  return aVm != m_runtime.Self() && m_peers.IsSuspect(net::Loop::Now(), aVm);
+}
+
 void
 Membership::Call(const MemberInfo& aTo,
                  const peer::PeerMessage& aMessage,
--- a/src/daemon/Membership.h
+++ b/src/daemon/Membership.h
@@ -60,6 +60,8 @@
   std::optional<MemberInfo> Find(const VmId& aVm) const;
   /// Sends a message whose reply does not matter to a member.
   void Notify(const VmId& aTo, const peer::PeerMessage& aMessage);
+  /// True if calls to the member get no answer at present.
+  bool IsSuspect(const VmId& aVm) const;
   /// Sends a message to a member and calls back exactly once.
   void Call(const MemberInfo& aTo,
             const peer::PeerMessage& aMessage,
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -271,6 +271,26 @@
   SendTo(aCall, *slice, *owner);
 }
 
+void
+RequestFront::LeaveSuspectOwners()
+{
+  for (const MemberInfo& member : m_cell.m_membership.Members()) {
+    if (!m_cell.m_membership.IsSuspect(member.m_vm)) {
+      continue;
+    }
+    for (const auto& waiting : m_forwards.WaitingFor(member.m_vm)) {
+      const ServiceId& service = m_calls.at(waiting.m_call).m_service;
+      const auto slice = m_chooser.Choose(SlicesOf(service), waiting.m_tried);
+      const auto owner = slice && !slice->m_suspect
+                           ? m_cell.OwnerOf(slice->m_slice)
+                           : std::optional<MemberInfo>();
+      if (owner && m_forwards.LeaveOwner(waiting.m_call)) {
+        SendTo(waiting.m_call, *slice, *owner);
+      }
+    }
+  }
+}
+
 void
 RequestFront::SendTo(routing::CallId aCall,
                      const routing::SliceLoad& aSlice,
@@ -420,6 +440,7 @@
     load.m_region = slice.m_region;
     load.m_owner = m_cell.m_membership.Machine().OwnerOf(id);
     load.m_reachable = !load.m_owner.empty();
+    load.m_suspect = m_cell.m_membership.IsSuspect(load.m_owner);
     const auto seen = m_cell.m_loads.Find(now, load.m_owner, id);
     load.m_load = seen ? seen->m_load : 0.0;
     slices.push_back(load);
--- a/src/daemon/RequestFront.h
+++ b/src/daemon/RequestFront.h
@@ -27,6 +27,9 @@
                      const net::HttpReply& aReply);
   /// Runs timers that are due and arms the timer of the owners for the next.
   void Tick();
+  /// Sends idempotent requests that wait for an owner which does not answer to
+  /// another one; to be called a few times a second.
+  void LeaveSuspectOwners();
   std::size_t OpenCalls() const { return m_calls.size(); }
 
 private:
--- a/src/peer/PeerAdmission.h
+++ b/src/peer/PeerAdmission.h
@@ -61,6 +61,8 @@
 {
   /// Silence after which a waiting client asks for a sign of life.
   Duration m_pingAfter = seconds(1);
+  /// Silence after that question from which the peer counts as suspect.
+  Duration m_suspectAfter = milliseconds(500);
   /// Silence after that question, at which the connection is given up.
   Duration m_silenceBound = seconds(5);
 };
@@ -110,6 +112,12 @@
     return LivenessAction::Ping;
   }
 
+  /// True while a peer that owes a reply has not answered the question.
+  bool IsSuspect(Time aNow) const
+  {
+    return m_pingSent && aNow - *m_pingSent >= m_options.m_suspectAfter;
+  }
+
 private:
   LivenessOptions m_options;
   std::optional<Time> m_waitingSince;
@@ -135,6 +143,8 @@
 
   bool MayConnect(Time aNow) const { return aNow >= m_next; }
   Time NextAttempt() const { return m_next; }
+  /// True from a failed attempt to the next successful one.
+  bool HasFailed() const { return m_next != Time(); }
 
   /// The jitter is uniform in 0 to 1; the pause lies between half and the whole
   /// of the present step.
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -224,6 +224,20 @@
   return nullptr;
 }
 
+bool
+PeerClient::IsSuspect(Time aNow, const VmId& aPeer) const
+{
+  const auto found = m_peers.find(aPeer);
+  if (found == m_peers.end()) {
+    return false;
+  }
+  const Connection* current = found->second.m_current;
+  if (current == nullptr || !current->m_opened) {
+    return found->second.m_backoff.HasFailed();
+  }
+  return current->m_liveness.IsSuspect(aNow);
+}
+
 PeerClient::Connection*
 PeerClient::Open(const VmId& aPeer, const net::Address& aAddress)
 {
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -69,6 +69,10 @@
               const net::Address& aAddress,
               const PeerMessage& aMessage);
 
+  /// True if the peer owes a reply and is silent, or cannot be connected to.
+  /// Nothing is known of a peer that was never called; it is not suspect.
+  bool IsSuspect(Time aNow, const VmId& aPeer) const;
+
   /// Refuses new calls; open ones finish, then the connections are closed.
   void Drain();
 
--- a/src/routing/ForwardTable.cpp
+++ b/src/routing/ForwardTable.cpp
@@ -126,6 +126,38 @@
   return outcomes;
 }
 
+std::vector<TryElsewhere>
+ForwardTable::WaitingFor(const VmId& aOwner) const
+{
+  std::vector<TryElsewhere> waiting;
+  for (const auto& [forward, id] : m_forwards) {
+    const Call& call = m_calls.at(id);
+    if (call.m_owner == aOwner && call.m_idempotent &&
+        call.m_tries < m_options.m_maxTries) {
+      waiting.push_back({ id, call.m_tried });
+    }
+  }
+  std::ranges::sort(waiting, {}, &TryElsewhere::m_call);
+  return waiting;
+}
+
+bool
+ForwardTable::LeaveOwner(CallId aCall)
+{
+  if (!m_budget.TryRetry()) {
+    return false;
+  }
+  Call& call = m_calls.at(aCall);
+  m_forwards.erase(call.m_forward);
+  call.m_forward = 0;
+  call.m_mayHaveRun = true;
+  call.m_lastError = { Verdict::MayHaveRun,
+                       ErrorCode::Unavailable,
+                       "owner " + call.m_owner.Value() + " does not answer" };
+  ++m_counters.m_triedElsewhere;
+  return true;
+}
+
 ForwardOutcomes
 ForwardTable::OnTick(Time aNow)
 {
--- a/src/routing/ForwardTable.h
+++ b/src/routing/ForwardTable.h
@@ -84,6 +84,12 @@
   ForwardOutcomes OnReply(Time aNow, ForwardId aForward, OwnerReply aReply);
   /// The connection to an incarnation of an owner broke.
   ForwardOutcomes OnOwnerLost(Time aNow, const VmId& aOwner);
+  /// Idempotent calls that wait for a reply of the owner and have tries left,
+  /// ordered by id, with the slices that they have tried.
+  std::vector<TryElsewhere> WaitingFor(const VmId& aOwner) const;
+  /// Gives up the present try of such a call, whose owner is suspect. False if
+  /// the retry budget is used up; then the call goes on waiting.
+  bool LeaveOwner(CallId aCall);
   /// Ends calls whose deadline has passed.
   ForwardOutcomes OnTick(Time aNow);
 
--- a/src/routing/SliceChooser.cpp
+++ b/src/routing/SliceChooser.cpp
@@ -1,5 +1,6 @@
 #include "routing/SliceChooser.h"
 
+#include <array>
 #include <utility>
 
 namespace lacewing::routing {
@@ -13,24 +14,33 @@
 {
 }
 
+/// Suspect owners come last, since a request to one of them waits for its whole
+/// deadline and its outcome stays unknown; the bytes of a request to another
+/// region cost less than that.
+std::size_t
+SliceChooser::RankOf(const SliceLoad& aSlice) const
+{
+  const bool far = m_preferOwnRegion && aSlice.m_region != m_ownRegion;
+  return (aSlice.m_suspect ? 2 : 0) + (far ? 1 : 0);
+}
+
 std::optional<SliceLoad>
 SliceChooser::Choose(const std::vector<SliceLoad>& aSlices,
                      const std::set<SliceId>& aTried)
 {
-  Candidates own;
-  Candidates other;
+  constexpr std::size_t kRanks = 4;
+  std::array<Candidates, kRanks> byRank;
   for (const SliceLoad& slice : aSlices) {
-    if (!slice.m_reachable || aTried.contains(slice.m_slice)) {
-      continue;
+    if (slice.m_reachable && !aTried.contains(slice.m_slice)) {
+      byRank[RankOf(slice)].push_back(&slice);
     }
-    const bool near = !m_preferOwnRegion || slice.m_region == m_ownRegion;
-    (near ? own : other).push_back(&slice);
   }
-  const Candidates& candidates = own.empty() ? other : own;
-  if (candidates.empty()) {
-    return std::nullopt;
+  for (const Candidates& candidates : byRank) {
+    if (!candidates.empty()) {
+      return BetterOfTwo(candidates);
+    }
   }
-  return BetterOfTwo(candidates);
+  return std::nullopt;
 }
 
 const SliceLoad&
--- a/src/routing/SliceChooser.h
+++ b/src/routing/SliceChooser.h
@@ -1,5 +1,5 @@
-/// Choice of the service slice at the front: the own region first, then the
-/// less loaded of two slices chosen at random.
+/// Choice of the service slice at the front: owners that answer first, then the
+/// own region, then the less loaded of two slices chosen at random.
 #pragma once
 
 #include "core/Ids.h"
@@ -19,7 +19,8 @@
   VmId m_owner;
   RegionId m_region;
   double m_load = 0.0;     ///< queued and running requests over slots
-  bool m_reachable = true; ///< has an owner that answers
+  bool m_reachable = true; ///< has an owner
+  bool m_suspect = false;  ///< calls to the owner get no answer at present
 };
 
 class SliceChooser
@@ -30,8 +31,9 @@
                std::uint64_t aSeed,
                bool aPreferOwnRegion = true);
 
-  /// A reachable slice that was not tried yet; another region's only if the own
-  /// region has none. Nothing when no slice is left.
+  /// A reachable slice that was not tried yet; one with a suspect owner only if
+  /// there is no other, and another region's only if the own region has none.
+  /// Nothing when no slice is left.
   std::optional<SliceLoad> Choose(const std::vector<SliceLoad>& aSlices,
                                   const std::set<SliceId>& aTried);
 
@@ -43,6 +45,8 @@
 private:
   using Candidates = std::vector<const SliceLoad*>;
 
+  std::size_t RankOf(const SliceLoad& aSlice) const;
+
   const SliceLoad& BetterOfTwo(const Candidates& aCandidates);
 
   RegionId m_ownRegion;
--- a/tests/correctness/FrontProtocol.cpp
+++ b/tests/correctness/FrontProtocol.cpp
@@ -196,6 +196,58 @@
   EXPECT_EQ(chooser.CrossRegionBytes(), 7U);
 }
 
+// Guards against requests that wait for an owner which does not answer while
+// another one would.
+TEST(SliceChooser, TakesASuspectOwnerOnlyIfThereIsNoOther)
+{
+  SliceChooser chooser(RegionId("here"), 1);
+  const SliceLoad silent{
+    SliceId("silent"), kOwner, RegionId("here"), 0.0, true, true
+  };
+  const SliceLoad near{ SliceId("near"), kOwner, RegionId("here"), 0.9 };
+  const SliceLoad far{ SliceId("far"), kOwner, RegionId("there"), 0.9 };
+  EXPECT_EQ(chooser.Choose({ silent, near, far }, {})->m_slice, near.m_slice);
+  EXPECT_EQ(chooser.Choose({ silent, far }, {})->m_slice, far.m_slice);
+  EXPECT_EQ(chooser.Choose({ silent }, {})->m_slice, silent.m_slice);
+}
+
+TEST(ForwardTable, LeavesASuspectOwnerWithIdempotentCallsOnly)
+{
+  ForwardTable table;
+  table.Open(1, kDeadline, true);
+  table.Open(2, kDeadline, false);
+  const ForwardId first = table.Send(1, SliceId("a"), kOwner);
+  table.Send(2, SliceId("a"), kOwner);
+  const auto waiting = table.WaitingFor(kOwner);
+  ASSERT_EQ(waiting.size(), 1U);
+  EXPECT_EQ(waiting[0].m_call, 1U);
+  ASSERT_TRUE(table.LeaveOwner(1));
+  EXPECT_TRUE(table.WaitingFor(kOwner).empty());
+  OwnerReply late;
+  late.m_answer = EndpointAnswer{};
+  EXPECT_TRUE(table.OnReply(Time(), first, late).empty());
+  // The first try may have run, so that a later "not run" says too much.
+  const ForwardId second = table.Send(1, SliceId("b"), VmId("other"));
+  OwnerReply refused;
+  refused.m_error = { Verdict::NotRun, ErrorCode::Draining, "draining" };
+  table.OnReply(Time(), second, refused);
+  EXPECT_EQ(table.GiveUp(1).m_error.m_verdict, Verdict::MayHaveRun);
+}
+
+TEST(ForwardTable, LeavesNoOwnerWithoutRetryBudget)
+{
+  ForwardOptions options;
+  options.m_retryBurst = 0;
+  options.m_retryRatio = 0;
+  ForwardTable table(options);
+  table.Open(1, kDeadline, true);
+  const ForwardId forward = table.Send(1, SliceId("a"), kOwner);
+  EXPECT_FALSE(table.LeaveOwner(1));
+  OwnerReply answer;
+  answer.m_answer = EndpointAnswer{};
+  EXPECT_EQ(table.OnReply(Time(), forward, answer).size(), 1U);
+}
+
 TEST(RetryBudget, AllowsATenthOfTheRequests)
 {
   RetryBudget budget(0.1, 1.0);
