Send heartbeats as deltas against the last acknowledged one

Cause: each heartbeat carried all slices and all teams that use something, twice a second to every member.

Change: HeartbeatPlan decides what is due for each receiver: slices that count as changed within 500 ms in the own region, every other change within 2 s, releases at the next tick. A heartbeat contains what was told first after the base, which is the last acknowledged heartbeat, so a lost or delayed heartbeat or reply does no harm. LoadView replies whether it holds the base, never mixes processes of a VM, and lets loads expire 5 s after the last heartbeat whose base it had. A full heartbeat follows the first contact, a reply that asks for it, and every 30 s. Releases stay in every heartbeat while the daemon reports them, acknowledged or not, since the next owner may claim the slice later. The protocol version is 2.

Jobs sent to a slice now count until its owner has told a load 500 ms later, for at most 2.5 s, since an unchanged load is told every 2 s only. The test of 1 s without a heartbeat is replaced by two: until a heartbeat includes them, and until a change would have been told.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -10,7 +10,6 @@
 
 constexpr Duration kOwnershipPeriod = milliseconds(50);
 constexpr Duration kAllotmentPeriod = milliseconds(200);
-constexpr Duration kHeartbeatPeriod = milliseconds(500);
 constexpr Duration kSlowPeriod = seconds(1);
 /// From the loss of a member to the next reading of job rows; by then its last
 /// writes have taken effect or never will.
@@ -116,7 +115,7 @@
   loop.Every(kOwnershipPeriod, [this] { TickOwnership(); });
   m_runtime.SetOwnerTick([this] { TickOwners(); });
   loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
-  loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
+  loop.Every(kHeartbeatTick, [this] { SendHeartbeats(); });
   loop.Every(kSlowPeriod, [this] {
     PollVmList();
     m_jobs.Tick();
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -2,6 +2,7 @@
 /// of settings.
 #pragma once
 
+#include "daemon/HeartbeatPlan.h"
 #include "daemon/JobFront.h"
 #include "daemon/LimitReconciler.h"
 #include "daemon/LoopLagProbe.h"
@@ -75,6 +76,7 @@
   void TickDrain();
   std::size_t RunningRequests() const;
   void SendHeartbeats();
+  void SendHeartbeat(const MemberInfo& aTo, const peer::Heartbeat& aBeat);
   peer::Heartbeat OwnHeartbeat() const;
   void UpdateMetrics();
   void LogState();
@@ -84,6 +86,7 @@
   Membership m_membership;
   SettingsService m_settings;
   LoadView m_loads;
+  HeartbeatPlan m_heartbeats;
   std::map<SliceId, vmlist::Slice> m_slices;
   std::map<SliceId, std::shared_ptr<WorkerSliceOwner>> m_workerOwners;
   std::map<SliceId, std::shared_ptr<ServiceSliceOwner>> m_serviceOwners;
--- a/src/daemon/EntryDaemonReports.cpp
+++ b/src/daemon/EntryDaemonReports.cpp
@@ -9,19 +9,31 @@
 using observe::Metric;
 
 constexpr std::int64_t kMillicoresPerCore = 1000;
+/// The reply to a heartbeat that takes longer does not matter any more: later
+/// heartbeats contain the same changes.
+constexpr Duration kHeartbeatTimeout = seconds(5);
 
 } // namespace
 
 void
 EntryDaemon::SendHeartbeats()
 {
-  const peer::Heartbeat beat = OwnHeartbeat();
-  m_loads.OnHeartbeat(net::Loop::Now(), beat);
+  const Time now = net::Loop::Now();
+  const peer::Heartbeat state = OwnHeartbeat();
+  m_loads.OnHeartbeat(now, state);
+  std::set<VmId> receivers;
   for (const MemberInfo& member : m_membership.Members()) {
-    if (member.m_vm != m_runtime.Self()) {
-      m_membership.Notify(member.m_vm, beat);
+    if (member.m_vm == m_runtime.Self()) {
+      continue;
+    }
+    receivers.insert(member.m_vm);
+    const bool sameRegion = member.m_region == m_runtime.Config().m_region;
+    const auto beat = m_heartbeats.Next(now, member.m_vm, sameRegion, state);
+    if (beat) {
+      SendHeartbeat(member, *beat);
     }
   }
+  m_heartbeats.Retain(receivers);
   for (Draining& draining : m_draining) {
     if (draining.m_owner->IsDrained()) {
       --draining.m_reportsLeft;
@@ -29,6 +41,25 @@
   }
 }
 
+void
+EntryDaemon::SendHeartbeat(const MemberInfo& aTo, const peer::Heartbeat& aBeat)
+{
+  m_membership.Peers().Call(
+    aTo.m_vm,
+    aTo.m_address.m_peers,
+    aBeat,
+    kHeartbeatTimeout,
+    [this](const peer::PeerOutcome& aOutcome) {
+      if (!aOutcome.m_reply) {
+        return;
+      }
+      const auto* reply = std::get_if<peer::HeartbeatReply>(&*aOutcome.m_reply);
+      if (reply != nullptr) {
+        m_heartbeats.OnReply(aOutcome.m_from, *reply);
+      }
+    });
+}
+
 peer::Heartbeat
 EntryDaemon::OwnHeartbeat() const
 {
--- a/src/daemon/EntryDaemonRequests.cpp
+++ b/src/daemon/EntryDaemonRequests.cpp
@@ -133,14 +133,15 @@
     HandleOpaque(aFrom.m_vm, *opaque);
     aReply(peer::Acknowledgement());
   } else if (const auto* beat = std::get_if<peer::Heartbeat>(&aMessage)) {
-    m_loads.OnHeartbeat(net::Loop::Now(), *beat);
+    const peer::HeartbeatReply reply =
+      m_loads.OnHeartbeat(net::Loop::Now(), *beat);
     for (const peer::ReleasedSlice& released : beat->m_released) {
       const auto owner = m_serviceOwners.find(released.m_slice);
       if (owner != m_serviceOwners.end()) {
         owner->second->OnEarlierOwner(released);
       }
     }
-    aReply(peer::Acknowledgement());
+    aReply(reply);
   } else if (const auto* forward =
                std::get_if<peer::ForwardRequest>(&aMessage)) {
     HandleForward(aFrom, *forward, aReply);
--- a/src/daemon/LoadView.h
+++ b/src/daemon/LoadView.h
@@ -12,20 +12,21 @@
 
 namespace lacewing::daemon {
 
-/// A heartbeat older than this says nothing about loads.
+/// A load expires this long after the last heartbeat that told it or that said
+/// that it is as told before.
 inline constexpr Duration kLoadMaxAge = seconds(5);
 
-/// The usages that a heartbeat contains: those that are not zero, in the order
-/// of the teams. A heartbeat replaces the earlier one of its member, so a team
-/// that is not in it uses nothing there.
+/// The usages that the state of a member contains: those that are not zero, in
+/// the order of the teams.
 std::vector<peer::TeamUsage>
 UsagesToTell(const std::map<TeamId, peer::TeamUsage>& aUsages);
 
 class LoadView
 {
 public:
-  /// Takes a heartbeat of a member, or the own one.
-  void OnHeartbeat(Time aNow, const peer::Heartbeat& aHeartbeat);
+  /// Takes a heartbeat of a member, or the own state, and returns the reply.
+  peer::HeartbeatReply OnHeartbeat(Time aNow,
+                                   const peer::Heartbeat& aHeartbeat);
 
   /// The load of the slice as told by the member, unless it is too old.
   std::optional<peer::SliceLoad> Find(Time aNow,
@@ -40,17 +41,33 @@
                    const SliceId& aSlice,
                    std::int64_t aCapacityMillicores,
                    std::size_t aWorkers) const;
-  /// Counts a job against the slice until heartbeats include it.
+  /// Counts a job against the slice until its owner tells a load that includes
+  /// the job.
   void OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores);
-  /// Usage of a team by all members, by their latest heartbeats.
+  /// Usage of a team by all members, by their heartbeats.
   peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
   std::uint64_t SettingsVersionOf(const VmId& aVm) const;
 
 private:
-  struct Seen
+  template<typename Value>
+  struct Told
   {
-    Time m_at{};
-    peer::Heartbeat m_heartbeat;
+    Value m_value;
+    Time m_at{}; ///< last heartbeat that contained the value
+  };
+
+  /// What one process of a VM has told.
+  struct Member
+  {
+    Incarnation m_incarnation = 0;
+    std::uint64_t m_sequence = 0; ///< of the newest heartbeat
+    /// Everything up to the newest heartbeat is held.
+    bool m_complete = false;
+    Time m_lastHeard{};             ///< last heartbeat of the process
+    Time m_confirmed = Time::min(); ///< last one whose base was held
+    std::uint64_t m_settingsVersion = 0;
+    std::map<SliceId, Told<peer::SliceLoad>> m_slices;
+    std::map<TeamId, Told<peer::TeamUsage>> m_teams;
   };
 
   struct SentJob
@@ -59,9 +76,14 @@
     std::int64_t m_millicores = 0;
   };
 
-  bool IsFresh(Time aNow, const Seen& aSeen) const;
+  static void Take(Time aNow,
+                   const peer::Heartbeat& aHeartbeat,
+                   Member& aMember);
+  const Told<peer::SliceLoad>* FindTold(Time aNow,
+                                        const VmId& aOwner,
+                                        const SliceId& aSlice) const;
 
-  std::map<VmId, Seen> m_members;
+  std::map<VmId, Member> m_members;
   /// Oldest first.
   std::map<SliceId, std::deque<SentJob>> m_sentJobs;
 };
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -134,6 +134,14 @@
       slots.set_slots(busy.m_slots);
     }
   }
+  out.set_sequence(aIn.m_sequence);
+  out.set_base(aIn.m_base);
+  for (const SliceId& slice : aIn.m_removedSlices) {
+    out.add_removed_slices(slice.Value());
+  }
+  for (const TeamId& team : aIn.m_removedTeams) {
+    out.add_removed_teams(team.Value());
+  }
 }
 
 void
@@ -210,6 +218,13 @@
   aOut.mutable_acknowledgement();
 }
 
+void
+Write(const HeartbeatReply& aIn, wire::Envelope& aOut)
+{
+  aOut.mutable_heartbeat_reply()->set_sequence(aIn.m_sequence);
+  aOut.mutable_heartbeat_reply()->set_needs_full(aIn.m_needsFull);
+}
+
 // One overload of Read for each message.
 
 SliceLoad
@@ -261,6 +276,13 @@
   aReader.ListSize(aIn.slices_size(), "heartbeat.slices");
   aReader.ListSize(aIn.teams_size(), "heartbeat.teams");
   aReader.ListSize(aIn.released_size(), "heartbeat.released");
+  aReader.ListSize(aIn.removed_slices_size(), "heartbeat.removed_slices");
+  aReader.ListSize(aIn.removed_teams_size(), "heartbeat.removed_teams");
+  out.m_sequence = aIn.sequence();
+  out.m_base = aIn.base();
+  aReader.Require(out.m_base == 0 || out.m_base < out.m_sequence,
+                  "heartbeat.base",
+                  "is not below the sequence number");
   if (!aReader.Ok()) {
     return out;
   }
@@ -273,6 +295,14 @@
   for (const auto& released : aIn.released()) {
     out.m_released.push_back(Read(released, aReader));
   }
+  for (const std::string& slice : aIn.removed_slices()) {
+    out.m_removedSlices.emplace_back(
+      aReader.Name(slice, "heartbeat.removed_slices"));
+  }
+  for (const std::string& team : aIn.removed_teams()) {
+    out.m_removedTeams.emplace_back(
+      aReader.Name(team, "heartbeat.removed_teams"));
+  }
   return out;
 }
 
@@ -372,6 +402,9 @@
       return Read(aIn.opaque(), aReader);
     case wire::Envelope::kRefusal:
       return Read(aIn.refusal(), aReader);
+    case wire::Envelope::kHeartbeatReply:
+      return HeartbeatReply{ aIn.heartbeat_reply().sequence(),
+                             aIn.heartbeat_reply().needs_full() };
     case wire::Envelope::kAcknowledgement:
     case wire::Envelope::MESSAGE_NOT_SET:
       break;
--- a/src/peer/PeerMessages.h
+++ b/src/peer/PeerMessages.h
@@ -17,7 +17,7 @@
 
 /// Version of the handshake and of the messages. Peers of different versions
 /// refuse each other.
-inline constexpr std::uint32_t kProtocolVersion = 1;
+inline constexpr std::uint32_t kProtocolVersion = 2;
 
 /// State of one slice that the sender owns.
 struct SliceLoad
@@ -61,6 +61,7 @@
   bool operator==(const ReleasedSlice&) const = default;
 };
 
+/// State of the sender, or what has changed in it since an earlier heartbeat.
 struct Heartbeat
 {
   VmId m_vm;
@@ -71,10 +72,28 @@
   std::vector<SliceLoad> m_slices;
   std::vector<TeamUsage> m_teams;
   std::vector<ReleasedSlice> m_released;
+  /// Counts the heartbeats of the sending process to this receiver, from 1; 0
+  /// in a state that is not sent.
+  std::uint64_t m_sequence = 0;
+  /// Sequence number of the acknowledged heartbeat that this one adds to. 0 if
+  /// it is full: then what it does not contain does not exist.
+  std::uint64_t m_base = 0;
+  std::vector<SliceId> m_removedSlices; ///< told earlier; no longer exist
+  std::vector<TeamId> m_removedTeams;   ///< told earlier; use nothing now
 
   bool operator==(const Heartbeat&) const = default;
 };
 
+/// Reply to a `Heartbeat`.
+struct HeartbeatReply
+{
+  std::uint64_t m_sequence = 0; ///< of the heartbeat
+  /// The receiver does not hold the state that the heartbeat adds to.
+  bool m_needsFull = false;
+
+  bool operator==(const HeartbeatReply&) const = default;
+};
+
 /// A service request on its way from the front to the owner of a slice.
 struct ForwardRequest
 {
@@ -159,7 +178,8 @@
                                  JobReply,
                                  Opaque,
                                  Refusal,
-                                 Acknowledgement>;
+                                 Acknowledgement,
+                                 HeartbeatReply>;
 
 /// A process of the cell.
 struct PeerIdentity
--- a/tests/fakes/PeerSamples.h
+++ b/tests/fakes/PeerSamples.h
@@ -39,6 +39,10 @@
   heartbeat.m_released = {
     { SliceId("lot-ledger-2"), 4, { { VmId("runner-8"), 2 } } }
   };
+  heartbeat.m_sequence = 9;
+  heartbeat.m_base = 7;
+  heartbeat.m_removedSlices = { SliceId("workers-3") };
+  heartbeat.m_removedTeams = { TeamId("buyers") };
   return heartbeat;
 }
 
@@ -68,6 +72,7 @@
     Opaque{ "kind", "text" },
     Refusal{ { Verdict::NotRun, ErrorCode::NotOwner, "slice has moved" } },
     Acknowledgement{},
+    HeartbeatReply{ 9, true },
   };
 }
 
