Count bytes between daemons by kind; measure heartbeat deltas

Cause: the overhead of calls was not in the figures, and a running daemon did not show what its messages to other daemons cost.

Change: lacewing_peer_bytes_total counts encoded messages by kind and direction, and the rest of the connections' bytes as overhead. capacity_figures passes heartbeats of both forms and settings heartbeats through HTTP/2 sessions and prints the bytes of a second.

--- a/bench/capacity_figures.cpp
+++ b/bench/capacity_figures.cpp
@@ -1,13 +1,19 @@
 /// Prints the sizes of messages and rows from which docs/CAPACITY.md works out
-/// the traffic of each role. Deterministic; takes no arguments.
+/// the traffic of each role, and the bytes of a second of heartbeats in their
+/// old form and as deltas. Deterministic; takes no arguments.
+#include "daemon/HeartbeatPlan.h"
 #include "daemon/LoadView.h"
+#include "daemon/PeerPayloads.h"
 #include "jobs/JobRecord.h"
 #include "ownership/MemberRow.h"
 #include "ownership/SliceRow.h"
+#include "peer/Http2Session.h"
 #include "peer/PeerCodec.h"
 #include "vmlist/VmList.h"
 #include "worker/WorkerMessages.h"
 
+#include <cstdio>
+#include <deque>
 #include <iostream>
 
 namespace {
@@ -119,6 +125,194 @@
   return ownership::EncodeSlice(row).size();
 }
 
+/// Bytes of a second, sent and received by one entry daemon as a client.
+struct Traffic
+{
+  double m_messages = 0; ///< encoded messages sent
+  double m_sent = 0;     ///< with the frames of HTTP/2
+  double m_received = 0;
+  double m_calls = 0;
+};
+
+/// Calls over a connection without a network, which counts its bytes.
+class CountedConnection
+{
+public:
+  void Call(const peer::PeerMessage& aRequest,
+            const std::string& aReply,
+            Traffic& aTotal)
+  {
+    const std::string bytes = peer::EncodeMessage(aRequest);
+    aTotal.m_messages += static_cast<double>(bytes.size());
+    aTotal.m_calls += 1;
+    m_client.SubmitRequest(bytes);
+    aTotal.m_sent += Move(m_client, m_server);
+    for (const peer::SessionEvent& event : m_server.TakeEvents()) {
+      if (event.m_kind == peer::SessionEventKind::Request) {
+        m_server.SubmitReply(event.m_stream, aReply);
+      }
+    }
+    aTotal.m_received += Move(m_server, m_client);
+    aTotal.m_sent += Move(m_client, m_server);
+    m_client.TakeEvents();
+  }
+
+private:
+  static double Move(peer::Http2Session& aFrom, peer::Http2Session& aTo)
+  {
+    double bytes = 0;
+    for (auto piece = aFrom.NextOutput(); !piece.empty();
+         piece = aFrom.NextOutput()) {
+      bytes += static_cast<double>(piece.size());
+      aTo.Feed(piece);
+    }
+    return bytes;
+  }
+
+  peer::Http2Session m_client{ peer::SessionSide::Client, {} };
+  peer::Http2Session m_server{ peer::SessionSide::Server, {} };
+};
+
+/// State of a member after a number of ticks. A quarter of its teams change
+/// each second. Its slice counts as changed at every tick, which is the worst
+/// case.
+peer::Heartbeat
+StateAt(int aTick, int aTeams)
+{
+  constexpr int kParts = 8; // changes come every 500 ms: an eighth each time
+  constexpr int kCycle = 4;
+  peer::Heartbeat state;
+  state.m_vm = VmId("entry-100");
+  state.m_incarnation = 1'780'000'000'000'000;
+  state.m_settingsVersion = 100'000;
+  const int step = aTick % kCycle;
+  state.m_slices = { { SliceId("service-lot-ledger-lombardy-a-0"),
+                       0.5 + 0.1 * step,
+                       90'000 + 1'000 * step,
+                       12 } };
+  for (int i = 0; i < aTeams; ++i) {
+    const int changes = (aTick + i) / kParts;
+    state.m_teams.push_back({ TeamId(Numbered("team-", i)),
+                              250'000 + 1'000 * (changes % kCycle),
+                              40,
+                              9'000 });
+  }
+  return state;
+}
+
+constexpr int kWarmUpTicks = 80;
+constexpr int kMeasuredTicks = 120; // 60 s: two full heartbeats each
+
+Traffic
+PerSecond(Traffic aTotal)
+{
+  const double span =
+    std::chrono::duration<double>(kMeasuredTicks * daemon::kHeartbeatTick)
+      .count();
+  aTotal.m_messages /= span;
+  aTotal.m_sent /= span;
+  aTotal.m_received /= span;
+  aTotal.m_calls /= span;
+  return aTotal;
+}
+
+/// The whole state to every member at every tick; empty replies.
+Traffic
+OldHeartbeats(int aMembers, int aTeams)
+{
+  std::deque<CountedConnection> links(static_cast<std::size_t>(aMembers - 1));
+  Traffic total;
+  for (int tick = 0; tick < kWarmUpTicks + kMeasuredTicks; ++tick) {
+    total = tick == kWarmUpTicks ? Traffic() : total;
+    for (CountedConnection& link : links) {
+      link.Call(StateAt(tick, aTeams), {}, total);
+    }
+  }
+  return PerSecond(total);
+}
+
+/// Deltas in 3 regions of the same size, each acknowledged before the next.
+Traffic
+DeltaHeartbeats(int aMembers, int aTeams)
+{
+  constexpr int kRegions = 3;
+  std::deque<CountedConnection> links(static_cast<std::size_t>(aMembers));
+  daemon::HeartbeatPlan plan;
+  Traffic total;
+  for (int tick = 0; tick < kWarmUpTicks + kMeasuredTicks; ++tick) {
+    const Time now = Time(seconds(1)) + tick * daemon::kHeartbeatTick;
+    const peer::Heartbeat state = StateAt(tick, aTeams);
+    total = tick == kWarmUpTicks ? Traffic() : total;
+    for (int member = 1; member < aMembers; ++member) {
+      const VmId vm(Numbered("entry-", member));
+      const auto beat = plan.Next(now, vm, member % kRegions == 0, state);
+      if (beat) {
+        const peer::HeartbeatReply reply{ beat->m_sequence, false };
+        links[static_cast<std::size_t>(member)].Call(
+          *beat, peer::EncodeMessage(reply), total);
+        plan.OnReply({ vm, 1 }, reply);
+      }
+    }
+  }
+  return PerSecond(total);
+}
+
+/// Settings heartbeats to every member each second.
+Traffic
+SettingsHeartbeats(int aMembers)
+{
+  std::deque<CountedConnection> links(static_cast<std::size_t>(aMembers - 1));
+  Traffic total;
+  constexpr int kTicksPerSecond = 2;
+  for (int tick = 0; tick < kWarmUpTicks + kMeasuredTicks; ++tick) {
+    total = tick == kWarmUpTicks ? Traffic() : total;
+    settings::Heartbeat beat;
+    beat.m_incarnation = 1'780'000'000'000'000;
+    beat.m_number = 100'000;
+    beat.m_echoIncarnation = 1'780'000'000'000'000;
+    beat.m_echoNumber = 100'000;
+    beat.m_fleet = 100'000;
+    beat.m_known = 100'000;
+    beat.m_age = milliseconds(250);
+    for (CountedConnection& link : links) {
+      if (tick % kTicksPerSecond == 0) {
+        link.Call(daemon::Pack(settings::PeerMessage(beat)), {}, total);
+      }
+    }
+  }
+  return PerSecond(total);
+}
+
+void
+PrintTraffic(int aMembers, int aTeams, const char* aForm, const Traffic& aCost)
+{
+  std::printf(
+    "| %d | %d | %s | %.1f | %.0f | %.0f | %.1f | %.1f |\n",
+    aMembers,
+    aTeams,
+    aForm,
+    aCost.m_calls,
+    aCost.m_messages,
+    aCost.m_sent,
+    aCost.m_calls == 0 ? 0 : (aCost.m_sent - aCost.m_messages) / aCost.m_calls,
+    aCost.m_calls == 0 ? 0 : aCost.m_received / aCost.m_calls);
+}
+
+void
+PrintHeartbeatTraffic()
+{
+  std::puts("\n| members | active teams | form | calls/s | message bytes/s | "
+            "bytes/s sent | overhead sent per call | received per call |\n"
+            "|---|---|---|---|---|---|---|---|");
+  for (const int members : { 9, 40, 100 }) {
+    for (const int teams : { 0, 24, 240 }) {
+      PrintTraffic(members, teams, "old", OldHeartbeats(members, teams));
+      PrintTraffic(members, teams, "deltas", DeltaHeartbeats(members, teams));
+    }
+    PrintTraffic(members, 0, "settings", SettingsHeartbeats(members));
+  }
+}
+
 } // namespace
 
 int
@@ -154,6 +348,8 @@
               << JobRowBytes(tasks) << " |\n";
   }
   std::cout << "| member row | | " << MemberRowBytes() << " |\n"
-            << "| slice row | | " << SliceRowBytes() << " |\n";
+            << "| slice row | | " << SliceRowBytes() << " |\n"
+            << std::flush;
+  PrintHeartbeatTraffic();
   return 0;
 }
--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -30,22 +30,43 @@
   return config;
 }
 
+peer::ByteCounter
+CountBytes(Runtime& aRuntime, peer::WireBytes& aMessages)
+{
+  return [&metrics = aRuntime.Metrics(),
+          &aMessages](std::string_view aKind,
+                      peer::ByteDirection aDirection,
+                      std::size_t aBytes) {
+    (aDirection == peer::ByteDirection::Sent ? aMessages.m_sent
+                                             : aMessages.m_received) += aBytes;
+    metrics.Add(
+      observe::Metric::PeerBytes,
+      { aKind, aDirection == peer::ByteDirection::Sent ? "sent" : "received" },
+      static_cast<double>(aBytes));
+  };
+}
+
 peer::PeerClientOptions
-ClientOptions(Runtime& aRuntime, const std::string& aSecret)
+ClientOptions(Runtime& aRuntime,
+              const std::string& aSecret,
+              peer::WireBytes& aMessages)
 {
   peer::PeerClientOptions options;
   options.m_handshake = HandshakeOf(aRuntime, aRuntime.Config(), aSecret);
   options.m_jitterSeed = aRuntime.Random();
+  options.m_countBytes = CountBytes(aRuntime, aMessages);
   return options;
 }
 
 peer::PeerServerOptions
-ServerOptions(const Runtime& aRuntime,
+ServerOptions(Runtime& aRuntime,
               const settings::Bootstrap& aConfig,
-              const std::string& aSecret)
+              const std::string& aSecret,
+              peer::WireBytes& aMessages)
 {
   peer::PeerServerOptions options;
   options.m_handshake = HandshakeOf(aRuntime, aConfig, aSecret);
+  options.m_countBytes = CountBytes(aRuntime, aMessages);
   return options;
 }
 
@@ -55,7 +76,8 @@
                          const settings::Bootstrap& aBootstrap,
                          const std::string& aClusterSecret)
   : m_runtime(aLoop, aBootstrap)
-  , m_peerClient(aLoop, ClientOptions(m_runtime, aClusterSecret))
+  , m_peerClient(aLoop,
+                 ClientOptions(m_runtime, aClusterSecret, m_messageBytes))
   , m_membership(
       m_runtime,
       m_peerClient,
@@ -93,13 +115,14 @@
       [this](const net::HttpRequest& aRequest, const net::HttpReply& aReply) {
         HandleCaller(aRequest, aReply);
       })
-  , m_peerServer(aLoop,
-                 ServerOptions(m_runtime, aBootstrap, aClusterSecret),
-                 [this](const peer::PeerIdentity& aFrom,
-                        const peer::PeerMessage& aMessage,
-                        const peer::PeerReply& aReply) {
-                   HandlePeer(aFrom, aMessage, aReply);
-                 })
+  , m_peerServer(
+      aLoop,
+      ServerOptions(m_runtime, aBootstrap, aClusterSecret, m_messageBytes),
+      [this](const peer::PeerIdentity& aFrom,
+             const peer::PeerMessage& aMessage,
+             const peer::PeerReply& aReply) {
+        HandlePeer(aFrom, aMessage, aReply);
+      })
   , m_loopLag(aLoop, m_runtime.Metrics())
 {
 }
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -79,9 +79,12 @@
   void SendHeartbeat(const MemberInfo& aTo, const peer::Heartbeat& aBeat);
   peer::Heartbeat OwnHeartbeat() const;
   void UpdateMetrics();
+  void CountOverhead();
   void LogState();
 
   Runtime m_runtime;
+  peer::WireBytes m_messageBytes;    ///< encoded messages of peers
+  peer::WireBytes m_overheadCounted; ///< that the metric already has
   peer::PeerClient m_peerClient;
   Membership m_membership;
   SettingsService m_settings;
--- a/src/daemon/EntryDaemonReports.cpp
+++ b/src/daemon/EntryDaemonReports.cpp
@@ -128,6 +128,7 @@
               { "urgent" });
   metrics.Set(
     Metric::TaskQueueLength, static_cast<double>(waiting.m_other), { "other" });
+  CountOverhead();
   const std::uint64_t dropped = m_runtime.Timeline().Dropped();
   metrics.Add(Metric::TimelineDropped,
               {},
@@ -135,6 +136,34 @@
   m_droppedCounted = dropped;
 }
 
+void
+EntryDaemon::CountOverhead()
+{
+  const peer::WireBytes client = m_peerClient.Bytes();
+  const peer::WireBytes server = m_peerServer.Bytes();
+  const auto count = [this](std::string_view aDirection,
+                            std::uint64_t aWire,
+                            std::uint64_t aMessages,
+                            std::uint64_t& aCounted) {
+    // Messages that wait for a connection are counted before their bytes.
+    if (aWire > aMessages + aCounted) {
+      const std::uint64_t added = aWire - aMessages - aCounted;
+      m_runtime.Metrics().Add(Metric::PeerBytes,
+                              { "overhead", aDirection },
+                              static_cast<double>(added));
+      aCounted += added;
+    }
+  };
+  count("sent",
+        client.m_sent + server.m_sent,
+        m_messageBytes.m_sent,
+        m_overheadCounted.m_sent);
+  count("received",
+        client.m_received + server.m_received,
+        m_messageBytes.m_received,
+        m_overheadCounted.m_received);
+}
+
 void
 EntryDaemon::LogState()
 {
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -49,6 +49,7 @@
   { Metric::OwnershipChanges, "lacewing_ownership_changes_total", Counter, "slices", "kind", "Slices claimed, released or lost.", "lost grows" },
   { Metric::SlicesOwned, "lacewing_slices_owned", Gauge, "slices", "", "Slices that this process owns.", "the sum over all processes is below the number of slices for 30 s" },
   { Metric::PeerRefusals, "lacewing_peer_refusals_total", Counter, "connections", "reason", "Connections of other daemons that were refused.", "grows" },
+  { Metric::PeerBytes, "lacewing_peer_bytes_total", Counter, "bytes", "kind,direction", "Encoded messages exchanged with other daemons, by kind of message; direction is sent or received. The kind overhead is what connections carry besides: frames of HTTP/2, handshakes and messages that were refused.", "sent above 25 kB/s without forward_request and answer" },
   { Metric::LateAnswersDropped, "lacewing_late_answers_dropped_total", Counter, "answers", "", "Answers that came after their request had ended.", "above 1% of the requests" },
   { Metric::CrossRegionBytes, "lacewing_cross_region_bytes_total", Counter, "bytes", "region,direction", "Bodies of service requests and answers that this process exchanged with owners in another region; direction is sent or received.", "above 2.5 MB/s" },
   { Metric::LoopLagSeconds, "lacewing_loop_lag_seconds", Histogram, "seconds", "", "Delay of timers of the event loop.", "99th percentile above 0.05 s" },
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -30,6 +30,7 @@
   OwnershipChanges,
   SlicesOwned,
   PeerRefusals,
+  PeerBytes,
   LateAnswersDropped,
   CrossRegionBytes,
   LoopLagSeconds,
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -26,6 +26,7 @@
 {
   std::uint64_t m_id = 0;
   std::string m_body; ///< until it is handed to the session
+  std::string m_kind;
   std::size_t m_bytes = 0;
   PeerDone m_done;
   std::optional<StreamId> m_stream;
@@ -95,6 +96,7 @@
   auto call = std::make_unique<PendingCall>();
   call->m_id = m_nextCall++;
   call->m_body = EncodeMessage(aMessage);
+  call->m_kind = KindOf(aMessage);
   call->m_bytes = call->m_body.size();
   call->m_done = std::move(aDone);
   if (auto refused = Refused(aPeer, call->m_bytes)) {
@@ -275,6 +277,7 @@
                               " takes no further calls"));
     return;
   }
+  m_options.m_countBytes(aCall.m_kind, ByteDirection::Sent, aCall.m_bytes);
   aConnection.m_streams.emplace(*aCall.m_stream, aCall.m_id);
   aConnection.m_link->ScheduleFlush();
 }
@@ -330,6 +333,11 @@
     outcome.m_reply = Acknowledgement{};
   } else {
     Decoded<PeerMessage> decoded = DecodeMessage(aEvent.m_body);
+    if (decoded.m_value) {
+      m_options.m_countBytes(KindOf(*decoded.m_value),
+                             ByteDirection::Received,
+                             aEvent.m_body.size());
+    }
     if (!decoded.m_value) {
       m_faults.Add(decoded.m_fault);
       Retire(aConnection);
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -6,6 +6,7 @@
 #include "net/Loop.h"
 #include "peer/Handshake.h"
 #include "peer/PeerAdmission.h"
+#include "peer/PeerCodec.h"
 #include "peer/PeerLink.h"
 #include "peer/PeerMessages.h"
 #include "peer/PeerTimer.h"
@@ -31,6 +32,7 @@
   Duration m_writeTimeout = seconds(30);
   Duration m_notifyTimeout = seconds(5);
   Duration m_sweepPeriod = milliseconds(250);
+  ByteCounter m_countBytes = [](auto, auto, auto) {};
   std::uint64_t m_jitterSeed = 1; ///< differs between processes
 };
 
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -9,6 +9,7 @@
 #include "peer/messages.pb.h"
 #pragma GCC diagnostic pop
 
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -542,6 +543,19 @@
   return envelope.SerializeAsString();
 }
 
+std::string_view
+KindOf(const PeerMessage& aMessage)
+{
+  // In the order of the variant.
+  constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
+    kNames = { "heartbeat",       "forward_request", "answer", "submit_job",
+               "query_job",       "job_reply",       "opaque", "refusal",
+               "acknowledgement", "heartbeat_reply" };
+  const auto* opaque = std::get_if<Opaque>(&aMessage);
+  return opaque == nullptr ? kNames.at(aMessage.index())
+                           : std::string_view(opaque->m_kind);
+}
+
 Decoded<PeerMessage>
 DecodeMessage(std::string_view aBytes)
 {
--- a/src/peer/PeerCodec.h
+++ b/src/peer/PeerCodec.h
@@ -5,6 +5,7 @@
 #include "peer/PeerFault.h"
 #include "peer/PeerMessages.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,20 @@
 std::string
 EncodeMessage(const PeerMessage& aMessage);
 
+/// Name of the kind of a message; for `Opaque` the kind that it names.
+std::string_view
+KindOf(const PeerMessage& aMessage);
+
+enum class ByteDirection : std::uint8_t
+{
+  Sent,
+  Received,
+};
+
+/// Is told the kind and the size of each encoded message.
+using ByteCounter =
+  std::function<void(std::string_view aKind, ByteDirection, std::size_t)>;
+
 Decoded<PeerMessage>
 DecodeMessage(std::string_view aBytes);
 
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -76,12 +76,14 @@
                StreamId aStream,
                PeerLimits aLimits,
                std::shared_ptr<Counts> aCounts,
-               std::shared_ptr<std::size_t> aRunning)
+               std::shared_ptr<std::size_t> aRunning,
+               ByteCounter aCountBytes)
     : m_link(std::move(aLink))
     , m_stream(aStream)
     , m_limits(aLimits)
     , m_counts(std::move(aCounts))
     , m_running(std::move(aRunning))
+    , m_countBytes(std::move(aCountBytes))
   {
     ++m_counts->m_running;
     ++*m_running;
@@ -111,8 +113,9 @@
       return;
     }
     Http2Session& session = link->Session();
-    session.SubmitReply(m_stream,
-                        EncodeReply(aReply, RoomFor(session, m_limits)));
+    std::string body = EncodeReply(aReply, RoomFor(session, m_limits));
+    m_countBytes(KindOf(aReply), ByteDirection::Sent, body.size());
+    session.SubmitReply(m_stream, std::move(body));
     link->ScheduleFlush();
   }
 
@@ -122,6 +125,7 @@
   PeerLimits m_limits;
   std::shared_ptr<Counts> m_counts;
   std::shared_ptr<std::size_t> m_running; ///< of the connection
+  ByteCounter m_countBytes;
   bool m_replied = false;
 };
 
@@ -313,6 +317,8 @@
     aConnection.m_link->Shutdown();
     return;
   }
+  m_options.m_countBytes(
+    KindOf(*decoded.m_value), ByteDirection::Received, aEvent.m_body.size());
   m_handler(aConnection.m_handshake.Peer(),
             std::move(*decoded.m_value),
             ReplyTo(aConnection, aEvent.m_stream));
@@ -325,7 +331,8 @@
                                                       aStream,
                                                       m_options.m_limits,
                                                       m_counts,
-                                                      aConnection.m_running);
+                                                      aConnection.m_running,
+                                                      m_options.m_countBytes);
   return [pending](const PeerMessage& aReply) { pending->Send(aReply); };
 }
 
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -6,6 +6,7 @@
 #include "net/Loop.h"
 #include "peer/Handshake.h"
 #include "peer/PeerAdmission.h"
+#include "peer/PeerCodec.h"
 #include "peer/PeerLink.h"
 #include "peer/PeerMessages.h"
 #include "peer/PeerTimer.h"
@@ -29,6 +30,7 @@
   /// A peer that takes no bytes for this long is disconnected.
   Duration m_writeTimeout = seconds(30);
   Duration m_sweepPeriod = milliseconds(250);
+  ByteCounter m_countBytes = [](auto, auto, auto) {};
 };
 
 /// Sends the reply; to be called once, at any later time, also after the server
