--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -2,6 +2,7 @@
 /// of settings.
 #pragma once
 
+#include "daemon/HeartbeatPlan.h"
 #include "daemon/JobFront.h"
 #include "daemon/LimitReconciler.h"
 #include "daemon/LoopLagProbe.h"
@@ -75,15 +76,20 @@
   void TickDrain();
   std::size_t RunningRequests() const;
   void SendHeartbeats();
+  void SendHeartbeat(const MemberInfo& aTo, const peer::Heartbeat& aBeat);
   peer::Heartbeat OwnHeartbeat() const;
   void UpdateMetrics();
+  void CountOverhead();
   void LogState();
 
   Runtime m_runtime;
+  peer::WireBytes m_messageBytes;    ///< encoded messages of peers
+  peer::WireBytes m_overheadCounted; ///< that the metric already has
   peer::PeerClient m_peerClient;
   Membership m_membership;
   SettingsService m_settings;
   LoadView m_loads;
+  HeartbeatPlan m_heartbeats;
   std::map<SliceId, vmlist::Slice> m_slices;
   std::map<SliceId, std::shared_ptr<WorkerSliceOwner>> m_workerOwners;
   std::map<SliceId, std::shared_ptr<ServiceSliceOwner>> m_serviceOwners;
