Delete records of old requests and submissions without a job; read job rows in pages

Cause: rows of requests and of submissions whose job was never written were kept for ever, and a read of a slice's job rows returned all of them at once. Records and submissions carry the time of day; rows of former versions are kept. An owner that loses a front before its slice is open reads its rows again when it opens.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kAllotmentPeriod = milliseconds(200);
 constexpr Duration kHeartbeatPeriod = milliseconds(500);
 constexpr Duration kSlowPeriod = seconds(1);
+/// How often the sweep of old rows looks whether its next step is due.
+constexpr Duration kExpiryPeriod = milliseconds(100);
 /// From the loss of a member to the next reading of job rows; by then its last
 /// writes have taken effect or never will.
 constexpr Duration kRereadDelay = seconds(3);
@@ -50,6 +52,22 @@
   return options;
 }
 
+RowAccess
+ExpiryAccess(Runtime& aRuntime)
+{
+  RowAccess access;
+  access.m_fetch = [&aRuntime](const table::Read& aRead,
+                               table::ReadDone aDone) {
+    aRuntime.Table().Fetch("expiry", aRead, std::move(aDone));
+  };
+  access.m_write = [&aRuntime](table::RecordWrite aWrite, RecordDone aDone) {
+    aRuntime.Table().WriteRecord(std::move(aWrite), std::move(aDone));
+  };
+  access.m_now = &net::Loop::Now;
+  access.m_wallMicros = &WallMicros;
+  return access;
+}
+
 } // namespace
 
 EntryDaemon::EntryDaemon(net::Loop& aLoop,
@@ -88,6 +106,11 @@
   , m_operators({ m_runtime, m_membership, m_settings, m_loads, m_slices },
                 [this] { BeginDrain(); })
   , m_limits({ m_runtime, m_membership, m_settings, m_loads, m_slices })
+  , m_expiry(std::make_shared<RequestExpiry>(
+      ExpiryAccess(m_runtime),
+      [this](std::string_view aKind) {
+        m_runtime.Metrics().Add(observe::Metric::RowsExpired, { aKind });
+      }))
   , m_callerServer(
       aLoop,
       {},
@@ -117,6 +140,7 @@
   m_runtime.SetOwnerTick([this] { TickOwners(); });
   loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
   loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
+  loop.Every(kExpiryPeriod, [this] { TickExpiry(); });
   loop.Every(kSlowPeriod, [this] {
     PollVmList();
     m_jobs.Tick();
@@ -187,6 +211,23 @@
   });
 }
 
+void
+EntryDaemon::TickExpiry()
+{
+  if (m_stopping || !m_expiry->IsDue() ||
+      m_membership.Machine().IsTableDown(net::Loop::Now())) {
+    return;
+  }
+  std::vector<VmId> active;
+  for (const MemberInfo& member : m_membership.Members()) {
+    if (member.m_state == ownership::MemberState::Active) {
+      active.push_back(member.m_vm);
+    }
+  }
+  m_expiry->Tick(
+    ShareOfSweeps(m_runtime.Self(), active, m_settings.Tree().Teams()));
+}
+
 std::size_t
 EntryDaemon::RunningRequests() const
 {
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -6,6 +6,7 @@
 #include "daemon/LimitReconciler.h"
 #include "daemon/LoopLagProbe.h"
 #include "daemon/OperatorApi.h"
+#include "daemon/RequestExpiry.h"
 #include "daemon/RequestFront.h"
 #include "peer/PeerServer.h"
 
@@ -68,6 +69,7 @@
 
   void TickOwnership();
   void RereadJobsOfLostFronts();
+  void TickExpiry();
   void TickOwners();
   void TickAllotments();
   void TickWorkerAllotment(WorkerSliceOwner& aOwner);
@@ -92,6 +94,7 @@
   JobFront m_jobs;
   OperatorApi m_operators;
   LimitReconciler m_limits;
+  std::shared_ptr<RequestExpiry> m_expiry;
   net::HttpServer m_callerServer;
   peer::PeerServer m_peerServer;
   LoopLagProbe m_loopLag;
--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -207,7 +207,7 @@
   table::RecordWrite write;
   write.m_key = aSubmission->m_row;
   write.m_expected = 0;
-  write.m_value = jobs::EncodeSubmission(aSubmission->m_record);
+  write.m_value = jobs::EncodeSubmission(aSubmission->m_record, WallMicros());
   write.m_deadline = net::Loop::Now() + kRecordDeadline;
   m_cell.m_runtime.Table().WriteRecord(
     std::move(write), [this, aSubmission](const table::RecordResult& aResult) {
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -52,32 +52,53 @@
 void
 JobStore::Load(const Loaded& aLoaded, const Done& aDone)
 {
-  table::Read read;
-  read.m_prefixes.push_back(jobs::JobRowPrefix(m_slice));
-  m_access.m_fetch(read,
-                   [weak = weak_from_this(), aLoaded, aDone](
-                     const table::ReadResult& aResult) {
-                     const auto self = weak.lock();
-                     if (!self) {
-                       return;
-                     }
-                     if (!aResult.m_ok) {
-                       aDone(false);
-                       return;
-                     }
-                     std::vector<JobId> toFence;
-                     for (const auto& [key, row] : aResult.m_rows) {
-                       self->TakeRow(key, row, aLoaded, toFence);
-                     }
-                     self->Fence(toFence, aLoaded, aDone);
-                   });
+  LoadPage(std::make_shared<Loading>(Loading{
+    table::PagedRead(jobs::JobRowPrefix(m_slice)), {}, aLoaded, aDone }));
+}
+
+void
+JobStore::LoadPage(const std::shared_ptr<Loading>& aLoading)
+{
+  m_access.m_fetch(
+    aLoading->m_pages.Next(),
+    [weak = weak_from_this(), aLoading](const table::ReadResult& aResult) {
+      if (const auto self = weak.lock()) {
+        self->OnPage(aLoading, aResult);
+      }
+    });
+}
+
+void
+JobStore::OnPage(const std::shared_ptr<Loading>& aLoading,
+                 const table::ReadResult& aPage)
+{
+  if (!aPage.m_ok) {
+    aLoading->m_done(false);
+    return;
+  }
+  for (const auto& [key, row] : aPage.m_rows) {
+    TakeRow(key, row, *aLoading);
+  }
+  aLoading->m_pages.OnPage(aPage);
+  if (!aLoading->m_pages.Done()) {
+    LoadPage(aLoading);
+    return;
+  }
+  // Rows to fence become known only now: after a page that fails, the next
+  // load must find them unknown.
+  std::vector<JobId> toFence;
+  for (const auto& [record, version] : aLoading->m_toFence) {
+    if (Add(record, version)) {
+      toFence.push_back(record.m_id);
+    }
+  }
+  Fence(toFence, aLoading->m_loaded, aLoading->m_done);
 }
 
 void
 JobStore::TakeRow(const std::string& aKey,
                   const table::Row& aRow,
-                  const Loaded& aLoaded,
-                  std::vector<JobId>& aToFence)
+                  Loading& aLoading)
 {
   const JobId job(aKey.substr(jobs::JobRowPrefix(m_slice).size()));
   if (m_entries.contains(job)) {
@@ -88,13 +109,13 @@
     m_access.m_onMalformed(job);
     return;
   }
-  Add(*record, aRow.m_version);
   const bool mine = record->m_nonce.starts_with(m_noncePrefix);
   if (jobs::MayStillRun(*record) && record->m_spec.m_atMostOnce && !mine) {
-    aToFence.push_back(job);
+    aLoading.m_toFence.emplace_back(*record, aRow.m_version);
     return;
   }
-  aLoaded(*record);
+  Add(*record, aRow.m_version);
+  aLoading.m_loaded(*record);
 }
 
 void
--- a/src/daemon/JobStore.h
+++ b/src/daemon/JobStore.h
@@ -4,6 +4,7 @@
 
 #include "daemon/RowAccess.h"
 #include "jobs/JobRecord.h"
+#include "table/PagedRead.h"
 
 #include <functional>
 #include <map>
@@ -24,9 +25,9 @@
            const std::string& aProcess,
            Epoch aEpoch);
 
-  /// Reads the rows of the slice. Calls `aLoaded` for each job that is new to
-  /// this store, with all marks that former owners have made durable, then
-  /// `aDone`, with false if it must be tried again.
+  /// Reads the rows of the slice in pages. Calls `aLoaded` for each job that is
+  /// new to this store, with all marks that former owners have made durable,
+  /// then `aDone`, with false if it must be tried again.
   void Load(const Loaded& aLoaded, const Done& aDone);
 
   /// Takes a job that a front has made durable. False if it is known.
@@ -79,6 +80,19 @@
     std::vector<Done> m_next;    ///< told when the next write has ended
   };
 
+  /// A load under way.
+  struct Loading
+  {
+    table::PagedRead m_pages;
+    /// At-most-once jobs of other owners, with the versions of their rows.
+    std::vector<std::pair<jobs::JobRecord, RowVersion>> m_toFence;
+    Loaded m_loaded;
+    Done m_done;
+  };
+
+  void LoadPage(const std::shared_ptr<Loading>& aLoading);
+  void OnPage(const std::shared_ptr<Loading>& aLoading,
+              const table::ReadResult& aPage);
   void Change(Entry& aEntry, Done aDone);
   void Write(const JobId& aJob);
   void OnWritten(const JobId& aJob, const table::RecordResult& aResult);
@@ -92,8 +106,7 @@
   void OnFenced(const JobId& aJob, bool aDurable, const Loaded& aLoaded);
   void TakeRow(const std::string& aKey,
                const table::Row& aRow,
-               const Loaded& aLoaded,
-               std::vector<JobId>& aToFence);
+               Loading& aLoading);
   bool HasExpired(const Entry& aEntry,
                   Duration aRetention,
                   Duration aMinSeen) const;
--- a/src/daemon/RequestFront.cpp
+++ b/src/daemon/RequestFront.cpp
@@ -99,6 +99,7 @@
     return {};
   }
   Carry(m_once.Begin(net::Loop::Now(),
+                     WallMicros(),
                      id,
                      open.m_team,
                      context.m_idempotencyKey,
@@ -381,7 +382,7 @@
     ReplyToCaller(aCall, aReply);
     return;
   }
-  Carry(m_once.OnForwardEnd(net::Loop::Now(), aCall, aReply));
+  Carry(m_once.OnForwardEnd(net::Loop::Now(), WallMicros(), aCall, aReply));
 }
 
 void
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/WorkerSliceOwner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewing::daemon {
 
@@ -193,7 +194,12 @@
 void
 WorkerSliceOwner::RereadJobs()
 {
-  if (IsOpen() && m_authority.m_mayAct()) {
+  if (!IsOpen()) {
+    // The pages read so far lack rows written behind them since.
+    m_rereadWhenOpen = true;
+    return;
+  }
+  if (m_authority.m_mayAct()) {
     LoadJobs();
   }
 }
@@ -461,6 +467,9 @@
     m_scheduler.SetOpen(true);
     StoreFinished();
     m_runtime.OwnerTimer().CallSoon();
+    if (std::exchange(m_rereadWhenOpen, false)) {
+      LoadJobs();
+    }
   }
 }
 
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -132,6 +132,8 @@
   std::map<VmId, Worker> m_workers;
   std::int64_t m_capacityMillicores = 0;
   bool m_loaded = false;
+  /// A member was lost before the slice was open.
+  bool m_rereadWhenOpen = false;
   bool m_opened = false;
   bool m_decidedNothing = false; ///< the last decision had no action
 };
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -199,10 +199,11 @@
 }
 
 std::string
-EncodeSubmission(const JobRecord& aRecord)
+EncodeSubmission(const JobRecord& aRecord, std::int64_t aWrittenMicros)
 {
   const Json body = { { "job", aRecord.m_id.Value() },
                       { "record", EncodeRecord(aRecord) },
+                      { "written_us", aWrittenMicros },
                       { "nonce", aRecord.m_nonce } };
   return body.dump();
 }
@@ -223,4 +224,27 @@
                       body["record"].get<std::string>());
 }
 
+Result<std::int64_t>
+SubmissionTime(const std::string& aText)
+{
+  const Json body = Json::parse(aText, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(Verdict::MayHaveRun,
+                ErrorCode::Internal,
+                "the submission's row is malformed");
+  }
+  const auto written = body.find("written_us");
+  if (written == body.end()) {
+    return std::int64_t{ 0 };
+  }
+  try {
+    return WholeNumber<std::int64_t>(*written, "written_us", std::int64_t{ 0 });
+  } catch (const Json::exception& error) {
+    return Fail(Verdict::MayHaveRun,
+                ErrorCode::Internal,
+                std::string("the submission's row is malformed: ") +
+                  error.what());
+  }
+}
+
 } // namespace lacewing::jobs
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -79,12 +79,17 @@
 Result<JobRecord>
 DecodeRecord(const JobId& aJob, const std::string& aText);
 
-/// The row of a submission: the record of the job as it was first written.
+/// The row of a submission: the record of the job as it was first written, and
+/// the time of day of that in microseconds since 1970.
 std::string
-EncodeSubmission(const JobRecord& aRecord);
+EncodeSubmission(const JobRecord& aRecord, std::int64_t aWrittenMicros);
 /// Errors: `Internal` if the row is malformed.
 Result<JobRecord>
 DecodeSubmission(const std::string& aText);
+/// Time of day in a submission's row; 0 if a former version wrote it. Errors:
+/// `Internal` if the row is malformed.
+Result<std::int64_t>
+SubmissionTime(const std::string& aText);
 
 } // namespace lacewing::jobs
 
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -41,6 +41,7 @@
   { Metric::TableReads, "lacewing_table_reads_total", Counter, "calls", "purpose", "Reads of the table service.", "above 2000/s over all processes" },
   { Metric::TableWrites, "lacewing_table_writes_total", Counter, "calls", "purpose", "Transactions sent to the table service.", "above 300/s over all processes" },
   { Metric::TableErrors, "lacewing_table_errors_total", Counter, "calls", "state", "Calls of the table service without success.", "unknown grows for 10 s" },
+  { Metric::RowsExpired, "lacewing_rows_expired_total", Counter, "rows", "kind", "Rows that this process deleted after their retention; kind is request or submission.", "no growth for 3 hours while the table grows" },
   { Metric::SettingsFleetVersion, "lacewing_settings_fleet_version", Gauge, "changes", "", "Accepted changes of settings that are in force here.", "processes differ for more than 13 s" },
   { Metric::SettingsAgeSeconds, "lacewing_settings_age_seconds", Gauge, "seconds", "", "Time since the settings in force were confirmed as the newest.", "above 5 s: keyed work is refused" },
   { Metric::SettingsBadSubtrees, "lacewing_settings_bad_subtrees", Gauge, "subtrees", "", "Subtrees whose newest version can't be used.", "above 0" },
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -22,6 +22,7 @@
   TableReads,
   TableWrites,
   TableErrors,
+  RowsExpired,
   SettingsFleetVersion,
   SettingsAgeSeconds,
   SettingsBadSubtrees,
--- a/src/routing/AtMostOnce.cpp
+++ b/src/routing/AtMostOnce.cpp
@@ -1,6 +1,6 @@
 #include "routing/AtMostOnce.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonFields.h"
 
 #include <algorithm>
 
@@ -52,6 +52,9 @@
   nlohmann::json record = { { "nonce", aRecord.m_nonce },
                             { "state",
                               aRecord.m_answer ? "answered" : "started" } };
+  if (aRecord.m_writtenMicros > 0) {
+    record["written_us"] = aRecord.m_writtenMicros;
+  }
   if (aRecord.m_answer) {
     record["status"] = aRecord.m_answer->m_status;
     record["body"] = ToLatin1Json(aRecord.m_answer->m_body);
@@ -71,6 +74,16 @@
   }
   RequestRecord record;
   record.m_nonce = json["nonce"].get<std::string>();
+  if (json.contains("written_us")) {
+    try {
+      record.m_writtenMicros =
+        NumberField<std::int64_t>(json, "written_us", std::int64_t{ 0 });
+    } catch (const nlohmann::json::exception& error) {
+      return Fail(Verdict::MayHaveRun,
+                  ErrorCode::Internal,
+                  std::string("record of a request: ") + error.what());
+    }
+  }
   if (json.value("state", "") != "answered") {
     return record;
   }
@@ -111,7 +124,7 @@
            aId,
            aCall.m_row,
            0,
-           EncodeRecord({ aCall.m_nonce, {} }),
+           EncodeRecord({ aCall.m_nonce, {}, aCall.m_wallMicros }),
            aCall.m_deadline };
 }
 
@@ -124,7 +137,8 @@
            aId,
            aCall.m_row,
            aCall.m_version,
-           EncodeRecord({ aCall.m_nonce, aCall.m_reply.m_answer }),
+           EncodeRecord(
+             { aCall.m_nonce, aCall.m_reply.m_answer, aCall.m_wallMicros }),
            aCall.m_giveUp };
 }
 
@@ -181,6 +195,7 @@
 
 OnceActions
 AtMostOnce::Begin(Time aNow,
+                  std::int64_t aWallMicros,
                   CallId aCall,
                   const TeamId& aTeam,
                   const std::string& aIdempotencyKey,
@@ -190,6 +205,7 @@
   call.m_row = RecordRow(aTeam, aIdempotencyKey);
   call.m_nonce = m_noncePrefix + "-" + std::to_string(aCall);
   call.m_deadline = aDeadline;
+  call.m_wallMicros = aWallMicros;
   call.m_giveUp = aDeadline + m_options.m_settleTime;
   const auto found = m_calls.emplace(aCall, std::move(call)).first;
   OnceActions actions;
@@ -221,7 +237,8 @@
     reply.m_error = { Verdict::NotRun,
                       ErrorCode::DeadlineExceeded,
                       "deadline exceeded before the request was forwarded" };
-    auto end = OnForwardEnd(aNow, aCall->first, std::move(reply));
+    auto end =
+      OnForwardEnd(aNow, call.m_wallMicros, aCall->first, std::move(reply));
     aActions.insert(aActions.end(), end.begin(), end.end());
     return;
   }
@@ -403,7 +420,10 @@
 // ---- After the forward ----
 
 OnceActions
-AtMostOnce::OnForwardEnd(Time aNow, CallId aCall, OwnerReply aReply)
+AtMostOnce::OnForwardEnd(Time aNow,
+                         std::int64_t aWallMicros,
+                         CallId aCall,
+                         OwnerReply aReply)
 {
   OnceActions actions;
   const auto found = m_calls.find(aCall);
@@ -412,6 +432,7 @@
   }
   Call& call = found->second;
   call.m_reply = std::move(aReply);
+  call.m_wallMicros = aWallMicros;
   call.m_giveUp = aNow + m_options.m_settleTime;
   if (call.m_reply.m_answer) {
     ReplyNow(found, actions);
--- a/src/routing/AtMostOnce.h
+++ b/src/routing/AtMostOnce.h
@@ -21,6 +21,9 @@
 {
   std::string m_nonce;                    ///< of the front that inserted it
   std::optional<EndpointAnswer> m_answer; ///< nothing while only started
+  /// Time of day of the answer, or else of the request's arrival, in
+  /// microseconds since 1970; 0 in records of former versions.
+  std::int64_t m_writtenMicros = 0;
 };
 
 std::string
@@ -100,7 +103,9 @@
   /// The nonce prefix is unique to the front's incarnation.
   AtMostOnce(std::string aNoncePrefix, OnceOptions aOptions = {});
 
+  /// The time of day, in microseconds since 1970, goes into the record only.
   OnceActions Begin(Time aNow,
+                    std::int64_t aWallMicros,
                     CallId aCall,
                     const TeamId& aTeam,
                     const std::string& aIdempotencyKey,
@@ -117,7 +122,10 @@
                      CallId aCall,
                      const std::optional<table::Row>& aRow);
   /// The end of a forwarded call.
-  OnceActions OnForwardEnd(Time aNow, CallId aCall, OwnerReply aReply);
+  OnceActions OnForwardEnd(Time aNow,
+                           std::int64_t aWallMicros,
+                           CallId aCall,
+                           OwnerReply aReply);
   OnceActions OnTick(Time aNow);
 
   std::optional<Time> NextWakeup() const;
@@ -147,8 +155,9 @@
     RowVersion m_version = 0; ///< of the own insert
     /// Until when the answer of another front's try is waited for.
     std::optional<Time> m_waitEnd;
-    OwnerReply m_reply; ///< to give or to store
-    Time m_giveUp{};    ///< end of the work after the reply
+    std::int64_t m_wallMicros = 0; ///< time of day for the record
+    OwnerReply m_reply;            ///< to give or to store
+    Time m_giveUp{};               ///< end of the work after the reply
   };
   using Calls = std::map<CallId, Call>;
 
--- a/src/table/MemoryTable.cpp
+++ b/src/table/MemoryTable.cpp
@@ -43,10 +43,16 @@
     }
   }
   for (const std::string& prefix : aRead.m_prefixes) {
-    for (auto row = m_rows.lower_bound(prefix);
-         row != m_rows.end() && row->first.starts_with(prefix);
-         ++row) {
-      result.m_rows.insert(*row);
+    auto row = m_rows.lower_bound(prefix);
+    if (aRead.m_page && aRead.m_page->m_after >= prefix) {
+      row = m_rows.upper_bound(aRead.m_page->m_after);
+    }
+    for (; row != m_rows.end() && row->first.starts_with(prefix); ++row) {
+      if (aRead.m_page && result.m_rows.size() >= aRead.m_page->m_limit) {
+        result.m_more = true;
+        break;
+      }
+      result.m_rows.insert(result.m_rows.end(), *row);
     }
   }
   return result;
--- a/src/table/TableCodec.cpp
+++ b/src/table/TableCodec.cpp
@@ -29,8 +29,11 @@
 std::string
 EncodeRead(const Read& aRead)
 {
-  const Json body = { { "keys", aRead.m_keys },
-                      { "prefixes", aRead.m_prefixes } };
+  Json body = { { "keys", aRead.m_keys }, { "prefixes", aRead.m_prefixes } };
+  if (aRead.m_page) {
+    body["after"] = aRead.m_page->m_after;
+    body["limit"] = aRead.m_page->m_limit;
+  }
   return body.dump();
 }
 
@@ -52,7 +55,10 @@
                      { "value", row.m_value },
                      { "version", row.m_version } });
   }
-  const Json body = { { "rows", rows } };
+  Json body = { { "rows", rows } };
+  if (aResult.m_more) {
+    body["more"] = true;
+  }
   return body.dump();
 }
 
@@ -81,6 +87,14 @@
     Read read;
     read.m_keys = TypedField<std::vector<std::string>>(aJson, "keys");
     read.m_prefixes = TypedField<std::vector<std::string>>(aJson, "prefixes");
+    if (aJson.contains("after") || aJson.contains("limit")) {
+      read.m_page = Page{ TypedField<std::string>(aJson, "after"),
+                          NumberField<std::size_t>(aJson, "limit", 1) };
+      if (read.m_prefixes.size() != 1 || !read.m_keys.empty()) {
+        ThrowBadField(
+          "prefixes", aJson.at("prefixes"), "one prefix and no key for a page");
+      }
+    }
     return read;
   });
 }
@@ -113,6 +127,9 @@
         Row{ TypedField<std::string>(row, "value"),
              NumberField<RowVersion>(row, "version") };
     }
+    if (aJson.contains("more")) {
+      result.m_more = TypedField<bool>(aJson, "more");
+    }
     result.m_ok = true;
     return result;
   });
--- a/src/table/TableTypes.h
+++ b/src/table/TableTypes.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,17 +63,27 @@
   std::vector<std::string> m_conflicts; ///< keys whose check failed
 };
 
+/// One part of the rows below a prefix, in the order of keys.
+struct Page
+{
+  std::string m_after;     ///< rows with larger keys only; empty for all
+  std::size_t m_limit = 0; ///< rows of the page, at least 1
+};
+
 /// Reads single rows and all rows below prefixes, in one snapshot.
 struct Read
 {
   std::vector<std::string> m_keys;
   std::vector<std::string> m_prefixes;
+  /// Reads a page of the rows below the only prefix.
+  std::optional<Page> m_page = std::nullopt;
 };
 
 struct ReadResult
 {
   bool m_ok = false;
-  Rows m_rows; ///< absent rows are left out
+  Rows m_rows;         ///< absent rows are left out
+  bool m_more = false; ///< the page ends before the last row of the prefix
 };
 
 } // namespace lacewing::table
--- a/tests/correctness/FrontProtocol.cpp
+++ b/tests/correctness/FrontProtocol.cpp
@@ -38,7 +38,7 @@
 Forwarded()
 {
   AtMostOnce once("front-1");
-  once.Begin(Time(), 1, TeamId("team"), "key", kDeadline);
+  once.Begin(Time(), 0, 1, TeamId("team"), "key", kDeadline);
   once.OnWritten(Time(), 1, Step::FrontWriteInsert, CommitState::Committed, 7);
   return once;
 }
@@ -100,7 +100,7 @@
 TEST(AtMostOnce, ForwardsOnlyAfterTheInsert)
 {
   AtMostOnce once("front-1");
-  const auto begun = once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+  const auto begun = once.Begin(Time(), 0, 1, TeamId("t"), "key", kDeadline);
   ASSERT_EQ(begun.size(), 1U);
   EXPECT_TRUE(std::holds_alternative<WriteRecord>(begun[0]));
   const auto inserted = once.OnWritten(
@@ -111,7 +111,7 @@
 TEST(AtMostOnce, DeletesItsOwnVersionBeforeNotRun)
 {
   AtMostOnce once = Forwarded();
-  const auto ended = once.OnForwardEnd(Time(), 1, Error1(Verdict::NotRun));
+  const auto ended = once.OnForwardEnd(Time(), 0, 1, Error1(Verdict::NotRun));
   EXPECT_EQ(FindReply(ended), nullptr);
   EXPECT_EQ(std::get<WriteRecord>(ended.at(0)).m_expected, 7U);
   const auto deleted = once.OnWritten(
@@ -127,7 +127,7 @@
   stored.m_body = "stored";
   for (const bool answered : { false, true }) {
     AtMostOnce once("front-2");
-    once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+    once.Begin(Time(), 0, 1, TeamId("t"), "key", kDeadline);
     once.OnWritten(Time(), 1, Step::FrontWriteInsert, CommitState::Conflict, 0);
     RequestRecord record{ "front-1-9", {} };
     if (answered) {
@@ -157,7 +157,7 @@
   // Found by the schedules with seed 60: a repeat that inserted its own record
   // after the first was deleted ran while a later call was told "not run".
   AtMostOnce once("front-2");
-  once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+  once.Begin(Time(), 0, 1, TeamId("t"), "key", kDeadline);
   once.OnWritten(Time(), 1, Step::FrontWriteInsert, CommitState::Conflict, 0);
   const RequestRecord record{ "front-1-9", {} };
   once.OnRead(Time(), 1, table::Row{ EncodeRecord(record), 3 });
@@ -172,7 +172,7 @@
 TEST(AtMostOnce, UnreachableTableIsNotANotRun)
 {
   AtMostOnce once("front-1");
-  once.Begin(Time(), 1, TeamId("t"), "key", kDeadline);
+  once.Begin(Time(), 0, 1, TeamId("t"), "key", kDeadline);
   const auto failed = once.OnWritten(
     Time(), 1, Step::FrontWriteInsert, CommitState::NotApplied, 0);
   ASSERT_NE(FindReply(failed), nullptr);
--- a/tests/correctness/JobExpiry.cpp
+++ b/tests/correctness/JobExpiry.cpp
@@ -46,7 +46,7 @@
   {
     Put(jobs::JobRow(aRecord.m_id), jobs::EncodeRecord(aRecord));
     if (aRecord.m_submission && !aRecord.m_submission->empty()) {
-      Put(*aRecord.m_submission, jobs::EncodeSubmission(aRecord));
+      Put(*aRecord.m_submission, jobs::EncodeSubmission(aRecord, 0));
     }
   }
 
@@ -196,8 +196,9 @@
   // Load and the read of the rows come first; the third operation deletes.
   world.m_rows.Inject(RowFault::Overtaken, 3);
   world.m_rows.OnOvertaken([&] {
-    world.Put(*job.m_submission,
-              jobs::EncodeSubmission(MakeRecord(2, JobEnding::Open, Time())));
+    world.Put(
+      *job.m_submission,
+      jobs::EncodeSubmission(MakeRecord(2, JobEnding::Open, Time()), 0));
   });
   world.Run(hours(1) + seconds(6));
   EXPECT_TRUE(world.Has(*job.m_submission));
--- a/tests/harness/RoutingWorld.h
+++ b/tests/harness/RoutingWorld.h
@@ -146,6 +146,7 @@
   }
 
   Time Now() const { return m_queue.Now(); }
+  std::int64_t WallMicros() const { return Now().time_since_epoch().count(); }
   int Pick(int aBelow);
   static VmId Vm(const char* aKind, int aIndex);
   Event& Record(EventKind aKind);
--- a/tests/harness/RoutingWorldFronts.cpp
+++ b/tests/harness/RoutingWorldFronts.cpp
@@ -19,9 +19,10 @@
     Forward(aFront, aCall, {});
     return;
   }
-  ApplyOnce(aFront,
-            aFront->m_once.Begin(
-              Now(), aCall->m_id, aCall->m_team, aCall->m_key, deadline));
+  ApplyOnce(
+    aFront,
+    aFront->m_once.Begin(
+      Now(), WallMicros(), aCall->m_id, aCall->m_team, aCall->m_key, deadline));
 }
 
 void
@@ -85,7 +86,8 @@
     Reply(aFront, aCall, aReply);
     return;
   }
-  ApplyOnce(aFront, aFront->m_once.OnForwardEnd(Now(), aCall, aReply));
+  ApplyOnce(aFront,
+            aFront->m_once.OnForwardEnd(Now(), WallMicros(), aCall, aReply));
 }
 
 void
