Send inventories of workers as deltas

Lease renewals carry the whole inventory of a worker, 492 to 563 bytes a second for each worker, against a budget of 25 kB/s of an entry VM.

An owner names the state that it has; a worker that knows it answers with the tasks removed, added and changed since, their count and an XXH3 of the whole. Otherwise, at adoption and once a minute it answers with the whole inventory. InventoryView rebuilds it, WorkerSession hands it on as before. If a delta does not fit, WorkerSession asks for the whole at once and hands on that answer together with the commands of both exchanges. A worker without deltas, and an owner without them, exchange whole inventories as before. Measured sizes are reported in steps of 64 MiB and 100 millicores, but not above the reserved size unless the task exceeds it.

capacity_figures, 12 tasks: answer 2,728 bytes before, 165 (delta, nothing changed) and 2,164 (whole) after; renewal 94 bytes before, 164 after. At one whole answer in twelve these are 66 + 33 bytes a second for each worker.

--- a/bench/capacity_figures.cpp
+++ b/bench/capacity_figures.cpp
@@ -45,25 +45,59 @@
   return peer::EncodeMessage(beat).size();
 }
 
-std::size_t
-ReplyBytes(int aTasks)
+constexpr std::uint64_t kInstance = 0xFEDCBA9876543210ULL;
+
+worker::RunningTask
+LongTask(int aIndex)
+{
+  worker::RunningTask task;
+  task.m_task = { JobId("workers-lombardy-a-0.0123456789abcdef"),
+                  static_cast<std::uint32_t>(aIndex) };
+  task.m_reserved = { 2'000, 4'096, 0 };
+  task.m_used = { 1'900, 4'032, 0 };
+  return task;
+}
+
+worker::ControlReply
+Reply()
 {
   worker::ControlReply reply;
   reply.m_accepted = true;
   reply.m_epoch = 7;
   reply.m_token = 100'000;
+  return reply;
+}
+
+/// Whole inventory, to an owner that knows deltas or not.
+std::size_t
+ReplyBytes(int aTasks, bool aDeltasKnown)
+{
+  worker::ControlReply reply = Reply();
   reply.m_capacity = { 32'000, 131'072, 0 };
   for (int i = 0; i < aTasks; ++i) {
-    worker::RunningTask task;
-    task.m_task = { JobId("workers-lombardy-a-0.0123456789abcdef"),
-                    static_cast<std::uint32_t>(i) };
-    task.m_reserved = { 2'000, 4'096, 0 };
-    task.m_used = { 1'900, 4'000, 0 };
-    reply.m_running.push_back(task);
+    reply.m_running.push_back(LongTask(i));
+  }
+  if (aDeltasKnown) {
+    reply.m_inventory = { { kInstance, 10'000 }, std::nullopt };
   }
   return worker::EncodeReply(reply).size();
 }
 
+std::size_t
+DeltaBytes(int aChanged)
+{
+  worker::ControlReply reply = Reply();
+  worker::InventoryDelta delta;
+  delta.m_base = 10'000;
+  delta.m_count = 12;
+  delta.m_hash = kInstance;
+  for (int i = 0; i < aChanged; ++i) {
+    delta.m_changed.push_back(LongTask(i));
+  }
+  reply.m_inventory = { { kInstance, 10'000 }, delta };
+  return worker::EncodeReply(reply).size();
+}
+
 std::size_t
 VmListBytes(int aVms)
 {
@@ -138,11 +172,23 @@
               << HeartbeatBytes(1, 240, active) << " |\n";
   }
   for (const int tasks : { 0, 12, 50 }) {
-    std::cout << "| worker's answer | " << tasks << " tasks | "
-              << ReplyBytes(tasks) << " |\n";
+    std::cout << "| worker's answer without deltas | " << tasks << " tasks | "
+              << ReplyBytes(tasks, false) << " |\n"
+              << "| worker's answer, whole | " << tasks << " tasks | "
+              << ReplyBytes(tasks, true) << " |\n";
+  }
+  for (const int changed : { 0, 1, 12 }) {
+    std::cout << "| worker's answer, delta | " << changed << " tasks changed | "
+              << DeltaBytes(changed) << " |\n";
   }
   worker::ControlRequest renewal;
   renewal.m_slice = SliceId("workers-lombardy-a-0");
+  std::cout << "| worker's renewal without deltas | | "
+            << worker::EncodeRequest(renewal).size() << " |\n";
+  renewal.m_epoch = 7;
+  renewal.m_token = 100'000;
+  renewal.m_sequence = 100'000;
+  renewal.m_inventory = { kInstance, 10'000 };
   std::cout << "| worker's renewal | | "
             << worker::EncodeRequest(renewal).size() << " |\n";
   for (const int vms : { 10, 100, 1000 }) {
--- a/src/daemon/WorkerSession.cpp
+++ b/src/daemon/WorkerSession.cpp
@@ -1,5 +1,7 @@
 #include "daemon/WorkerSession.h"
 
+#include <utility>
+
 namespace lacewing::daemon {
 
 namespace {
@@ -83,30 +85,55 @@
 void
 WorkerSession::Send(worker::ControlRequest aRequest)
 {
+  if (aRequest.m_token == 0) {
+    m_inventory.Forget();
+  }
   aRequest.m_sequence = ++m_sequence;
   aRequest.m_endedSeen = EndedSeen();
+  aRequest.m_inventory = m_inventory.Basis(net::Loop::Now());
+  m_commandsSent.insert(m_commandsSent.end(),
+                        aRequest.m_commands.begin(),
+                        aRequest.m_commands.end());
   m_busy = true;
-  m_runtime.Workers().Control(
-    m_address,
-    aRequest,
-    kControlTimeout,
-    [weak = weak_from_this(),
-     commands = aRequest.m_commands](const worker::ControlOutcome& aOutcome) {
-      if (const auto self = weak.lock()) {
-        self->OnOutcome(aOutcome, commands);
-      }
-    });
+  m_runtime.Workers().Control(m_address,
+                              aRequest,
+                              kControlTimeout,
+                              [weak = weak_from_this(), sequence = m_sequence](
+                                const worker::ControlOutcome& aOutcome) {
+                                if (const auto self = weak.lock()) {
+                                  self->OnOutcome(aOutcome, sequence);
+                                }
+                              });
 }
 
 void
 WorkerSession::OnOutcome(const worker::ControlOutcome& aOutcome,
-                         const std::vector<worker::Command>& aCommands)
+                         std::uint64_t aSequence)
 {
   m_busy = false;
   if (m_closed) {
     return;
   }
-  m_handler(aOutcome, aCommands);
+  worker::ControlOutcome outcome = aOutcome;
+  if (outcome.m_reply && outcome.m_reply->m_accepted) {
+    outcome.m_reply = m_inventory.Apply(
+      net::Loop::Now(), aSequence, std::move(*outcome.m_reply));
+    if (!outcome.m_reply && !m_askedAgain) {
+      // Without its inventory the answer does not show what the commands did.
+      // Ends of tasks are repeated with the whole inventory.
+      m_askedAgain = true;
+      Poll();
+      return;
+    }
+  }
+  if (!outcome.m_reply && aOutcome.m_reply) {
+    outcome.m_error = { Verdict::MayHaveRun,
+                        ErrorCode::EndpointFailed,
+                        "worker sent no whole inventory when asked for it" };
+  }
+  m_askedAgain = false;
+  const auto commands = std::exchange(m_commandsSent, {});
+  m_handler(outcome, commands);
   Flush();
 }
 
--- a/src/daemon/WorkerSession.h
+++ b/src/daemon/WorkerSession.h
@@ -3,14 +3,15 @@
 #pragma once
 
 #include "daemon/Runtime.h"
-#include "worker/WorkerMessages.h"
+#include "worker/InventoryView.h"
 
 #include <functional>
 #include <set>
 
 namespace lacewing::daemon {
 
-/// Called with each answer; `aCommandsSent` are those of the same exchange.
+/// Called with each answer, which has the whole inventory; `aCommandsSent` are
+/// those that were sent since the previous answer.
 using ControlHandler =
   std::function<void(const worker::ControlOutcome& aOutcome,
                      const std::vector<worker::Command>& aCommandsSent)>;
@@ -53,7 +54,7 @@
 private:
   void Send(worker::ControlRequest aRequest);
   void OnOutcome(const worker::ControlOutcome& aOutcome,
-                 const std::vector<worker::Command>& aCommands);
+                 std::uint64_t aSequence);
   std::uint64_t EndedSeen() const;
 
   Runtime& m_runtime;
@@ -61,11 +62,17 @@
   net::Address m_address;
   CredentialSource m_credentials;
   ControlHandler m_handler;
-  std::vector<worker::Command> m_commands;
+  std::vector<worker::Command> m_commands; ///< wait to be sent
+  /// Sent since the handler was called last.
+  std::vector<worker::Command> m_commandsSent;
   std::optional<worker::ControlRequest> m_request;
   bool m_busy = false;
   bool m_closed = false;
   std::uint64_t m_sequence = 0;
+  worker::InventoryView m_inventory;
+  /// The present exchange asks for the whole inventory, because that of the
+  /// previous answer could not be used.
+  bool m_askedAgain = false;
   std::set<std::uint64_t> m_endsPending; ///< reported, not yet durable
   std::uint64_t m_lastEnd = 0;           ///< highest that was reported
 };
--- a/src/worker/WorkerMessages.cpp
+++ b/src/worker/WorkerMessages.cpp
@@ -73,29 +73,171 @@
   return command;
 }
 
+/// How tasks are written. `Short` leaves out a false "throttled" and zero
+/// "accelerators"; only readers that know deltas take it.
+enum class TaskForm : std::uint8_t
+{
+  Full,
+  Short,
+};
+
 Json
-ToJson(const RunningTask& aTask)
+SizeToJson(const Resources& aResources, TaskForm aForm)
 {
-  return { { "job", aTask.m_task.m_job.Value() },
-           { "index", aTask.m_task.m_index },
-           { "attempt", aTask.m_attempt },
-           { "reserved", ToJson(aTask.m_reserved) },
-           { "used", ToJson(aTask.m_used) },
-           { "throttled", aTask.m_throttled } };
+  Json json = ToJson(aResources);
+  if (aForm == TaskForm::Short && aResources.m_accelerators == 0) {
+    json.erase("accelerators");
+  }
+  return json;
+}
+
+Resources
+SizeFrom(const Json& aJson, TaskForm aForm)
+{
+  if (aForm == TaskForm::Full || aJson.contains("accelerators")) {
+    return ResourcesFrom(aJson);
+  }
+  return { AmountFrom(aJson, "millicores"),
+           AmountFrom(aJson, "memory_mib"),
+           0 };
+}
+
+Json
+ToJson(const TaskId& aTask)
+{
+  return { { "job", aTask.m_job.Value() }, { "index", aTask.m_index } };
+}
+
+Json
+ToJson(const RunningTask& aTask, TaskForm aForm)
+{
+  Json json = ToJson(aTask.m_task);
+  json["attempt"] = aTask.m_attempt;
+  json["reserved"] = SizeToJson(aTask.m_reserved, aForm);
+  json["used"] = SizeToJson(aTask.m_used, aForm);
+  if (aForm == TaskForm::Full || aTask.m_throttled) {
+    json["throttled"] = aTask.m_throttled;
+  }
+  return json;
 }
 
 RunningTask
-RunningFrom(const Json& aJson)
+RunningFrom(const Json& aJson, TaskForm aForm)
 {
   RunningTask task;
   task.m_task = TaskFrom(aJson);
   task.m_attempt = NumberField<std::uint32_t>(aJson, "attempt");
-  task.m_reserved = ResourcesFrom(aJson.at("reserved"));
-  task.m_used = ResourcesFrom(aJson.at("used"));
-  task.m_throttled = TypedField<bool>(aJson, "throttled");
+  task.m_reserved = SizeFrom(ObjectField(aJson, "reserved"), aForm);
+  task.m_used = SizeFrom(ObjectField(aJson, "used"), aForm);
+  if (aForm == TaskForm::Full || aJson.contains("throttled")) {
+    task.m_throttled = TypedField<bool>(aJson, "throttled");
+  }
   return task;
 }
 
+Json
+ListToJson(const std::vector<RunningTask>& aTasks, TaskForm aForm)
+{
+  Json list = Json::array();
+  for (const RunningTask& task : aTasks) {
+    list.push_back(ToJson(task, aForm));
+  }
+  return list;
+}
+
+std::vector<RunningTask>
+ListFrom(const Json& aObject, const char* aField, TaskForm aForm)
+{
+  std::vector<RunningTask> tasks;
+  for (const Json& task : ArrayField(aObject, aField)) {
+    tasks.push_back(RunningFrom(task, aForm));
+  }
+  return tasks;
+}
+
+Json
+ToJson(const InventoryBasis& aBasis)
+{
+  return { { "instance", aBasis.m_instance }, { "state", aBasis.m_state } };
+}
+
+/// Empty lists are left out.
+Json
+ToJson(const InventoryState& aState)
+{
+  Json json = ToJson(aState.m_at);
+  if (!aState.m_delta) {
+    return json;
+  }
+  const InventoryDelta& delta = *aState.m_delta;
+  json["base"] = delta.m_base;
+  json["count"] = delta.m_count;
+  json["hash"] = delta.m_hash;
+  for (const TaskId& task : delta.m_removed) {
+    json["removed"].push_back(ToJson(task));
+  }
+  if (!delta.m_added.empty()) {
+    json["added"] = ListToJson(delta.m_added, TaskForm::Short);
+  }
+  if (!delta.m_changed.empty()) {
+    json["changed"] = ListToJson(delta.m_changed, TaskForm::Short);
+  }
+  return json;
+}
+
+InventoryBasis
+BasisFrom(const Json& aJson, std::uint64_t aLeastInstance)
+{
+  return { NumberField<std::uint64_t>(aJson, "instance", aLeastInstance),
+           NumberField<std::uint64_t>(aJson, "state") };
+}
+
+InventoryDelta
+DeltaFrom(const Json& aJson, std::uint64_t aState)
+{
+  InventoryDelta delta;
+  delta.m_base = NumberField<std::uint64_t>(aJson, "base", 0, aState);
+  delta.m_count = NumberField<std::uint64_t>(aJson, "count");
+  delta.m_hash = NumberField<std::uint64_t>(aJson, "hash");
+  if (aJson.contains("removed")) {
+    for (const Json& task : ArrayField(aJson, "removed")) {
+      delta.m_removed.push_back(TaskFrom(task));
+    }
+  }
+  if (aJson.contains("added")) {
+    delta.m_added = ListFrom(aJson, "added", TaskForm::Short);
+  }
+  if (aJson.contains("changed")) {
+    delta.m_changed = ListFrom(aJson, "changed", TaskForm::Short);
+  }
+  return delta;
+}
+
+/// Refuses a field that contradicts the others: the sender's reply would be
+/// taken for something else than it is.
+void
+RefuseField(const Json& aObject, const char* aField, const char* aExpected)
+{
+  if (aObject.contains(aField)) {
+    ThrowBadField(aField, aObject.at(aField), aExpected);
+  }
+}
+
+InventoryState
+StateFrom(const Json& aJson)
+{
+  InventoryState state;
+  state.m_at = BasisFrom(aJson, 1);
+  if (aJson.contains("base")) {
+    state.m_delta = DeltaFrom(aJson, state.m_at.m_state);
+    return state;
+  }
+  for (const char* field : { "count", "hash", "removed", "added", "changed" }) {
+    RefuseField(aJson, field, "no such field without 'base'");
+  }
+  return state;
+}
+
 Json
 ToJson(const EndedTask& aTask)
 {
@@ -126,32 +268,37 @@
   for (const Command& command : aRequest.m_commands) {
     commands.push_back(ToJson(command));
   }
-  const Json body = { { "slice", aRequest.m_slice.Value() },
-                      { "epoch", aRequest.m_epoch },
-                      { "token", aRequest.m_token },
-                      { "sequence", aRequest.m_sequence },
-                      { "commands", commands },
-                      { "ended_seen", aRequest.m_endedSeen } };
+  Json body = { { "slice", aRequest.m_slice.Value() },
+                { "epoch", aRequest.m_epoch },
+                { "token", aRequest.m_token },
+                { "sequence", aRequest.m_sequence },
+                { "commands", commands },
+                { "ended_seen", aRequest.m_endedSeen } };
+  if (aRequest.m_inventory) {
+    body["inventory"] = ToJson(*aRequest.m_inventory);
+  }
   return body.dump();
 }
 
 std::string
 EncodeReply(const ControlReply& aReply)
 {
-  Json running = Json::array();
-  for (const RunningTask& task : aReply.m_running) {
-    running.push_back(ToJson(task));
-  }
   Json ended = Json::array();
   for (const EndedTask& task : aReply.m_ended) {
     ended.push_back(ToJson(task));
   }
-  const Json body = { { "accepted", aReply.m_accepted },
-                      { "epoch", aReply.m_epoch },
-                      { "token", aReply.m_token },
-                      { "capacity", ToJson(aReply.m_capacity) },
-                      { "running", running },
-                      { "ended", ended } };
+  Json body = { { "accepted", aReply.m_accepted },
+                { "epoch", aReply.m_epoch },
+                { "token", aReply.m_token },
+                { "ended", ended } };
+  if (aReply.m_inventory) {
+    body["inventory"] = ToJson(*aReply.m_inventory);
+  }
+  if (!aReply.m_inventory || !aReply.m_inventory->m_delta) {
+    body["capacity"] = ToJson(aReply.m_capacity);
+    body["running"] = ListToJson(
+      aReply.m_running, aReply.m_inventory ? TaskForm::Short : TaskForm::Full);
+  }
   return body.dump();
 }
 
@@ -168,6 +315,9 @@
     for (const Json& command : ArrayField(aJson, "commands")) {
       request.m_commands.push_back(CommandFrom(command));
     }
+    if (aJson.contains("inventory")) {
+      request.m_inventory = BasisFrom(ObjectField(aJson, "inventory"), 0);
+    }
     return request;
   });
 }
@@ -180,9 +330,16 @@
     reply.m_accepted = TypedField<bool>(aJson, "accepted");
     reply.m_epoch = NumberField<Epoch>(aJson, "epoch");
     reply.m_token = NumberField<std::uint64_t>(aJson, "token");
-    reply.m_capacity = ResourcesFrom(aJson.at("capacity"));
-    for (const Json& task : ArrayField(aJson, "running")) {
-      reply.m_running.push_back(RunningFrom(task));
+    if (aJson.contains("inventory")) {
+      reply.m_inventory = StateFrom(ObjectField(aJson, "inventory"));
+    }
+    if (reply.m_inventory && reply.m_inventory->m_delta) {
+      RefuseField(aJson, "running", "no such field beside a delta");
+      RefuseField(aJson, "capacity", "no such field beside a delta");
+    } else {
+      reply.m_capacity = ResourcesFrom(aJson.at("capacity"));
+      reply.m_running = ListFrom(
+        aJson, "running", reply.m_inventory ? TaskForm::Short : TaskForm::Full);
     }
     for (const Json& task : ArrayField(aJson, "ended")) {
       reply.m_ended.push_back(EndedFrom(task));
--- a/src/worker/WorkerMessages.h
+++ b/src/worker/WorkerMessages.h
@@ -8,6 +8,7 @@
 #include "core/Verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,17 @@
   std::int64_t m_runMs = 0; ///< for `Start`: work of the task
 };
 
+/// A numbered state of a worker's inventory.
+struct InventoryBasis
+{
+  /// Random number that the worker process drew when it started; 0 in a
+  /// request asks for the whole inventory.
+  std::uint64_t m_instance = 0;
+  std::uint64_t m_state = 0; ///< grows with each change of the inventory
+
+  bool operator==(const InventoryBasis&) const = default;
+};
+
 /// One message from the owner. An empty list of commands renews the lease; a
 /// higher epoch adopts the worker.
 struct ControlRequest
@@ -48,6 +60,9 @@
   std::vector<Command> m_commands;
   /// Ended tasks up to this sequence number have been taken note of.
   std::uint64_t m_endedSeen = 0;
+  /// The state that the sender has. Absent from a sender that does not know
+  /// deltas: it gets whole inventories only.
+  std::optional<InventoryBasis> m_inventory;
 };
 
 enum class TaskOutcome : std::uint8_t
@@ -66,6 +81,28 @@
   Resources m_reserved;
   Resources m_used; ///< measured, lags behind
   bool m_throttled = false;
+
+  bool operator==(const RunningTask&) const = default;
+};
+
+/// What changed in an inventory since an earlier state. Removals come first: a
+/// task that ended and was started again is in `m_removed` and in `m_added`.
+struct InventoryDelta
+{
+  std::uint64_t m_base = 0;  ///< the earlier state
+  std::uint64_t m_count = 0; ///< tasks of the whole inventory
+  std::uint64_t m_hash = 0;  ///< `InventoryHash` of the whole inventory
+  std::vector<TaskId> m_removed;
+  std::vector<RunningTask> m_added;
+  std::vector<RunningTask> m_changed;
+};
+
+/// Which state a reply describes, and how.
+struct InventoryState
+{
+  InventoryBasis m_at;
+  /// Absent if the reply has the whole inventory in `m_running`.
+  std::optional<InventoryDelta> m_delta;
 };
 
 struct EndedTask
@@ -82,9 +119,12 @@
   bool m_accepted = false;
   Epoch m_epoch = 0; ///< highest epoch seen
   std::uint64_t m_token = 0;
+  /// Not sent with a delta; the owner has it from the whole inventory.
   Resources m_capacity;
-  std::vector<RunningTask> m_running;
-  std::vector<EndedTask> m_ended; ///< in the order of sequence numbers
+  std::vector<RunningTask> m_running; ///< empty if the reply has a delta
+  std::vector<EndedTask> m_ended;     ///< in the order of sequence numbers
+  /// Absent from refusals and from workers that do not know deltas.
+  std::optional<InventoryState> m_inventory;
 };
 
 std::string
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -13,6 +13,7 @@
 
 WorkerModel::WorkerModel(WorkerOptions aOptions)
   : m_options(aOptions)
+  , m_inventory(aOptions.m_instance)
 {
 }
 
@@ -21,7 +22,7 @@
 {
   Advance(aNow);
   if (!Accepts(aNow, aRequest)) {
-    return Reply(false);
+    return Refusal();
   }
   TakeEpochAndToken(aNow, aRequest);
   std::erase_if(m_ended, [&](const EndedTask& aTask) {
@@ -31,7 +32,14 @@
     Carry(aNow, command);
   }
   m_issued[++m_token] = aNow;
-  return Reply(true);
+  return Reply(aRequest);
+}
+
+void
+WorkerModel::Measure(const TaskId& aTask, const Resources& aUsed)
+{
+  worker::RunningTask& task = m_tasks.at(aTask).m_running;
+  task.m_used = ReportedSize(aUsed, task.m_reserved);
 }
 
 void
@@ -201,20 +209,34 @@
 }
 
 ControlReply
-WorkerModel::Reply(bool aAccepted) const
+WorkerModel::Refusal() const
 {
   ControlReply reply;
-  reply.m_accepted = aAccepted;
   reply.m_epoch = m_epoch;
-  if (!aAccepted) {
-    return reply;
-  }
+  return reply;
+}
+
+ControlReply
+WorkerModel::Reply(const ControlRequest& aRequest)
+{
+  ControlReply reply;
+  reply.m_accepted = true;
+  reply.m_epoch = m_epoch;
   reply.m_token = m_token;
-  reply.m_capacity = m_options.m_capacity;
-  for (const auto& [id, task] : m_tasks) {
-    reply.m_running.push_back(task.m_running);
-  }
   reply.m_ended = m_ended;
+  if (aRequest.m_inventory && m_options.m_instance != 0) {
+    worker::Inventory inventory;
+    for (const auto& [id, task] : m_tasks) {
+      inventory[id] = task.m_running;
+    }
+    m_inventory.Update(inventory);
+    reply.m_inventory = m_inventory.Answer(*aRequest.m_inventory);
+    if (reply.m_inventory->m_delta) {
+      return reply;
+    }
+  }
+  reply.m_capacity = m_options.m_capacity;
+  reply.m_running = Running();
   return reply;
 }
 
--- a/standins/WorkerModel.h
+++ b/standins/WorkerModel.h
@@ -2,6 +2,7 @@
 /// the stand-in process and by tests under virtual time.
 #pragma once
 
+#include "InventoryLog.h"
 #include "core/Time.h"
 #include "worker/WorkerMessages.h"
 
@@ -15,6 +16,9 @@
   Duration m_lease = seconds(20);
   /// Every task fails at once, as on a broken worker.
   bool m_failEverything = false;
+  /// Random number of the process; 0 for a worker that does not know inventory
+  /// deltas.
+  std::uint64_t m_instance = 0;
   /// Switched off only by the mutation tests of the ownership protocol.
   bool m_checkEpoch = true;
   bool m_tokenRule = true;
@@ -27,6 +31,8 @@
 
   worker::ControlReply Control(Time aNow,
                                const worker::ControlRequest& aRequest);
+  /// Takes the measured size of a running task.
+  void Measure(const TaskId& aTask, const Resources& aUsed);
   /// Ends tasks whose work is done, and all tasks once the lease is over.
   void Advance(Time aNow);
 
@@ -51,7 +57,8 @@
   void Carry(Time aNow, const worker::Command& aCommand);
   void Start(Time aNow, const worker::Command& aCommand);
   void End(Time aNow, const TaskId& aTask, worker::TaskOutcome aOutcome);
-  worker::ControlReply Reply(bool aAccepted) const;
+  worker::ControlReply Refusal() const;
+  worker::ControlReply Reply(const worker::ControlRequest& aRequest);
 
   WorkerOptions m_options;
   Epoch m_epoch = 0;
@@ -64,6 +71,7 @@
   std::map<std::pair<TaskId, std::uint32_t>, Time> m_recentEnds;
   std::uint64_t m_endedSequence = 0;
   std::map<TaskId, int> m_starts;
+  InventoryLog m_inventory;
 };
 
 } // namespace lacewing::standin
--- a/standins/WorkerServer.cpp
+++ b/standins/WorkerServer.cpp
@@ -6,6 +6,7 @@
 
 #include <iostream>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace lacewing::standin {
@@ -100,8 +101,12 @@
   WorkerGroup group;
   std::vector<std::unique_ptr<net::HttpServer>> servers;
   group.m_workers.reserve(static_cast<std::size_t>(aCount));
+  std::random_device random;
+  std::uniform_int_distribution<std::uint64_t> instances(1);
   for (int i = 0; i < aCount; ++i) {
-    group.m_workers.emplace_back(aOptions);
+    WorkerOptions options = aOptions;
+    options.m_instance = instances(random);
+    group.m_workers.emplace_back(options);
   }
   for (int i = 0; i < aCount; ++i) {
     WorkerModel& worker = group.m_workers[static_cast<std::size_t>(i)];
--- a/tests/error/MessageDecoders.cpp
+++ b/tests/error/MessageDecoders.cpp
@@ -35,6 +35,22 @@
   R"("used":{"millicores":1,"memory_mib":2,"accelerators":3}}],)"
   R"("ended":[{"sequence":1,"job":"s.2","index":0,"attempt":1,)"
   R"("outcome":"failed"}]})";
+const std::string kDeltaRequest =
+  R"({"slice":"s","epoch":4,"token":5,"sequence":6,"ended_seen":7,)"
+  R"("commands":[],"inventory":{"instance":8,"state":9}})";
+const std::string kTask = R"({"job":"s.1","index":0,"attempt":1,)"
+                          R"("reserved":{"millicores":1,"memory_mib":2},)"
+                          R"("used":{"millicores":1,"memory_mib":2}})";
+const std::string kDelta =
+  R"({"accepted":true,"epoch":4,"token":5,"ended":[],)"
+  R"("inventory":{"instance":8,"state":9,"base":7,"count":2,"hash":1,)"
+  R"("removed":[{"job":"s.1","index":3}],"added":[)" +
+  kTask + R"(],"changed":[)" + kTask + "]}}";
+const std::string kWhole =
+  R"({"accepted":true,"epoch":4,"token":5,"ended":[],)"
+  R"("capacity":{"millicores":1,"memory_mib":2,"accelerators":3},)"
+  R"("inventory":{"instance":8,"state":9},"running":[)" +
+  kTask + "]}";
 const std::string kVms =
   R"({"vms":[{"vm":"e-1","kind":"endpoint","state":"live",)"
   R"("address":"127.0.0.1:80","region":"r","domain":"d","rack":"k",)"
@@ -70,6 +86,9 @@
   FuzzJsonDecoder(table::DecodeReadResult, kReadResult);
   FuzzJsonDecoder(worker::DecodeRequest, kRequest);
   FuzzJsonDecoder(worker::DecodeReply, kReply);
+  FuzzJsonDecoder(worker::DecodeRequest, kDeltaRequest);
+  FuzzJsonDecoder(worker::DecodeReply, kDelta);
+  FuzzJsonDecoder(worker::DecodeReply, kWhole);
   FuzzJsonDecoder(vmlist::DecodeVms, kVms);
   for (const std::string& text : { kHeartbeat, kRowsRequest, kRowsAnswer }) {
     FuzzJsonDecoder(daemon::UnpackSettings, text);
@@ -109,6 +128,30 @@
   ExpectNamed(worker::DecodeReply, kReply, "/running", nullptr, "'running'");
 }
 
+TEST(MessageDecoders, InventoryErrorsNameTheValue)
+{
+  const auto reply = worker::DecodeReply;
+  ExpectNamed(worker::DecodeRequest,
+              kDeltaRequest,
+              "/inventory/state",
+              -9,
+              "'state' is -9");
+  ExpectNamed(
+    worker::DecodeRequest, kDeltaRequest, "/inventory", 1, "'inventory' is 1");
+  // Taken as no base, this would make an empty inventory of a delta.
+  ExpectNamed(reply, kDelta, "/inventory/base", nullptr, "'base'");
+  ExpectNamed(reply, kDelta, "/inventory/base", 10, "'base' is 10");
+  ExpectNamed(reply, kDelta, "/inventory/instance", 0, "'instance' is 0");
+  ExpectNamed(reply, kDelta, "/inventory/hash", 0.5, "'hash' is 0.5");
+  ExpectNamed(reply, kDelta, "/inventory/removed", nullptr, "'removed'");
+  ExpectNamed(reply, kDelta, "/running", json::array(), "'running'");
+  ExpectNamed(reply, kDelta, "/capacity", json::object(), "'capacity'");
+  ExpectNamed(reply, kWhole, "/inventory/hash", 1, "'hash' is 1");
+  ExpectNamed(reply, kWhole, "/running/0/throttled", 1, "'throttled' is 1");
+  // The short form of a task is taken only in a reply that names a state.
+  ExpectNamed(reply, kReply, "/running/0", json::parse(kTask), "accelerators");
+}
+
 TEST(MessageDecoders, VmListErrorsNameTheValue)
 {
   // Taken as an empty list, this would say that every VM is gone.
