--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -120,6 +120,7 @@
   loop.Every(kSlowPeriod, [this] {
     PollVmList();
     m_jobs.Tick();
+    MoveWaitingJobs();
     m_limits.Tick();
     UpdateMetrics();
     LogState();
@@ -187,6 +188,55 @@
   });
 }
 
+/// Slices of workers other than the given one, as far as a fresh heartbeat
+/// tells their load.
+std::vector<sched::MoveTarget>
+EntryDaemon::MoveTargets(const SliceId& aFrom) const
+{
+  const Time now = net::Loop::Now();
+  std::vector<sched::MoveTarget> targets;
+  for (const auto& [id, slice] : m_slices) {
+    if (slice.m_kind != vmlist::SliceKind::Workers || id == aFrom) {
+      continue;
+    }
+    const VmId owner = m_membership.Machine().OwnerOf(id);
+    const auto load = m_loads.Find(now, owner, id);
+    if (!load) {
+      continue;
+    }
+    sched::MoveTarget target;
+    target.m_slice = id;
+    target.m_region = slice.m_region;
+    target.m_freeMillicores =
+      load->m_freeMillicores - m_loads.SentMillicores(now, id);
+    target.m_queueLength = load->m_queueLength;
+    for (const vmlist::Vm& vm : slice.m_vms) {
+      target.m_workers.push_back(vm.m_capacity);
+    }
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+void
+EntryDaemon::MoveWaitingJobs()
+{
+  if (m_stopping) {
+    return;
+  }
+  for (const auto& [id, owner] : m_workerOwners) {
+    const auto slice = m_slices.find(id);
+    if (slice != m_slices.end()) {
+      owner->MoveWaitingJobs(
+        slice->second.m_region,
+        MoveTargets(id),
+        [this](const SliceId& aTo, std::int64_t aMillicores) {
+          m_loads.OnJobSent(net::Loop::Now(), aTo, aMillicores);
+        });
+    }
+  }
+}
+
 std::size_t
 EntryDaemon::RunningRequests() const
 {
--- a/src/daemon/EntryDaemon.h
+++ b/src/daemon/EntryDaemon.h
@@ -60,6 +60,7 @@
   void RecordOwnershipEvent(const ownership::OwnershipEvent& aEvent);
   void Claim(const SliceId& aSlice, Epoch aEpoch);
   void ClaimWorkers(const vmlist::Slice& aSlice, Epoch aEpoch);
+  MoveHooks MoveHooksOf(const SliceId& aSlice, Epoch aEpoch);
   void ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch);
   void DropSlice(const SliceId& aSlice);
   void ApplyTeams();
@@ -74,6 +75,8 @@
   void TickServiceAllotment(ServiceSliceOwner& aOwner);
   void TickDrain();
   std::size_t RunningRequests() const;
+  void MoveWaitingJobs();
+  std::vector<sched::MoveTarget> MoveTargets(const SliceId& aFrom) const;
   void SendHeartbeats();
   peer::Heartbeat OwnHeartbeat() const;
   void UpdateMetrics();
--- a/src/daemon/EntryDaemonSlices.cpp
+++ b/src/daemon/EntryDaemonSlices.cpp
@@ -175,13 +175,36 @@
                                    const worker::ControlReply& aReply) {
     m_membership.OnWorkerReply(id, aWorker, aReply);
   };
-  auto owner = std::make_shared<WorkerSliceOwner>(
-    m_runtime, id, aEpoch, authority, SchedulerOptionsOf(m_settings.Tree()));
+  auto owner =
+    std::make_shared<WorkerSliceOwner>(m_runtime,
+                                       id,
+                                       aEpoch,
+                                       authority,
+                                       MoveHooksOf(id, aEpoch),
+                                       SchedulerOptionsOf(m_settings.Tree()));
   m_workerOwners[id] = owner;
   owner->UpdateWorkers(aSlice.m_vms);
   owner->LoadJobs();
 }
 
+MoveHooks
+EntryDaemon::MoveHooksOf(const SliceId& aSlice, Epoch aEpoch)
+{
+  MoveHooks hooks;
+  hooks.m_ownerCheck = [this, aSlice, aEpoch]() -> std::optional<table::Check> {
+    const auto version = m_membership.Machine().HeldVersion(aSlice, aEpoch);
+    if (!version) {
+      return std::nullopt;
+    }
+    return table::Check{ ownership::SliceKey(aSlice), *version };
+  };
+  hooks.m_onMoved = [this](const MovedJob& aJob) {
+    m_jobs.AnnounceMoved(aJob);
+  };
+  hooks.m_onUnderWay = [this](int aChange) { m_jobs.CountMove(aChange); };
+  return hooks;
+}
+
 void
 EntryDaemon::ClaimService(const vmlist::Slice& aSlice, Epoch aEpoch)
 {
--- a/src/daemon/JobExpiry.cpp
+++ b/src/daemon/JobExpiry.cpp
@@ -34,8 +34,11 @@
        m_store->TakeExpired(kJobRetention, kMinSeenEnded, kSweepBatch)) {
     if (m_mayDelete(job)) {
       jobs.push_back(job);
-      read.m_keys.push_back(jobs::JobRow(job));
-      read.m_keys.push_back(*m_store->Find(job)->m_submission);
+      read.m_keys.push_back(m_store->RowOf(job));
+      const jobs::JobRecord& record = *m_store->Find(job);
+      read.m_keys.push_back(record.m_ending == jobs::JobEnding::Moved
+                              ? jobs::JobRow(record.m_movedTo, job)
+                              : *record.m_submission);
     }
   }
   std::erase(read.m_keys, std::string());
@@ -74,7 +77,7 @@
 void
 JobExpiry::Take(const JobId& aJob, const table::Rows& aRows)
 {
-  const auto row = aRows.find(jobs::JobRow(aJob));
+  const auto row = aRows.find(m_store->RowOf(aJob));
   if (row == aRows.end()) {
     m_store->Remove(aJob); // Deleted by a write whose answer was lost.
     return;
@@ -84,6 +87,12 @@
   if (!record || !jobs::MayExpire(*record)) {
     return;
   }
+  if (record->m_ending == jobs::JobEnding::Moved) {
+    if (!aRows.contains(jobs::JobRow(record->m_movedTo, aJob))) {
+      DeleteTombstone(*record, row->second.m_version);
+    }
+    return;
+  }
   const auto submission = aRows.find(*record->m_submission);
   const auto named =
     submission == aRows.end() ? std::nullopt : TryDecode<jobs::JobRecord>([&] {
@@ -108,7 +117,7 @@
 {
   // While the submission's row exists, a repeat writes the job's row if it is
   // absent, so the job's row goes last.
-  Delete(aRow, aVersion, [this, aJob, aJobVersion] {
+  Delete(aRow, aVersion, {}, [this, aJob, aJobVersion] {
     DeleteJob(aJob, aJobVersion);
   });
 }
@@ -116,17 +125,34 @@
 void
 JobExpiry::DeleteJob(const JobId& aJob, RowVersion aVersion)
 {
-  Delete(jobs::JobRow(aJob), aVersion, [this, aJob] { m_store->Remove(aJob); });
+  Delete(m_store->RowOf(aJob), aVersion, {}, [this, aJob] {
+    m_store->Remove(aJob);
+  });
+}
+
+/// The tombstone goes after the row that it names: a front that repeats the
+/// submission finds one of the two, or no submission.
+void
+JobExpiry::DeleteTombstone(const jobs::JobRecord& aTombstone,
+                           RowVersion aVersion)
+{
+  const JobId job = aTombstone.m_id;
+  Delete(m_store->RowOf(job),
+         aVersion,
+         { { jobs::JobRow(aTombstone.m_movedTo, job), 0 } },
+         [this, job] { m_store->Remove(job); });
 }
 
 void
 JobExpiry::Delete(const std::string& aRow,
                   RowVersion aVersion,
+                  std::vector<table::Check> aAlso,
                   std::function<void()> aDeleted)
 {
   table::RecordWrite write;
   write.m_key = aRow;
   write.m_expected = aVersion;
+  write.m_also = std::move(aAlso);
   write.m_deadline = m_access.m_now() + kDeleteDeadline;
   ++m_open;
   m_access.m_write(std::move(write),
--- a/src/daemon/JobExpiry.h
+++ b/src/daemon/JobExpiry.h
@@ -1,5 +1,5 @@
 /// Deletes the rows of jobs of one owned slice that ended long ago, and the
-/// rows of their submissions.
+/// rows of their submissions, and tombstones of jobs that moved long ago.
 #pragma once
 
 #include "daemon/JobStore.h"
@@ -41,8 +41,10 @@
                         RowVersion aVersion,
                         RowVersion aJobVersion);
   void DeleteJob(const JobId& aJob, RowVersion aVersion);
+  void DeleteTombstone(const jobs::JobRecord& aTombstone, RowVersion aVersion);
   void Delete(const std::string& aRow,
               RowVersion aVersion,
+              std::vector<table::Check> aAlso,
               std::function<void()> aDeleted);
 
   RowAccess m_access;
--- a/src/daemon/JobFront.cpp
+++ b/src/daemon/JobFront.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kOwnerTimeout = seconds(3);
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
+/// Status of a `JobReply` whose body names the slice that the job moved to.
+constexpr int kMoved = 307;
 
 /// True if a worker of the slice can hold one task, and the slice a whole gang.
 bool
@@ -53,6 +55,15 @@
            : std::string();
 }
 
+/// The slice that a message is for. Former versions named none; their jobs
+/// stayed in the slice that accepted them.
+SliceId
+SliceIn(const Json& aBody, const JobId& aJob)
+{
+  const SliceId slice(TextOf(aBody, "slice"));
+  return slice.empty() ? jobs::SliceOf(aJob) : slice;
+}
+
 Error
 NotRecorded(table::CommitState aState)
 {
@@ -273,15 +284,17 @@
   if (!aSubmission->m_row.empty()) {
     // Both rows of a job that has ended are deleted, the submission's first. A
     // repeat that had read it before must not write the job anew.
-    write.m_also =
-      table::Check{ aSubmission->m_row, aSubmission->m_rowVersion };
+    write.m_also.push_back({ aSubmission->m_row, aSubmission->m_rowVersion });
   }
   m_cell.m_runtime.Table().WriteRecord(
     std::move(write), [this, aSubmission](const table::RecordResult& aResult) {
       if (aResult.m_state == table::CommitState::Committed) {
         const Announcement announcement{ aSubmission->m_record,
-                                         aResult.m_version };
-        m_unconfirmed[aSubmission->m_record.m_id] = announcement;
+                                         aResult.m_version,
+                                         jobs::SliceOf(
+                                           aSubmission->m_record.m_id) };
+        m_unconfirmed[{ announcement.m_record.m_id, announcement.m_slice }] =
+          announcement;
         Accept(*aSubmission);
         Announce(announcement);
         return;
@@ -326,32 +339,59 @@
   aSubmission.m_reply(net::JsonResponse(kAccepted, body.dump()));
 }
 
+void
+JobFront::AnnounceMoved(const MovedJob& aJob)
+{
+  const JobId& job = aJob.m_record.m_id;
+  observe::Event event;
+  event.m_kind = EventKind::JobMoved;
+  event.m_job = job;
+  event.m_team = aJob.m_record.m_team;
+  event.m_detail =
+    aJob.m_record.m_movedFrom.back().Value() + " to " + aJob.m_to.Value();
+  m_cell.m_runtime.Record(event);
+  m_cell.m_runtime.Metrics().Add(observe::Metric::JobMoves, { "moved" });
+  const Announcement announcement{
+    aJob.m_record, aJob.m_version, aJob.m_to, aJob.m_cancel
+  };
+  m_unconfirmed[{ job, aJob.m_to }] = announcement;
+  Announce(announcement);
+}
+
 void
 JobFront::Tick()
 {
-  for (const auto& [job, announcement] : m_unconfirmed) {
-    m_cell.m_runtime.Loop().After(
-      Duration::zero(),
-      [this, announcement = announcement] { Announce(announcement); });
+  for (const auto& [key, announcement] : m_unconfirmed) {
+    m_cell.m_runtime.Loop().After(Duration::zero(), [this, key = key] {
+      const auto found = m_unconfirmed.find(key);
+      if (found != m_unconfirmed.end()) {
+        const Announcement current = found->second;
+        Announce(current);
+      }
+    });
   }
 }
 
 void
 JobFront::Announce(const Announcement& aAnnouncement)
 {
-  const JobId& job = aAnnouncement.m_record.m_id;
-  const auto owner = m_cell.OwnerOf(jobs::SliceOf(job));
-  if (!owner || !m_unconfirmed.contains(job)) {
+  const AnnouncementKey key{ aAnnouncement.m_record.m_id,
+                             aAnnouncement.m_slice };
+  const auto owner = m_cell.OwnerOf(key.second);
+  if (!owner) {
     return;
   }
-  const Json body = { { "job", job.Value() },
+  const Json body = { { "job", key.first.Value() },
+                      { "slice", key.second.Value() },
                       { "record", jobs::EncodeRecord(aAnnouncement.m_record) },
-                      { "version", aAnnouncement.m_version } };
+                      { "version", aAnnouncement.m_version },
+                      { "cancel", aAnnouncement.m_cancel } };
   const peer::SubmitJob message{ body.dump() };
-  const auto confirm = [this, job](const peer::PeerMessage& aReply) {
+  const auto confirm = [this, key, cancelled = aAnnouncement.m_cancel](
+                         const peer::PeerMessage& aReply) {
     const auto* reply = std::get_if<peer::JobReply>(&aReply);
     if (reply != nullptr && reply->m_status == kOk) {
-      m_unconfirmed.erase(job);
+      Confirm(key, cancelled);
     }
   };
   if (owner->m_vm == m_cell.m_runtime.Self()) {
@@ -370,6 +410,16 @@
     });
 }
 
+void
+JobFront::Confirm(const AnnouncementKey& aKey, bool aCancelled)
+{
+  const auto found = m_unconfirmed.find(aKey);
+  // A cancellation that came after the confirmed message is yet to be told.
+  if (found != m_unconfirmed.end() && found->second.m_cancel == aCancelled) {
+    m_unconfirmed.erase(found);
+  }
+}
+
 peer::PeerMessage
 JobFront::OnSubmitJob(const peer::SubmitJob& aMessage)
 {
@@ -380,12 +430,13 @@
     };
   }
   const JobId job(TextOf(body, "job"));
-  const auto owner = m_localOwner(jobs::SliceOf(job));
+  const SliceId slice = SliceIn(body, job);
+  const auto owner = m_localOwner(slice);
   if (!owner) {
     return peer::Refusal{ { Verdict::NotRun,
                             ErrorCode::NotOwner,
-                            "the slice of job " + job.Value() +
-                              " is not owned here" } };
+                            "slice " + slice.Value() + " of job " +
+                              job.Value() + " is not owned here" } };
   }
   if (!owner->HasLoaded()) {
     // The row may hold marks of a former owner, which the message lacks.
@@ -404,6 +455,10 @@
                       "'s row is missing or no whole number");
       }
       owner->Submit(record, version->get<RowVersion>());
+      const auto cancel = body.find("cancel");
+      if (cancel != body.end() && *cancel == Json(true)) {
+        owner->Cancel(job);
+      }
       return peer::PeerMessage(peer::JobReply{ kOk, "{}" });
     },
     [](const Error& aError) {
@@ -431,72 +486,117 @@
                 ErrorCode::NotFound,
                 "there is no job '" + job.Value() + "'");
   }
-  const auto owner = m_cell.OwnerOf(slice);
+  SendQuestion({ job, team, aQuestion, slice }, aReply);
+  return {};
+}
+
+void
+JobFront::SendQuestion(const Question& aQuestion, const net::HttpReply& aReply)
+{
+  const auto owner = m_cell.OwnerOf(aQuestion.m_slice);
   if (!owner) {
-    aReply(NoOwner(slice));
-    return {};
+    aReply(NoOwner(aQuestion.m_slice));
+    return;
   }
   if (owner->m_vm == m_cell.m_runtime.Self()) {
-    aReply(Answer(job, team, aQuestion));
-    return {};
+    TakeAnswer(aQuestion, Answer(aQuestion), aReply);
+    return;
   }
-  const Json body = { { "job", job.Value() },
-                      { "team", team.Value() },
-                      { "question", NameOf(aQuestion) } };
+  const Json body = { { "job", aQuestion.m_job.Value() },
+                      { "team", aQuestion.m_team.Value() },
+                      { "question", NameOf(aQuestion.m_question) },
+                      { "slice", aQuestion.m_slice.Value() },
+                      { "follows", aQuestion.m_follows } };
   m_cell.m_membership.Peers().Call(
     owner->m_vm,
     owner->m_address.m_peers,
     peer::QueryJob{ body.dump() },
     kOwnerTimeout,
-    [aReply](const peer::PeerOutcome& aOutcome) {
+    [this, aQuestion, aReply](const peer::PeerOutcome& aOutcome) {
       const auto* reply = aOutcome.m_reply
                             ? std::get_if<peer::JobReply>(&*aOutcome.m_reply)
                             : nullptr;
-      aReply(reply != nullptr
-               ? net::JsonResponse(reply->m_status, reply->m_body)
-               : net::ErrorResponse(aOutcome.m_error));
+      if (reply == nullptr) {
+        aReply(net::ErrorResponse(aOutcome.m_error));
+        return;
+      }
+      TakeAnswer(
+        aQuestion, net::JsonResponse(reply->m_status, reply->m_body), aReply);
     });
-  return {};
+}
+
+void
+JobFront::TakeAnswer(const Question& aQuestion,
+                     const net::HttpResponse& aAnswer,
+                     const net::HttpReply& aReply)
+{
+  if (aAnswer.m_status != kMoved) {
+    aReply(aAnswer);
+    return;
+  }
+  const Json body = Json::parse(aAnswer.m_body, nullptr, false);
+  Question next = aQuestion;
+  next.m_slice = SliceId(TextOf(body, "moved_to"));
+  if (++next.m_follows > sched::kMaxMoves || next.m_slice.empty()) {
+    aReply(
+      net::ErrorResponse({ Verdict::NotRun,
+                           ErrorCode::Unavailable,
+                           "the present slice of job '" +
+                             aQuestion.m_job.Value() + "' was not found" }));
+    return;
+  }
+  SendQuestion(next, aReply);
 }
 
 peer::PeerMessage
 JobFront::OnQuestion(const std::string& aBody)
 {
   const Json body = Json::parse(aBody, nullptr, false);
-  const auto question = ParseName<JobQuestion>(TextOf(body, "question"));
-  if (!question) {
+  const auto kind = ParseName<JobQuestion>(TextOf(body, "question"));
+  if (!kind) {
     return peer::Refusal{ { Verdict::NotRun,
                             ErrorCode::BadInput,
                             "the question about a job is malformed" } };
   }
-  const auto response =
-    Answer(JobId(TextOf(body, "job")), TeamId(TextOf(body, "team")), *question);
+  Question question;
+  question.m_job = JobId(TextOf(body, "job"));
+  question.m_team = TeamId(TextOf(body, "team"));
+  question.m_question = *kind;
+  question.m_slice = SliceIn(body, question.m_job);
+  const auto follows = body.find("follows");
+  question.m_follows = follows != body.end() && *follows != Json(0) ? 1 : 0;
+  const auto response = Answer(question);
   return peer::JobReply{ response.m_status, response.m_body };
 }
 
 net::HttpResponse
-JobFront::Answer(const JobId& aJob, const TeamId& aTeam, JobQuestion aQuestion)
+JobFront::Answer(const Question& aQuestion)
 {
-  const auto owner = m_localOwner(jobs::SliceOf(aJob));
+  const JobId& aJob = aQuestion.m_job;
+  const auto owner = m_localOwner(aQuestion.m_slice);
   if (!owner) {
-    return NoOwner(jobs::SliceOf(aJob));
+    return NoOwner(aQuestion.m_slice);
   }
   const jobs::JobRecord* record = owner->Find(aJob);
   if (record == nullptr) {
-    const bool mayAppear = !owner->IsOpen();
+    // The owner of a slice to which the job has moved is told of it later.
+    const bool mayAppear = !owner->IsOpen() || aQuestion.m_follows > 0;
     return net::ErrorResponse(
       { Verdict::NotRun,
         mayAppear ? ErrorCode::Unavailable : ErrorCode::NotFound,
-        mayAppear ? "the owner is still reading its jobs"
+        mayAppear ? "the owner does not know job '" + aJob.Value() + "' yet"
                   : "there is no job '" + aJob.Value() + "'" });
   }
-  if (!aTeam.empty() && record->m_team != aTeam) {
+  if (!aQuestion.m_team.empty() && record->m_team != aQuestion.m_team) {
     return net::ErrorResponse(
       { Verdict::NotRun,
         ErrorCode::Forbidden,
         "job '" + aJob.Value() + "' belongs to another team" });
   }
-  switch (aQuestion) {
+  if (record->m_ending == jobs::JobEnding::Moved) {
+    return AnswerMoved(aQuestion, *record);
+  }
+  switch (aQuestion.m_question) {
     case JobQuestion::Status:
       break;
     case JobQuestion::Explain: {
@@ -514,11 +614,38 @@
       break;
     case JobQuestion::RunAgain:
     case JobQuestion::GiveUp:
-      owner->Resolve(aJob, aQuestion == JobQuestion::RunAgain);
+      owner->Resolve(aJob, aQuestion.m_question == JobQuestion::RunAgain);
       break;
   }
   return net::JsonResponse(kOk,
                            StatusJson(*record, owner->StatusOf(aJob)).dump());
 }
 
+net::HttpResponse
+JobFront::AnswerMoved(const Question& aQuestion,
+                      const jobs::JobRecord& aTombstone)
+{
+  const auto announced =
+    m_unconfirmed.find({ aTombstone.m_id, aTombstone.m_movedTo });
+  if (announced == m_unconfirmed.end()) {
+    const Json body = { { "moved_to", aTombstone.m_movedTo.Value() } };
+    return net::JsonResponse(kMoved, body.dump());
+  }
+  // The owner of the new slice may not know the job yet.
+  Announcement& announcement = announced->second;
+  if (aQuestion.m_question == JobQuestion::Explain) {
+    const Json body = {
+      { "job", aTombstone.m_id.Value() },
+      { "state", NameOf(sched::JobState::Queued) },
+      { "message", "the job moves to slice " + aTombstone.m_movedTo.Value() }
+    };
+    return net::JsonResponse(kOk, body.dump());
+  }
+  if (aQuestion.m_question == JobQuestion::Cancel) {
+    announcement.m_cancel = true;
+  }
+  return net::JsonResponse(
+    kOk, StatusJson(announcement.m_record, std::nullopt).dump());
+}
+
 } // namespace lacewing::daemon
--- a/src/daemon/JobFront.h
+++ b/src/daemon/JobFront.h
@@ -4,6 +4,7 @@
 
 #include "caller/CallerRequest.h"
 #include "daemon/CellState.h"
+#include "daemon/JobMover.h"
 #include "daemon/WorkerSliceOwner.h"
 #include "net/HttpServer.h"
 
@@ -40,8 +41,12 @@
   /// process must not end before.
   std::size_t Unfinished() const
   {
-    return m_openSubmissions + m_unconfirmed.size();
+    return m_openSubmissions + m_unconfirmed.size() + m_openMoves;
   }
+  /// Tells the owner of the new slice of a job that has moved.
+  void AnnounceMoved(const MovedJob& aJob);
+  /// A move has begun (1), or its outcome is known (-1).
+  void CountMove(int aChange) { m_openMoves += aChange; }
   /// Tells owners of jobs that they do not know yet; to be called every second.
   void Tick();
 
@@ -58,11 +63,25 @@
     net::HttpReply m_reply;
   };
 
-  /// An accepted job whose owner has not confirmed that it knows it.
+  /// A job whose owner has not confirmed that it knows it: one that was
+  /// accepted here, or that has moved away from a slice of this process.
   struct Announcement
   {
     jobs::JobRecord m_record;
     RowVersion m_version = 0;
+    SliceId m_slice;
+    bool m_cancel = false; ///< the job is to be cancelled there
+  };
+  using AnnouncementKey = std::pair<JobId, SliceId>;
+
+  /// A caller's question on its way along the slices of a job.
+  struct Question
+  {
+    JobId m_job;
+    TeamId m_team; ///< empty for an operator
+    JobQuestion m_question = JobQuestion::Status;
+    SliceId m_slice;
+    std::uint32_t m_follows = 0; ///< slices that the job had left
   };
 
   Result<TeamId> TeamOf(const caller::CallerContext& aContext) const;
@@ -76,14 +95,21 @@
   void ReadJob(const std::shared_ptr<Submission>& aSubmission);
   void Accept(const Submission& aSubmission);
   void Announce(const Announcement& aAnnouncement);
-  net::HttpResponse Answer(const JobId& aJob,
-                           const TeamId& aTeam,
-                           JobQuestion aQuestion);
+  void Confirm(const AnnouncementKey& aKey, bool aCancelled);
+  void SendQuestion(const Question& aQuestion, const net::HttpReply& aReply);
+  /// Replies, or asks again where the job has moved to.
+  void TakeAnswer(const Question& aQuestion,
+                  const net::HttpResponse& aAnswer,
+                  const net::HttpReply& aReply);
+  net::HttpResponse Answer(const Question& aQuestion);
+  net::HttpResponse AnswerMoved(const Question& aQuestion,
+                                const jobs::JobRecord& aTombstone);
 
   CellState m_cell;
   LocalWorkerOwner m_localOwner;
-  std::map<JobId, Announcement> m_unconfirmed;
+  std::map<AnnouncementKey, Announcement> m_unconfirmed;
   std::size_t m_openSubmissions = 0;
+  std::size_t m_openMoves = 0;
 };
 
 } // namespace lacewing::daemon
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -238,9 +238,9 @@
   entry.m_inWrite.insert(
     entry.m_inWrite.end(), entry.m_next.begin(), entry.m_next.end());
   entry.m_next.clear();
-  entry.m_record.m_nonce = m_noncePrefix + std::to_string(++m_lastNonce);
+  entry.m_record.m_nonce = NextNonce();
   table::RecordWrite write;
-  write.m_key = jobs::JobRow(aJob);
+  write.m_key = RowOf(aJob);
   write.m_expected = entry.m_version;
   write.m_value = jobs::EncodeRecord(entry.m_record);
   write.m_deadline = m_access.m_now() + kWriteDeadline;
@@ -275,7 +275,7 @@
 JobStore::Reread(const JobId& aJob)
 {
   table::Read read;
-  read.m_keys.push_back(jobs::JobRow(aJob));
+  read.m_keys.push_back(RowOf(aJob));
   m_access.m_fetch(
     read, [weak = weak_from_this(), aJob](const table::ReadResult& aResult) {
       if (const auto self = weak.lock()) {
@@ -291,7 +291,7 @@
     Retry([this, aJob] { Reread(aJob); });
     return;
   }
-  const auto row = aResult.m_rows.find(jobs::JobRow(aJob));
+  const auto row = aResult.m_rows.find(RowOf(aJob));
   const auto found = row == aResult.m_rows.end()
                        ? std::nullopt
                        : DecodeOrNothing(aJob, row->second.m_value);
@@ -337,6 +337,68 @@
   return parsed.ec == std::errc() && parsed.ptr == end && epoch > m_epoch;
 }
 
+std::string
+JobStore::RowOf(const JobId& aJob) const
+{
+  return jobs::JobRow(m_slice, aJob);
+}
+
+std::string
+JobStore::NextNonce()
+{
+  return m_noncePrefix + std::to_string(++m_lastNonce);
+}
+
+std::optional<PreparedMove>
+JobStore::BeginMove(const JobId& aJob, const SliceId& aTo)
+{
+  const auto found = m_entries.find(aJob);
+  if (found == m_entries.end() || found->second.m_busy) {
+    return std::nullopt;
+  }
+  Entry& entry = found->second;
+  const jobs::JobRecord& record = entry.m_record;
+  if (record.m_ending != jobs::JobEnding::Open || record.m_cancelRequested ||
+      !record.m_marked.empty() || !record.m_succeeded.empty()) {
+    return std::nullopt;
+  }
+  entry.m_busy = true;
+  PreparedMove move{ {}, record };
+  move.m_moved.m_nonce = NextNonce();
+  move.m_moved.m_movedFrom.push_back(m_slice);
+  jobs::JobRecord tombstone = move.m_moved;
+  tombstone.m_ending = jobs::JobEnding::Moved;
+  tombstone.m_movedTo = aTo;
+  tombstone.m_endedMicros = m_access.m_wallMicros();
+  const std::string newRow = jobs::JobRow(aTo, aJob);
+  move.m_write.m_key = RowOf(aJob);
+  move.m_write.m_expected = entry.m_version;
+  move.m_write.m_value = jobs::EncodeRecord(tombstone);
+  move.m_write.m_also = { { newRow, 0 } };
+  move.m_write.m_second =
+    table::Put{ newRow, jobs::EncodeRecord(move.m_moved) };
+  return move;
+}
+
+void
+JobStore::EndMove(const jobs::JobRecord& aRow, RowVersion aVersion)
+{
+  Entry& entry = m_entries.at(aRow.m_id);
+  entry.m_record = aRow;
+  entry.m_version = aVersion;
+  if (aRow.m_ending != jobs::JobEnding::Open) {
+    entry.m_seenEnded = m_access.m_now();
+  }
+  Finish(aRow.m_id, true);
+}
+
+void
+JobStore::DropMove(const JobId& aJob)
+{
+  m_entries.at(aJob).m_busy = false;
+  Remove(aJob);
+}
+
 std::vector<JobId>
 JobStore::TakeExpired(Duration aRetention, Duration aMinSeen, std::size_t aMax)
 {
--- a/src/daemon/JobStore.h
+++ b/src/daemon/JobStore.h
@@ -12,6 +12,13 @@
 
 namespace lacewing::daemon {
 
+/// The write that moves a job, and the job's record in the new slice.
+struct PreparedMove
+{
+  table::RecordWrite m_write;
+  jobs::JobRecord m_moved;
+};
+
 class JobStore : public std::enable_shared_from_this<JobStore>
 {
 public:
@@ -55,6 +62,19 @@
   /// tasks that still run.
   void RequestCancel(const JobId& aJob, Done aDone);
 
+  /// Prepares the move of a job of which nothing has run, and makes its row
+  /// busy until one of the two functions below is called. Nothing if another
+  /// write of the row is under way, or the job can't move.
+  std::optional<PreparedMove> BeginMove(const JobId& aJob, const SliceId& aTo);
+  /// Takes over what the job's row says after a move, or after it has failed.
+  void EndMove(const jobs::JobRecord& aRow, RowVersion aVersion);
+  /// Forgets a job whose row cannot be known any more.
+  void DropMove(const JobId& aJob);
+  /// Key of the job's row in this slice.
+  std::string RowOf(const JobId& aJob) const;
+  /// For the next write of this owner.
+  std::string NextNonce();
+
   /// Jobs that ended before the retention time, at most so many, from where the
   /// last call stopped. The age is counted from the time of day in the row if
   /// this store has seen the job as ended for the given time, and else from
--- a/src/daemon/LoadView.cpp
+++ b/src/daemon/LoadView.cpp
@@ -64,13 +64,8 @@
   if (!load) {
     return -1.0;
   }
-  std::int64_t free = load->m_freeMillicores;
-  const auto sent = m_sentJobs.find(aSlice);
-  if (sent != m_sentJobs.end()) {
-    for (const SentJob& job : sent->second) {
-      free -= aNow - job.m_at <= kSentJobAge ? job.m_millicores : 0;
-    }
-  }
+  const std::int64_t free =
+    load->m_freeMillicores - SentMillicores(aNow, aSlice);
   const auto capacity = std::max<std::int64_t>(aCapacityMillicores, 1);
   const auto workers = std::max<std::size_t>(aWorkers, 1);
   return static_cast<double>(free) / static_cast<double>(capacity) -
@@ -78,6 +73,19 @@
            static_cast<double>(workers);
 }
 
+std::int64_t
+LoadView::SentMillicores(Time aNow, const SliceId& aSlice) const
+{
+  std::int64_t sum = 0;
+  const auto sent = m_sentJobs.find(aSlice);
+  if (sent != m_sentJobs.end()) {
+    for (const SentJob& job : sent->second) {
+      sum += aNow - job.m_at <= kSentJobAge ? job.m_millicores : 0;
+    }
+  }
+  return sum;
+}
+
 void
 LoadView::OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores)
 {
--- a/src/daemon/LoadView.h
+++ b/src/daemon/LoadView.h
@@ -42,6 +42,9 @@
                    std::size_t aWorkers) const;
   /// Counts a job against the slice until heartbeats include it.
   void OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores);
+  /// Millicores of the jobs that were sent there and that heartbeats may not
+  /// include yet.
+  std::int64_t SentMillicores(Time aNow, const SliceId& aSlice) const;
   /// Usage of a team by all members, by their latest heartbeats.
   peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
   std::uint64_t SettingsVersionOf(const VmId& aVm) const;
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -134,6 +134,7 @@
                                    SliceId aSlice,
                                    Epoch aEpoch,
                                    SliceAuthority aAuthority,
+                                   MoveHooks aMoveHooks,
                                    sched::SchedulerOptions aOptions)
   : m_runtime(aRuntime)
   , m_slice(std::move(aSlice))
@@ -152,6 +153,7 @@
       [this](const JobId& aJob) {
         return !m_scheduler.JobStatus(aJob) || m_scheduler.Forget(aJob);
       }))
+  , m_moveHooks(std::move(aMoveHooks))
   , m_scheduler(aOptions)
 {
 }
@@ -600,6 +602,9 @@
 bool
 WorkerSliceOwner::Cancel(const JobId& aJob)
 {
+  if (m_mover && m_mover->Cancel(aJob)) {
+    return true;
+  }
   const bool known = m_scheduler.Cancel(net::Loop::Now(), aJob);
   m_runtime.OwnerTimer().CallSoon();
   if (known) {
@@ -612,6 +617,83 @@
   return known;
 }
 
+std::vector<sched::MovableJob>
+WorkerSliceOwner::MovableJobs() const
+{
+  std::vector<sched::MovableJob> movable;
+  for (const sched::RoomWait& wait : m_scheduler.WaitingForRoom()) {
+    const jobs::JobRecord* record = m_store->Find(wait.m_job);
+    if (record == nullptr) {
+      continue;
+    }
+    const caller::JobSpec& spec = record->m_spec;
+    sched::MovableJob job;
+    job.m_job = wait.m_job;
+    job.m_since = wait.m_since;
+    job.m_region = spec.m_region;
+    job.m_urgent = spec.m_urgent;
+    job.m_tasks = spec.m_kind == caller::JobKind::Gang ? spec.m_tasks : 1;
+    job.m_perTask = spec.m_perTask;
+    job.m_allMillicores = spec.m_perTask.m_millicores * spec.m_tasks;
+    job.m_movedFrom = record->m_movedFrom;
+    movable.push_back(std::move(job));
+  }
+  return movable;
+}
+
+void
+WorkerSliceOwner::MoveWaitingJobs(
+  const RegionId& aRegion,
+  const std::vector<sched::MoveTarget>& aTargets,
+  const std::function<void(const SliceId&, std::int64_t)>& aOnSent)
+{
+  if (!IsOpen() || !m_authority.m_mayAct()) {
+    return;
+  }
+  if (!m_mover) {
+    m_moveHooks.m_putBack =
+      [weak = weak_from_this()](const jobs::JobRecord& aRecord, bool aCancel) {
+        if (const auto self = weak.lock()) {
+          self->PutBack(aRecord, aCancel);
+        }
+      };
+    m_mover =
+      std::make_shared<JobMover>(RowAccessOf(m_runtime), m_store, m_moveHooks);
+  }
+  // While the table is slow, moves under way count against the next second.
+  const std::size_t open = std::min(m_mover->size(), sched::kMaxMovesPerSecond);
+  const Time now = net::Loop::Now();
+  for (const sched::JobMove& move :
+       sched::PlanMoves(now,
+                        aRegion,
+                        MovableJobs(),
+                        aTargets,
+                        sched::kMaxMovesPerSecond - open)) {
+    const jobs::JobRecord record = *m_store->Find(move.m_job);
+    if (!m_scheduler.TakeOut(move.m_job)) {
+      continue;
+    }
+    if (!m_mover->Begin(move.m_job, move.m_to)) {
+      m_scheduler.PutBack(now, ToSchedSpec(record));
+      continue;
+    }
+    aOnSent(move.m_to,
+            record.m_spec.m_perTask.m_millicores * record.m_spec.m_tasks);
+  }
+  m_runtime.OwnerTimer().CallSoon();
+}
+
+void
+WorkerSliceOwner::PutBack(const jobs::JobRecord& aRecord, bool aCancel)
+{
+  m_runtime.Metrics().Add(Metric::JobMoves, { "put_back" });
+  m_scheduler.PutBack(net::Loop::Now(), ToSchedSpec(aRecord));
+  m_runtime.OwnerTimer().CallSoon();
+  if (aCancel) {
+    Cancel(aRecord.m_id);
+  }
+}
+
 std::uint32_t
 WorkerSliceOwner::Resolve(const JobId& aJob, bool aRunAgain)
 {
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/JobExpiry.h"
+#include "daemon/JobMover.h"
 #include "daemon/PollPlan.h"
 #include "daemon/Runtime.h"
 #include "daemon/WorkerSession.h"
@@ -36,10 +37,12 @@
   using Scheduler =
     sched::SliceScheduler<sched::FairOrder, sched::BestFitPlacement>;
 
+  /// `m_putBack` of the hooks is set here.
   WorkerSliceOwner(Runtime& aRuntime,
                    SliceId aSlice,
                    Epoch aEpoch,
                    SliceAuthority aAuthority,
+                   MoveHooks aMoveHooks,
                    sched::SchedulerOptions aOptions = {});
   ~WorkerSliceOwner();
   WorkerSliceOwner(const WorkerSliceOwner&) = delete;
@@ -66,6 +69,12 @@
   std::optional<std::string> Submit(const jobs::JobRecord& aRecord,
                                     RowVersion aVersion);
   bool Cancel(const JobId& aJob);
+  /// Starts moves of jobs that wait for room here; to be called once a second.
+  /// Tells the size of each, so that it counts for its new slice.
+  void MoveWaitingJobs(
+    const RegionId& aRegion,
+    const std::vector<sched::MoveTarget>& aTargets,
+    const std::function<void(const SliceId&, std::int64_t)>& aOnSent);
   /// Decides about tasks that may have run; the number of tasks.
   std::uint32_t Resolve(const JobId& aJob, bool aRunAgain);
 
@@ -115,6 +124,8 @@
   /// When `Tick` is due although there is no further input; `Time::max()` if
   /// never.
   Time NextWakeup() const;
+  std::vector<sched::MovableJob> MovableJobs() const;
+  void PutBack(const jobs::JobRecord& aRecord, bool aCancel);
   void Recover(const jobs::JobRecord& aRecord);
   void OpenIfReady();
   void RecordTask(observe::EventKind aKind,
@@ -128,6 +139,8 @@
   Epoch m_epoch;
   std::shared_ptr<JobStore> m_store;
   std::shared_ptr<JobExpiry> m_expiry;
+  MoveHooks m_moveHooks;
+  std::shared_ptr<JobMover> m_mover; ///< set by the first move
   Scheduler m_scheduler;
   std::map<VmId, Worker> m_workers;
   std::int64_t m_capacityMillicores = 0;
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -77,6 +77,37 @@
   return spec;
 }
 
+/// What the owner of a former slice needs to know of a job that has moved.
+std::string
+EncodeTombstone(const JobRecord& aRecord)
+{
+  Json body = { { "team", aRecord.m_team.Value() },
+                { "ending", NameOf(aRecord.m_ending) },
+                { "moved_to", aRecord.m_movedTo.Value() },
+                { "ended_us", aRecord.m_endedMicros },
+                { "nonce", aRecord.m_nonce } };
+  if (aRecord.m_submission) {
+    body["submission"] = *aRecord.m_submission;
+  }
+  return body.dump();
+}
+
+/// The fields that only the row of an existing job has.
+Result<void>
+ReadJobFields(const Json& aBody, JobRecord& aRecord)
+{
+  BOOST_LEAF_ASSIGN(aRecord.m_spec, SpecFrom(aRecord.m_id, aBody.at("spec")));
+  aRecord.m_cancelRequested = TypedField<bool>(aBody, "cancel_requested");
+  aRecord.m_marked = FromRanges(aBody, "marked");
+  aRecord.m_succeeded = FromRanges(aBody, "succeeded");
+  if (aBody.contains("moved_from")) {
+    for (const Json& slice : ArrayField(aBody, "moved_from")) {
+      aRecord.m_movedFrom.emplace_back(slice.get<std::string>());
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 bool
@@ -95,7 +126,13 @@
 std::string
 JobRow(const JobId& aJob)
 {
-  return JobRowPrefix(SliceOf(aJob)) + aJob.Value();
+  return JobRow(SliceOf(aJob), aJob);
+}
+
+std::string
+JobRow(const SliceId& aSlice, const JobId& aJob)
+{
+  return JobRowPrefix(aSlice) + aJob.Value();
 }
 
 std::string
@@ -139,6 +176,9 @@
 std::string
 EncodeRecord(const JobRecord& aRecord)
 {
+  if (aRecord.m_ending == JobEnding::Moved) {
+    return EncodeTombstone(aRecord);
+  }
   Json body = { { "team", aRecord.m_team.Value() },
                 { "spec", Json::parse(caller::EncodeJobSpec(aRecord.m_spec)) },
                 { "ending", NameOf(aRecord.m_ending) },
@@ -150,6 +190,9 @@
   if (aRecord.m_submission) {
     body["submission"] = *aRecord.m_submission;
   }
+  for (const SliceId& slice : aRecord.m_movedFrom) {
+    body["moved_from"].push_back(slice.Value());
+  }
   return body.dump();
 }
 
@@ -161,7 +204,6 @@
     JobRecord record;
     record.m_id = aJob;
     record.m_team = TeamId(TypedField<std::string>(body, "team"));
-    BOOST_LEAF_ASSIGN(record.m_spec, SpecFrom(aJob, body.at("spec")));
     const auto ending =
       ParseName<JobEnding>(TypedField<std::string>(body, "ending"));
     if (!ending) {
@@ -170,9 +212,11 @@
                   "row of job " + aJob.Value() + " has an unknown ending");
     }
     record.m_ending = *ending;
-    record.m_cancelRequested = TypedField<bool>(body, "cancel_requested");
-    record.m_marked = FromRanges(body, "marked");
-    record.m_succeeded = FromRanges(body, "succeeded");
+    if (*ending == JobEnding::Moved) {
+      record.m_movedTo = SliceId(TypedField<std::string>(body, "moved_to"));
+    } else {
+      BOOST_LEAF_CHECK(ReadJobFields(body, record));
+    }
     // Rows of former versions have neither of the two fields.
     if (body.contains("ended_us")) {
       record.m_endedMicros = WholeNumber<std::int64_t>(
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lacewing::jobs {
 
@@ -21,6 +22,7 @@
   Failed,
   MayHaveRun, ///< a task that must not run twice was lost
   Cancelled,
+  Moved, ///< the job goes on under another slice; its row here is a tombstone
 };
 
 struct JobRecord
@@ -39,6 +41,10 @@
   /// Row of the submission, empty if it had no idempotency key. Nothing in rows
   /// of former versions, which did not name it: they are never deleted.
   std::optional<std::string> m_submission = "";
+  /// Slices that the job has left, the one that accepted it first.
+  std::vector<SliceId> m_movedFrom;
+  /// Slice that has the job's row now; empty unless the ending is `Moved`.
+  SliceId m_movedTo;
   std::string m_nonce; ///< of the last write
 
   bool operator==(const JobRecord&) const = default;
@@ -54,9 +60,13 @@
 bool
 MayStillRun(const JobRecord& aRecord);
 
-/// Key of the job's row. The id begins with the slice and a '.'.
+/// Key of the job's row in the slice that accepted it, with which the id
+/// begins.
 std::string
 JobRow(const JobId& aJob);
+/// Key of the job's row in a slice, to which it may have moved.
+std::string
+JobRow(const SliceId& aSlice, const JobId& aJob);
 /// Prefix of the rows of all jobs of a slice.
 std::string
 JobRowPrefix(const SliceId& aSlice);
@@ -69,10 +79,13 @@
 /// A new id in the slice; `aRandom` makes it unique.
 JobId
 MakeJobId(const SliceId& aSlice, std::uint64_t aRandom);
-/// The slice in a job's id; empty if the id is malformed.
+/// The slice in a job's id, which accepted the job; empty if the id is
+/// malformed.
 SliceId
 SliceOf(const JobId& aJob);
 
+/// The row of a job that has moved is short: it has neither the job nor its
+/// marks.
 std::string
 EncodeRecord(const JobRecord& aRecord);
 /// Errors: `Internal` with what is wrong in the row.
@@ -98,5 +111,6 @@
     std::pair{ Ending::Failed, std::string_view("failed") },
     std::pair{ Ending::MayHaveRun, std::string_view("may_have_run") },
     std::pair{ Ending::Cancelled, std::string_view("cancelled") },
+    std::pair{ Ending::Moved, std::string_view("moved") },
   };
 };
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -38,6 +38,7 @@
   { Metric::WaitingSeconds, "lacewing_waiting_seconds", Histogram, "seconds", "class", "Time from acceptance to the start.", "99th percentile of urgent above 1.9 s" },
   { Metric::TaskStarts, "lacewing_task_starts_total", Counter, "tasks", "class", "Tasks started.", "no growth for 1 minute while tasks wait" },
   { Metric::Preemptions, "lacewing_preemptions_total", Counter, "tasks", "kind", "Tasks throttled, checkpointed or stopped for other work.", "more than a tenth of the starts over 10 minutes" },
+  { Metric::JobMoves, "lacewing_job_moves_total", Counter, "jobs", "result", "Waiting jobs that were to move to another slice, by result: moved or put_back.", "put_back above a tenth of moved over 10 minutes" },
   { Metric::TableReads, "lacewing_table_reads_total", Counter, "calls", "purpose", "Reads of the table service.", "above 2000/s over all processes" },
   { Metric::TableWrites, "lacewing_table_writes_total", Counter, "calls", "purpose", "Transactions sent to the table service.", "above 300/s over all processes" },
   { Metric::TableErrors, "lacewing_table_errors_total", Counter, "calls", "state", "Calls of the table service without success.", "unknown grows for 10 s" },
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -19,6 +19,7 @@
   WaitingSeconds,
   TaskStarts,
   Preemptions,
+  JobMoves,
   TableReads,
   TableWrites,
   TableErrors,
--- a/src/ownership/Ownership.h
+++ b/src/ownership/Ownership.h
@@ -73,6 +73,17 @@
   /// The process may serve: its state is active.
   bool IsActive() const;
 
+  /// The version of the slice's row as this member wrote it under the epoch; a
+  /// write that checks it fails once another member has claimed the slice.
+  /// Nothing if the slice is not held under the epoch.
+  std::optional<RowVersion> HeldVersion(const SliceId& aSlice,
+                                        Epoch aEpoch) const
+  {
+    const auto held = m_slices.Held().find(aSlice);
+    return held != m_slices.Held().end() && held->second.m_epoch == aEpoch
+             ? std::optional(held->second.m_version)
+             : std::nullopt;
+  }
   /// The token for the next command to a worker; 0 if none may be sent.
   std::uint64_t WorkerToken(const SliceId& aSlice, const VmId& aWorker) const;
   /// What runs and waits in an open slice, of all teams: limits that are left
--- a/src/sched/JobReport.h
+++ b/src/sched/JobReport.h
@@ -26,6 +26,13 @@
   std::string m_message; ///< for people
 };
 
+/// A job of which nothing has run or has a place, and which waits for room.
+struct RoomWait
+{
+  JobId m_job;
+  Time m_since{}; ///< when the slice got the job
+};
+
 struct TeamUsage
 {
   TeamId m_team;
--- a/src/sched/SliceScheduler.h
+++ b/src/sched/SliceScheduler.h
@@ -76,6 +76,14 @@
   /// The team's decision about tasks in the state `MayHaveRun`: run them again,
   /// or count them as failed. Answers the number of tasks.
   std::uint32_t Resolve(Time aNow, const JobId& aJob, bool aRunAgain);
+  /// Jobs that wait for room and may go to another slice: none of their tasks
+  /// holds anything, has run, is marked or may have run. In no order. Looks at
+  /// every job.
+  std::vector<RoomWait> WaitingForRoom() const;
+  /// Forgets such a job; false if it is unknown or not such a job. `PutBack`
+  /// queues it again, behind the jobs of its team that came meanwhile.
+  bool TakeOut(const JobId& aJob);
+  void PutBack(Time aNow, const JobSpec& aSpec);
   /// Drops a job that is over; false if it is unknown or not over.
   bool Forget(const JobId& aJob);
 
@@ -255,7 +263,8 @@
 
   // SliceSchedulerJobs.h
   TaskRef FindTask(const TaskId& aTask) const;
-  std::uint32_t AddJob(const JobSpec& aSpec);
+  std::uint32_t AddJob(Time aNow, const JobSpec& aSpec);
+  bool IsUntouched(std::uint32_t aJob) const;
 
   SchedulerOptions m_options;
   SliceState m_state;
--- a/src/sched/SliceSchedulerAdoption.h
+++ b/src/sched/SliceSchedulerAdoption.h
@@ -187,7 +187,7 @@
   if (m_state.FindJob(aSpec.m_id) != kNone || aSpec.m_tasks == 0) {
     return;
   }
-  const std::uint32_t index = AddJob(aSpec);
+  const std::uint32_t index = AddJob(aNow, aSpec);
   Job& job = m_state.JobAt(index);
   for (const std::uint32_t task : aTasks.m_succeeded) {
     if (task < aSpec.m_tasks &&
--- a/src/sched/SliceState.h
+++ b/src/sched/SliceState.h
@@ -76,6 +76,7 @@
   WaitReason m_wait = WaitReason::NotYetConsidered;
   Time m_blockedSince = Time::max();
   Time m_notBefore = Time::min();
+  Time m_submitted{};                    ///< when this slice got the job
   std::uint32_t m_learnedMemoryMib = 0;  ///< highest measured peak of a task
   std::vector<std::uint32_t> m_failedOn; ///< different, since a success
   /// Workers on which a task has failed; they get no probe task of the job, and
--- a/src/table/GroupCommit.cpp
+++ b/src/table/GroupCommit.cpp
@@ -1,10 +1,31 @@
 #include "table/GroupCommit.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace lacewing::table {
 
+namespace {
+
+RowVersion
+VersionIn(const Rows& aRows, const std::string& aKey)
+{
+  const auto row = aRows.find(aKey);
+  return row == aRows.end() ? 0 : row->second.m_version;
+}
+
+/// True if a row that the record writes or checks is among the conflicts.
+bool
+IsConcerned(const RecordWrite& aWrite,
+            const std::unordered_set<std::string>& aConflicts)
+{
+  return aConflicts.contains(aWrite.m_key) ||
+         std::ranges::any_of(aWrite.m_also, [&](const Check& aCheck) {
+           return aConflicts.contains(aCheck.m_key);
+         });
+}
+
+} // namespace
+
 GroupCommit::GroupCommit(GroupCommitOptions aOptions)
   : m_options(aOptions)
 {
@@ -103,9 +124,7 @@
   Batch others;
   for (const RecordId record : aBatch) {
     const Record& entry = m_records.at(record);
-    const auto& also = entry.m_write.m_also;
-    if (!conflicts.contains(entry.m_write.m_key) &&
-        !(also && conflicts.contains(also->m_key))) {
+    if (!IsConcerned(entry.m_write, conflicts)) {
       others.push_back(record);
     } else if (entry.m_uncertain) {
       // The conflict may be with its own earlier transaction.
@@ -161,12 +180,10 @@
   const auto row = aRows.find(write.m_key);
   const bool absent = row == aRows.end();
   const RowVersion version = absent ? 0 : row->second.m_version;
-  const auto also =
-    write.m_also ? aRows.find(write.m_also->m_key) : aRows.end();
-  const RowVersion alsoVersion =
-    also == aRows.end() ? 0 : also->second.m_version;
   const bool alsoHolds =
-    !write.m_also || alsoVersion == write.m_also->m_version;
+    std::ranges::all_of(write.m_also, [&](const Check& aCheck) {
+      return VersionIn(aRows, aCheck.m_key) == aCheck.m_version;
+    });
   const bool inEffect =
     write.m_value ? !absent && row->second.m_value == *write.m_value : absent;
   if (inEffect) {
@@ -256,36 +273,62 @@
     m_batch.push_back(record);
     const RecordWrite& write = m_records.at(record).m_write;
     batch.m_read.m_keys.push_back(write.m_key);
-    if (write.m_also) {
-      batch.m_read.m_keys.push_back(write.m_also->m_key);
+    for (const Check& check : write.m_also) {
+      batch.m_read.m_keys.push_back(check.m_key);
     }
   }
   return batch;
 }
 
+/// Adds the rows of a record to those of a transaction; false, with nothing
+/// added, if it needs a transaction of its own: a row may be written by one
+/// record only, and not be checked by another. Several records may check the
+/// same version of a row.
+bool
+GroupCommit::TakeKeys(
+  const RecordWrite& aWrite,
+  std::unordered_set<std::string>& aWritten,
+  std::unordered_map<std::string, RowVersion>& aChecked) const
+{
+  std::vector<std::string> writes{ aWrite.m_key };
+  if (aWrite.m_second) {
+    writes.push_back(aWrite.m_second->m_key);
+  }
+  const bool writable = std::ranges::none_of(writes, [&](const auto& aKey) {
+    return aWritten.contains(aKey) || aChecked.contains(aKey);
+  });
+  const bool checkable =
+    std::ranges::all_of(aWrite.m_also, [&](const Check& aCheck) {
+      const auto other = aChecked.find(aCheck.m_key);
+      return !aWritten.contains(aCheck.m_key) &&
+             (other == aChecked.end() || other->second == aCheck.m_version);
+    });
+  if (!writable || !checkable) {
+    return false;
+  }
+  aWritten.insert(writes.begin(), writes.end());
+  for (const Check& check : aWrite.m_also) {
+    aChecked.emplace(check.m_key, check.m_version);
+  }
+  return true;
+}
+
 CommitBatch
 GroupCommit::StartCommit()
 {
   CommitBatch batch{ ++m_operation, {} };
   Commit& commit = batch.m_commit;
-  std::unordered_set<std::string> keys;
+  std::unordered_set<std::string> written;
+  std::unordered_map<std::string, RowVersion> checked;
   std::deque<RecordId> sameKey;
   while (!m_queue.empty() && m_batch.size() < m_options.m_maxBatch) {
     const RecordId record = m_queue.front();
     m_queue.pop_front();
     const RecordWrite& write = m_records.at(record).m_write;
-    // Writes of the same row need transactions of their own, and so do a write
-    // of a row and a check of it by another record.
-    if (keys.contains(write.m_key) ||
-        (write.m_also && keys.contains(write.m_also->m_key))) {
+    if (!TakeKeys(write, written, checked)) {
       sameKey.push_back(record);
       continue;
     }
-    keys.insert(write.m_key);
-    if (write.m_also) {
-      keys.insert(write.m_also->m_key);
-      commit.m_checks.push_back(*write.m_also);
-    }
     m_batch.push_back(record);
     if (write.m_expected) {
       commit.m_checks.push_back({ write.m_key, *write.m_expected });
@@ -295,6 +338,12 @@
     } else {
       commit.m_deletes.push_back(write.m_key);
     }
+    if (write.m_second) {
+      commit.m_puts.push_back(*write.m_second);
+    }
+  }
+  for (const auto& [key, version] : checked) {
+    commit.m_checks.push_back({ key, version });
   }
   m_queue.insert(m_queue.begin(), sameKey.begin(), sameKey.end());
   return batch;
--- a/src/table/GroupCommit.h
+++ b/src/table/GroupCommit.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace lacewing::table {
@@ -24,9 +25,12 @@
   std::optional<RowVersion> m_expected;
   std::optional<std::string> m_value; ///< nothing deletes the row
   Time m_deadline{};                  ///< not sent again at or after this time
-  /// Another row that must have the version when this one is written; if it has
-  /// not, the result is `Conflict`.
-  std::optional<Check> m_also = std::nullopt;
+  /// Other rows that must have these versions when this one is written; if one
+  /// has not, the result is `Conflict`.
+  std::vector<Check> m_also = {};
+  /// Another row that is written in the same transaction. Whether the record
+  /// took effect is read from the first row alone.
+  std::optional<Put> m_second = std::nullopt;
 };
 
 /// `Committed`, `Conflict`: the state of the row is known. `NotApplied`: no
@@ -114,6 +118,9 @@
               RowVersion aVersion,
               GroupCommitEffects& aEffects);
   void Requeue(const Batch& aBatch);
+  bool TakeKeys(const RecordWrite& aWrite,
+                std::unordered_set<std::string>& aWritten,
+                std::unordered_map<std::string, RowVersion>& aChecked) const;
   void OnConflict(const Batch& aBatch,
                   const CommitResult& aResult,
                   GroupCommitEffects& aEffects);
--- a/tests/correctness/GroupCommitBatches.cpp
+++ b/tests/correctness/GroupCommitBatches.cpp
@@ -109,7 +109,7 @@
 {
   GroupCommit commit;
   RecordWrite write = Insert("job");
-  write.m_also = Check{ "submission", 7 };
+  write.m_also = { { "submission", 7 } };
   commit.Add(write);
   const auto first = commit.OnTick(Time());
   ASSERT_EQ(first.m_commit->m_commit.m_checks.size(), 2U);
@@ -125,7 +125,7 @@
   for (const RowVersion version : { 7U, 8U }) {
     GroupCommit commit;
     RecordWrite write = Insert("job");
-    write.m_also = Check{ "submission", 7 };
+    write.m_also = { { "submission", 7 } };
     commit.Add(write);
     commit.OnTick(Time());
     const auto unknown = commit.OnCommitResult(
@@ -144,7 +144,7 @@
   GroupCommit commit;
   commit.Add({ "submission", 7, std::nullopt, Time() + seconds(10) });
   RecordWrite write = Insert("job");
-  write.m_also = Check{ "submission", 7 };
+  write.m_also = { { "submission", 7 } };
   commit.Add(write);
   const auto first = commit.OnTick(Time());
   EXPECT_EQ(first.m_commit->m_commit.m_deletes.size(), 1U);
--- a/tests/correctness/TaskQueueCount.cpp
+++ b/tests/correctness/TaskQueueCount.cpp
@@ -28,7 +28,8 @@
   const SliceId slice("workers-a-0");
   SliceAuthority authority;
   authority.m_mayAct = [] { return false; };
-  auto owner = std::make_shared<WorkerSliceOwner>(runtime, slice, 1, authority);
+  auto owner = std::make_shared<WorkerSliceOwner>(
+    runtime, slice, 1, authority, MoveHooks());
   jobs::JobRecord urgent = JobOf(slice, 1, 2);
   urgent.m_spec.m_urgent = true;
   const jobs::JobRecord other = JobOf(slice, 2, 5);
