Keep tombstones from the writes of a deposed owner

Cause: an owner that had lost its slice and still wrote a job's row merged its record into the tombstone of the next owner and wrote it back, which left the job open in two slices. A job that had moved could also end as never runnable when workers of the new slice were not adopted yet.

Change: a tombstone that is read back ends the write; a job that has moved is queued without the checks of a new one; leaving workers are no room for a move.

Shown: AWriteOfADeposedOwnerLeavesTheTombstone fails without the first change. AMoveOfUnknownOutcomeIsNotPutBack fails if the job is put back after a read instead of after the write is repeated or the row is fenced.

--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -211,7 +211,9 @@
       load->m_freeMillicores - m_loads.SentMillicores(now, id);
     target.m_queueLength = load->m_queueLength;
     for (const vmlist::Vm& vm : slice.m_vms) {
-      target.m_workers.push_back(vm.m_capacity);
+      if (vm.m_state != vmlist::VmState::Leaving) {
+        target.m_workers.push_back(vm.m_capacity);
+      }
     }
     targets.push_back(std::move(target));
   }
--- a/src/daemon/JobStore.cpp
+++ b/src/daemon/JobStore.cpp
@@ -305,6 +305,14 @@
     Finish(aJob, true);
     return;
   }
+  if (found->m_ending == jobs::JobEnding::Moved) {
+    // A later owner has moved the job; its tombstone must stay.
+    entry.m_record = *found;
+    entry.m_version = row->second.m_version;
+    entry.m_seenEnded = m_access.m_now();
+    Finish(aJob, false);
+    return;
+  }
   const bool mine = found->m_nonce.starts_with(m_noncePrefix);
   // A row that is being fenced may still be written by the former owner; its
   // marks are taken over. After that, and for a former owner that meets the
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -584,7 +584,14 @@
     return std::nullopt;
   }
   const Time now = net::Loop::Now();
-  const auto never = m_scheduler.Submit(now, ToSchedSpec(aRecord));
+  // A job that has moved was accepted before. It waits if workers are missing
+  // here, and may move on.
+  std::optional<sched::NeverRunnable> never;
+  if (aRecord.m_movedFrom.empty()) {
+    never = m_scheduler.Submit(now, ToSchedSpec(aRecord));
+  } else {
+    m_scheduler.PutBack(now, ToSchedSpec(aRecord));
+  }
   m_runtime.OwnerTimer().CallSoon();
   observe::Event event;
   event.m_kind = EventKind::JobQueued;
--- a/tests/correctness/JobMoveFaults.cpp
+++ b/tests/correctness/JobMoveFaults.cpp
@@ -316,6 +316,41 @@
   }
 }
 
+/// The transaction takes effect long after its outcome could not be found out in
+/// time. A job that was put back meanwhile would run in both slices.
+TEST(JobMoveFaults, AMoveOfUnknownOutcomeIsNotPutBack)
+{
+  World world;
+  auto& faults = world.m_table.Faults();
+  faults.m_holdNextCommit = seconds(15);
+  world.BeginMove();
+  world.m_queue.After(milliseconds(100), [&] { faults.m_down = true; });
+  world.m_queue.After(seconds(12), [&] { faults.m_down = false; });
+  world.Run(seconds(40));
+  world.CheckRows();
+  EXPECT_EQ(world.m_announced + world.m_putBack, 1);
+  EXPECT_EQ(world.m_announced == 1, world.HasMoved());
+}
+
+/// A deposed owner that still writes the row must not write over the tombstone
+/// of the next owner, which would leave the job open in two slices.
+TEST(JobMoveFaults, AWriteOfADeposedOwnerLeavesTheTombstone)
+{
+  World world;
+  world.m_next.m_hasAuthority = false;
+  world.m_next.Load();
+  world.m_queue.RunFor(seconds(1));
+  world.BeginMove();
+  world.Run(seconds(1));
+  ASSERT_TRUE(world.HasMoved());
+  bool durable = true;
+  world.m_next.m_store->Succeed({ kJob, 0 },
+                                [&](bool aDurable) { durable = aDurable; });
+  world.Run(seconds(5));
+  world.CheckRows();
+  EXPECT_FALSE(durable);
+}
+
 TEST(JobMoveFaults, AMoveOutlivesTheOwnerOfItsSlice)
 {
   World world;
