--- a/src/daemon/LoadView.cpp
+++ b/src/daemon/LoadView.cpp
@@ -125,19 +125,38 @@
     return -1.0;
   }
   const peer::SliceLoad& load = told->m_value;
-  std::int64_t free = load.m_freeMillicores;
+  const std::int64_t free =
+    load.m_freeMillicores - SentSince(aNow, aSlice, told->m_at);
+  const auto capacity = std::max<std::int64_t>(aCapacityMillicores, 1);
+  const auto workers = std::max<std::size_t>(aWorkers, 1);
+  return static_cast<double>(free) / static_cast<double>(capacity) -
+         static_cast<double>(load.m_queueLength) / static_cast<double>(workers);
+}
+
+std::int64_t
+LoadView::FreeMillicores(Time aNow,
+                         const VmId& aOwner,
+                         const SliceId& aSlice) const
+{
+  const auto* told = FindTold(aNow, aOwner, aSlice);
+  return told == nullptr ? 0
+                         : told->m_value.m_freeMillicores -
+                             SentSince(aNow, aSlice, told->m_at);
+}
+
+std::int64_t
+LoadView::SentSince(Time aNow, const SliceId& aSlice, Time aToldAt) const
+{
+  std::int64_t sum = 0;
   const auto sent = m_sentJobs.find(aSlice);
   if (sent != m_sentJobs.end()) {
     for (const SentJob& job : sent->second) {
-      const bool isIncluded = told->m_at >= job.m_at + kJobReachesOwner ||
-                              aNow - job.m_at > kSentJobAge;
-      free -= isIncluded ? 0 : job.m_millicores;
+      const bool isIncluded =
+        aToldAt >= job.m_at + kJobReachesOwner || aNow - job.m_at > kSentJobAge;
+      sum += isIncluded ? 0 : job.m_millicores;
     }
   }
-  const auto capacity = std::max<std::int64_t>(aCapacityMillicores, 1);
-  const auto workers = std::max<std::size_t>(aWorkers, 1);
-  return static_cast<double>(free) / static_cast<double>(capacity) -
-         static_cast<double>(load.m_queueLength) / static_cast<double>(workers);
+  return sum;
 }
 
 void
--- a/src/daemon/LoadView.h
+++ b/src/daemon/LoadView.h
@@ -44,6 +44,11 @@
   /// Counts a job against the slice until its owner tells a load that includes
   /// the job.
   void OnJobSent(Time aNow, const SliceId& aSlice, std::int64_t aMillicores);
+  /// Free processors of the slice as told by its owner, less the jobs that this
+  /// process has sent there lately; 0 if they are not known.
+  std::int64_t FreeMillicores(Time aNow,
+                              const VmId& aOwner,
+                              const SliceId& aSlice) const;
   /// Usage of a team by all members, by their heartbeats.
   peer::TeamUsage UsageOf(Time aNow, const TeamId& aTeam) const;
   std::uint64_t SettingsVersionOf(const VmId& aVm) const;
@@ -79,6 +84,8 @@
   static void Take(Time aNow,
                    const peer::Heartbeat& aHeartbeat,
                    Member& aMember);
+  /// Millicores of the sent jobs that a load told at the time does not include.
+  std::int64_t SentSince(Time aNow, const SliceId& aSlice, Time aToldAt) const;
   const Told<peer::SliceLoad>* FindTold(Time aNow,
                                         const VmId& aOwner,
                                         const SliceId& aSlice) const;
--- a/src/daemon/RequestExpiry.cpp
+++ b/src/daemon/RequestExpiry.cpp
@@ -200,7 +200,7 @@
     write.m_expected = submission.m_version;
     // A front may write the job's row meanwhile. Without the submission, a
     // repeat would become a second job.
-    write.m_also = table::Check{ submission.m_jobRow, 0 };
+    write.m_also = { { submission.m_jobRow, 0 } };
     Delete(std::move(write), "submission");
   }
 }
