--- a/tests/correctness/JobMoveFaults.cpp
+++ b/tests/correctness/JobMoveFaults.cpp
@@ -316,8 +316,8 @@
   }
 }
 
-/// The transaction takes effect long after its outcome could not be found out in
-/// time. A job that was put back meanwhile would run in both slices.
+/// The transaction takes effect long after its outcome could not be found out
+/// in time. A job that was put back meanwhile would run in both slices.
 TEST(JobMoveFaults, AMoveOfUnknownOutcomeIsNotPutBack)
 {
   World world;
--- a/tests/process/full_slice.sh
+++ b/tests/process/full_slice.sh
@@ -33,13 +33,15 @@
 running=()
 for _ in 1 2 3 4; do running+=("$(submit)"); done
 for job in "${running[@]}"; do await "$job" running 150; done
+# One of these may have moved, since the slice is chosen by loads that are told later.
+before=$(moves)
 waiting=()
 for _ in 1 2 3 4 5 6; do waiting+=("$(submit)"); done
 sleep 3
-[ "$(moves)" = 0 ] || fail "jobs moved although both slices are full"
+[ "$(moves)" = "$before" ] || fail "jobs moved although both slices are full"
 
-# The slice of the first waiting job stays full; everything leaves the other one.
-full=${waiting[0]%.*}
+# The slice with most of the waiting jobs stays full; everything leaves the other one.
+full=$(printf '%s\n' "${waiting[@]%.*}" | sort | uniq -c | sort -rn | awk 'NR == 1 { print $2 }')
 left=()
 for job in "${running[@]}" "${waiting[@]}"; do
   [ "${job%.*}" = "$full" ] || caller cancel "$job" >/dev/null
@@ -53,7 +55,7 @@
 await "${left[0]}" running 100
 await "${left[1]}" running 100
 echo "two jobs of the full slice run after $(($(date +%s%3N) - begin)) ms"
-[ "$(moves)" -ge 2 ] || fail "$(moves) jobs moved"
+[ "$(moves)" -ge $((before + 2)) ] || fail "$(($(moves) - before)) jobs moved"
 
 caller explain "${left[0]}" >/dev/null || fail "no explanation of a job that has moved"
 caller cancel "${left[0]}" >/dev/null
