--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kAllotmentPeriod = milliseconds(200);
 constexpr Duration kHeartbeatPeriod = milliseconds(500);
 constexpr Duration kSlowPeriod = seconds(1);
+/// The sweep of old rows is off until its fault matrix has run.
+constexpr bool kSweepsRequests = false;
 /// How often the sweep of old rows looks whether its next step is due.
 constexpr Duration kExpiryPeriod = milliseconds(100);
 /// From the loss of a member to the next reading of job rows; by then its last
@@ -140,7 +142,9 @@
   m_runtime.SetOwnerTick([this] { TickOwners(); });
   loop.Every(kAllotmentPeriod, [this] { TickAllotments(); });
   loop.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
-  loop.Every(kExpiryPeriod, [this] { TickExpiry(); });
+  if constexpr (kSweepsRequests) {
+    loop.Every(kExpiryPeriod, [this] { TickExpiry(); });
+  }
   loop.Every(kSlowPeriod, [this] {
     PollVmList();
     m_jobs.Tick();
