--- a/tests/error/MessageDecoders.cpp
+++ b/tests/error/MessageDecoders.cpp
@@ -18,6 +18,8 @@
   R"({"checks":[{"key":"a","version":3}],"puts":[{"key":"a","value":"v"}],)"
   R"("deletes":["b"]})";
 const std::string kRead = R"({"keys":["a"],"prefixes":["b/"]})";
+const std::string kReadOfPage =
+  R"({"keys":[],"prefixes":["b/"],"after":"b/1","limit":5})";
 const std::string kCommitResult =
   R"({"state":"conflict","version":9,"conflicts":["a"]})";
 const std::string kReadResult =
@@ -82,6 +84,7 @@
 {
   FuzzJsonDecoder(table::DecodeCommit, kCommit);
   FuzzJsonDecoder(table::DecodeRead, kRead);
+  FuzzJsonDecoder(table::DecodeRead, kReadOfPage);
   FuzzJsonDecoder(table::DecodeCommitResult, kCommitResult);
   FuzzJsonDecoder(table::DecodeReadResult, kReadResult);
   FuzzJsonDecoder(worker::DecodeRequest, kRequest);
@@ -105,6 +108,8 @@
   ExpectNamed(table::DecodeCommit, kCommit, "/checks/0/version", -1, "-1");
   ExpectNamed(table::DecodeCommit, kCommit, "/checks", nullptr, "'checks'");
   ExpectNamed(table::DecodeRead, kRead, "/keys", 5, "'keys' is 5");
+  ExpectNamed(table::DecodeRead, kReadOfPage, "/limit", 0, "'limit' is 0");
+  ExpectNamed(table::DecodeRead, kReadOfPage, "/after", 7, "'after' is 7");
   ExpectNamed(
     table::DecodeCommitResult, kCommitResult, "/state", "done", "\"done\"");
   ExpectNamed(table::DecodeCommitResult, kCommitResult, "/version", 0.5, "0.5");
