--- a/tests/correctness/InventoryDeltas.cpp
+++ b/tests/correctness/InventoryDeltas.cpp
@@ -121,13 +121,8 @@
       }
       case Op::EndMany:
         // More removals than the worker keeps, between two replies.
-        for (std::uint32_t i = 0; i < 70; ++i) {
-          command.m_task = { JobId("short"), i };
-          command.m_attempt = ++m_attempt;
-          command.m_kind = worker::CommandKind::Start;
-          Exchange({ command });
-          command.m_kind = worker::CommandKind::Stop;
-          Exchange({ command });
+        for (int batch = 0; batch < 7; ++batch) {
+          EndTen(batch);
         }
         return Take(Exchange({}));
       case Op::Start:
@@ -147,6 +142,25 @@
     std::vector<worker::RunningTask> m_running; ///< on the worker then
   };
 
+  /// Starts ten short tasks with one message and stops them with the next.
+  void EndTen(int aBatch)
+  {
+    std::vector<worker::Command> commands(10);
+    for (worker::Command& command : commands) {
+      const auto place = static_cast<std::uint32_t>(&command - commands.data());
+      command.m_task = { JobId("short"),
+                         static_cast<std::uint32_t>(aBatch) * 10 + place };
+      command.m_reserved = { 1000, 1000, 0 };
+      command.m_runMs = 600'000;
+      command.m_attempt = ++m_attempt;
+    }
+    Exchange(commands);
+    for (worker::Command& command : commands) {
+      command.m_kind = worker::CommandKind::Stop;
+    }
+    Exchange(commands);
+  }
+
   static WorkerModel WithInstance(std::uint64_t aInstance)
   {
     WorkerOptions options;
