--- a/src/daemon/EntryDaemon.cpp
+++ b/src/daemon/EntryDaemon.cpp
@@ -295,7 +295,7 @@
     if (slice != m_slices.end()) {
       owner->MoveWaitingJobs(
         slice->second.m_region,
-        MoveTargets(id),
+        [this, from = id] { return MoveTargets(from); },
         [this](const SliceId& aTo, std::int64_t aMillicores) {
           m_loads.OnJobSent(net::Loop::Now(), aTo, aMillicores);
         });
--- a/src/daemon/RequestExpiry.cpp
+++ b/src/daemon/RequestExpiry.cpp
@@ -51,6 +51,12 @@
     ReadJobRows();
     return;
   }
+  if (IsPassOver(aShare)) {
+    m_prefix.clear();
+    m_notes.NoteNow(m_access.m_now());
+    m_nextStep = m_access.m_now() + aShare.m_passPause;
+    return;
+  }
   if ((m_pages.Done() || !IsInShare(aShare)) && !NextPrefix(aShare)) {
     m_nextStep = m_access.m_now() + m_pause;
     return;
@@ -70,6 +76,15 @@
   return std::ranges::count(PrefixesOf(aShare), m_prefix) > 0;
 }
 
+bool
+RequestExpiry::IsPassOver(const SweepShare& aShare) const
+{
+  return !m_prefix.empty() && m_pages.Done() &&
+         std::ranges::none_of(
+           PrefixesOf(aShare),
+           [&](const std::string& aPrefix) { return aPrefix > m_prefix; });
+}
+
 bool
 RequestExpiry::NextPrefix(const SweepShare& aShare)
 {
--- a/src/daemon/RequestExpiry.h
+++ b/src/daemon/RequestExpiry.h
@@ -39,6 +39,8 @@
   /// Goes to the next prefix of the share; false if there is none.
   bool NextPrefix(const SweepShare& aShare);
   bool IsInShare(const SweepShare& aShare) const;
+  /// True after the last page of the last prefix of the share.
+  bool IsPassOver(const SweepShare& aShare) const;
   void ReadPage();
   void ReadJobRows();
   void OnPage(const table::ReadResult& aPage);
--- a/src/daemon/SweepPlan.cpp
+++ b/src/daemon/SweepPlan.cpp
@@ -39,6 +39,12 @@
   if (!m_notes.empty() && aNow - m_notes.back().m_time < kNotePeriod) {
     return;
   }
+  NoteNow(aNow);
+}
+
+void
+VersionNotes::NoteNow(Time aNow)
+{
   if (m_largest == 0) {
     return;
   }
--- a/src/daemon/SweepPlan.h
+++ b/src/daemon/SweepPlan.h
@@ -23,6 +23,10 @@
 /// Time between two steps of all sweepers together: with one read and usually
 /// one write a step, they stay within 2 reads and 2 writes a second.
 inline constexpr Duration kSweepStep = milliseconds(500);
+/// Time between two passes over all rows of a sweeper. A pass reads every row:
+/// 864,000 rows of 300 bytes every 6 h are 12 kB/s for the whole fleet, part of
+/// it over the link between regions.
+inline constexpr Duration kSweepPassPause = std::chrono::hours(6);
 /// Rows that a step deletes at most.
 inline constexpr std::size_t kSweepDeletes = 100;
 
@@ -31,6 +35,7 @@
 {
   std::vector<TeamId> m_teams; ///< in the order of names
   Duration m_pause{};          ///< between two steps
+  Duration m_passPause = kSweepPassPause;
 };
 
 /// Each team is swept by the member that rendezvous hashing chooses. The pause
@@ -50,6 +55,8 @@
   void OnVersion(RowVersion aVersion);
   /// Notes the largest version if the period has passed since the last note.
   void Tick(Time aNow);
+  /// Notes the largest version at the end of a pass.
+  void NoteNow(Time aNow);
   /// Largest version that is certainly unchanged for long enough; 0 if none.
   RowVersion Unchanged(Time aNow) const;
 
--- a/src/daemon/WorkerSliceOwner.cpp
+++ b/src/daemon/WorkerSliceOwner.cpp
@@ -660,12 +660,16 @@
 void
 WorkerSliceOwner::MoveWaitingJobs(
   const RegionId& aRegion,
-  const std::vector<sched::MoveTarget>& aTargets,
+  const std::function<std::vector<sched::MoveTarget>()>& aTargets,
   const std::function<void(const SliceId&, std::int64_t)>& aOnSent)
 {
   if (!IsOpen() || !m_authority.m_mayAct()) {
     return;
   }
+  std::vector<sched::MovableJob> movable = MovableJobs();
+  if (movable.empty()) {
+    return;
+  }
   if (!m_mover) {
     m_moveHooks.m_putBack =
       [weak = weak_from_this()](const jobs::JobRecord& aRecord, bool aCancel) {
@@ -682,8 +686,8 @@
   for (const sched::JobMove& move :
        sched::PlanMoves(now,
                         aRegion,
-                        MovableJobs(),
-                        aTargets,
+                        std::move(movable),
+                        aTargets(),
                         sched::kMaxMovesPerSecond - open)) {
     const jobs::JobRecord record = *m_store->Find(move.m_job);
     if (!m_scheduler.TakeOut(move.m_job)) {
--- a/src/daemon/WorkerSliceOwner.h
+++ b/src/daemon/WorkerSliceOwner.h
@@ -70,10 +70,11 @@
                                     RowVersion aVersion);
   bool Cancel(const JobId& aJob);
   /// Starts moves of jobs that wait for room here; to be called once a second.
-  /// Tells the size of each, so that it counts for its new slice.
+  /// Asks for the other slices only if jobs wait, and tells the size of each
+  /// job, so that it counts for its new slice.
   void MoveWaitingJobs(
     const RegionId& aRegion,
-    const std::vector<sched::MoveTarget>& aTargets,
+    const std::function<std::vector<sched::MoveTarget>()>& aTargets,
     const std::function<void(const SliceId&, std::int64_t)>& aOnSent);
   /// Decides about tasks that may have run; the number of tasks.
   std::uint32_t Resolve(const JobId& aJob, bool aRunAgain);
--- a/tests/correctness/RequestExpiryFaults.cpp
+++ b/tests/correctness/RequestExpiryFaults.cpp
@@ -94,11 +94,12 @@
     return Has(routing::RecordRow(kTeam, aKey));
   }
 
-  void Run(Duration aTime)
+  void Run(Duration aTime, Duration aPassPause = {})
   {
     daemon::SweepShare share;
     share.m_teams = { kTeam };
     share.m_pause = seconds(60);
+    share.m_passPause = aPassPause;
     for (const Time end = m_queue.Now() + aTime; m_queue.Now() < end;) {
       m_expiry->Tick(share);
       m_queue.RunUntil(m_queue.Now() + kTickPeriod);
@@ -185,6 +186,22 @@
   EXPECT_FALSE(world.Has(World::SubmissionRow()));
 }
 
+// Guards against a sweep that reads the whole table without a pause, also over
+// the paid link between regions.
+TEST(RequestExpiry, WaitsBetweenTwoPassesAndDeletesInTheNext)
+{
+  World world;
+  PutEveryKind(world);
+  world.Run(hours(1), daemon::kSweepPassPause);
+  const int firstPass = world.Owner().Operations();
+  world.Run(hours(4), daemon::kSweepPassPause);
+  EXPECT_EQ(world.Owner().Operations(), firstPass);
+  world.Run(hours(2), daemon::kSweepPassPause);
+  EXPECT_FALSE(world.HasRecord("old"));
+  EXPECT_FALSE(world.Has(World::SubmissionRow()));
+  EXPECT_TRUE(world.HasRecord("fresh"));
+}
+
 TEST(RequestExpiry, KeepsTheSubmissionOfAJob)
 {
   World world;
