Bound the HTTP client's timeout from below

Change: a timeout below 1 ms counts as 1 ms. Test HttpClientTimeouts.NegativeTimeoutEndsTheCallAndNotTheProcess.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kMaxIdleConnectionsPerAddress = 64;
 /// A response above this size is treated as a failure of the peer.
 constexpr ev_ssize_t kMaxResponseBytes = 4 * 1024 * 1024;
+/// A shorter timeout counts as this one. libevent ends the process for a
+/// negative one.
+constexpr Duration kMinTimeout = milliseconds(1);
 
 evhttp_cmd_type
 CommandOf(const std::string& aMethod)
@@ -156,9 +159,10 @@
 
   evhttp_connection* handle = exchange->m_connection->m_handle;
   constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+  const Duration bounded = std::max(aTimeout, kMinTimeout);
   timeval timeout{};
-  timeout.tv_sec = aTimeout.count() / kMicrosecondsPerSecond;
-  timeout.tv_usec = aTimeout.count() % kMicrosecondsPerSecond;
+  timeout.tv_sec = bounded.count() / kMicrosecondsPerSecond;
+  timeout.tv_usec = bounded.count() % kMicrosecondsPerSecond;
   evhttp_connection_set_timeout_tv(handle, &timeout);
 
   exchange->m_output =
