Make a change of the pool's leader safe for jobs accepted during it; count each failure once

An end listed until it was confirmed was counted by both leaders. Tickets of workers that had left kept a step from ever being placed, and its questions were asked again every 100 ms.

Change: a run of an unknown job keeps its worker from taking tasks until the job's row is read; nothing starts in the first 400 ms while a recorded worker has not answered; failed runs are kept by number; only tickets of usable workers count. The barrier for silent workers is 10 s, and 5 s once the previous leader is known to have stopped.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -128,6 +128,7 @@
 Leadership::Advance()
 {
   m_timer.CallBy(net::Loop::Now() + kTickPeriod);
+  UpdateRole();
   // A daemon without the desired state cannot lead.
   if (m_writing || m_config.m_version == 0) {
     return;
@@ -147,6 +148,9 @@
       ReadRow();
       return;
     case pool::ElectionStep::Claim:
+      m_previous = m_election.Leader();
+      Write(order);
+      return;
     case pool::ElectionStep::Renew:
       Write(order);
       return;
@@ -309,6 +313,50 @@
                                           m_election.Leader().m_workers,
                                           m_config);
   m_leader->Start();
+  if (m_previous.m_vm.empty() ||
+      m_previous.m_vm == m_context.m_settings.m_vm.Value()) {
+    m_leader->PreviousHasStopped();
+  } else {
+    AskPrevious();
+  }
+}
+
+void
+Leadership::AskPrevious()
+{
+  const auto address = TryDecode<net::Address>(
+    [&] { return net::ParseAddress(m_previous.m_address); });
+  if (!address || !m_leader) {
+    return;
+  }
+  const Time asked = net::Loop::Now();
+  m_context.m_http.Send(
+    *address,
+    MakeRequest("GET", kStatusPath),
+    kAskTimeout,
+    [this, asked, leader = std::weak_ptr<PoolLeader>(m_leader)](
+      const net::HttpOutcome& aOutcome) {
+      const auto present = leader.lock();
+      if (!present || present != m_leader) {
+        return;
+      }
+      const auto status = aOutcome.m_response ? TryDecode<LeaderStatus>([&] {
+        return DecodeStatus(aOutcome.m_response->m_body);
+      })
+                                              : std::nullopt;
+      const bool refused = !aOutcome.m_response &&
+                           aOutcome.m_error.m_verdict == Verdict::NotRun &&
+                           net::Loop::Now() < asked + kRefusedWithin;
+      if (refused || (status && !status->m_leads)) {
+        present->PreviousHasStopped();
+        return;
+      }
+      m_context.m_loop.After(kAskPeriod, [this, leader] {
+        if (leader.lock() == m_leader) {
+          AskPrevious();
+        }
+      });
+    });
 }
 
 void
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -44,6 +44,8 @@
   void WriteRows();
   void UpdateRole();
   void AskLeader();
+  /// Asks the previous leader until it is known to have stopped.
+  void AskPrevious();
   void OnStatus(Time aAsked, const net::HttpOutcome& aOutcome);
   void AddRows(table::Commit& aCommit,
                std::vector<pool::PoolScheduler::SaveOrder>& aRows);
@@ -53,6 +55,7 @@
   pool::PoolConfig m_config;
   std::shared_ptr<PoolLeader> m_leader;
   net::PacedTimer m_timer;
+  pool::LeaderRow m_previous; ///< the row before the own claim
   bool m_writing = false;
   /// A transaction may still be applied; the row of the leader has to change
   /// before progress is written again.
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -26,8 +26,8 @@
 constexpr Duration kMissingEntryGrace = milliseconds(2500);
 /// How long the previous leader may have gone on giving orders without its row,
 /// and the longest lease on a slow clock.
-constexpr Duration kPreviousOrders = seconds(10);
-constexpr Duration kPreviousLeases = milliseconds(6300);
+constexpr Duration kPreviousOrders = seconds(5);
+constexpr Duration kPreviousLeases = milliseconds(5200);
 /// Jobs of an unknown age are not older than this.
 constexpr std::int64_t kMaxAgeMs = 600'000;
 
@@ -58,7 +58,8 @@
   : m_context(aContext)
   , m_hooks(std::move(aHooks))
   , m_term(aTerm)
-  , m_scheduler(aTerm,
+  , m_scheduler(net::Loop::Now(),
+                aTerm,
                 ToWorkerIds(aPreviousWorkers),
                 net::Loop::Now() + kPreviousOrders + kPreviousLeases)
   , m_advice(aContext.m_settings.m_vm)
@@ -226,6 +227,7 @@
   }
   AddLoadedJobs();
   m_loaded = true;
+  m_scheduler.OnLoaded(net::Loop::Now());
   m_context.m_log.Write(
     settings::LogLevel::Info,
     "leader_loaded",
@@ -495,12 +497,45 @@
   for (const pool::AskAdvice& question : actions.m_questions) {
     Ask(question);
   }
+  for (const JobId& job : actions.m_lookups) {
+    LookUp(job);
+  }
   if (m_scheduler.HasUnsaved()) {
     m_hooks.m_onUnsaved();
   }
   m_planTimer.CallBy(net::Loop::Now() + kIdlePlanPeriod);
 }
 
+void
+PoolLeader::LookUp(const JobId& aJob)
+{
+  m_context.m_store.ReadRow(
+    pool::JobKey(aJob),
+    kReadTimeout,
+    [weak = weak_from_this(), aJob](const platform::PageResult& aPage) {
+      const auto self = weak.lock();
+      if (!self || self->m_closed || !aPage.m_read.m_ok) {
+        return; // the worker lists the run again
+      }
+      if (aPage.m_read.m_rows.empty()) {
+        self->m_scheduler.OnNoSuchJob(net::Loop::Now(), aJob);
+      }
+      for (const auto& [key, row] : aPage.m_read.m_rows) {
+        if (const auto job = TryDecode<pool::Job>(
+              [&] { return pool::DecodeJob(aJob, row.m_value); })) {
+          self->Add(*job, {}, true);
+        }
+      }
+      self->m_planTimer.CallSoon();
+    });
+}
+
+void
+PoolLeader::PreviousHasStopped()
+{
+  m_scheduler.SetBarrier(net::Loop::Now() + kPreviousLeases);
+}
+
 void
 PoolLeader::Ask(const pool::AskAdvice& aQuestion)
 {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -54,6 +54,8 @@
   void Start();
   /// No order and no callback after this.
   void Close();
+  /// The previous leader gives no orders any more.
+  void PreviousHasStopped();
   /// True once the stored jobs are loaded.
   bool IsLoaded() const { return m_loaded; }
 
@@ -89,6 +91,7 @@
   void TakeWorkerRow(const platform::ChangedRow& aChange);
   void UpdateWorkers();
   void Plan();
+  void LookUp(const JobId& aJob);
   void Ask(const pool::AskAdvice& aQuestion);
   void OnAdvice(const pool::AskAdvice& aQuestion,
                 const std::optional<std::vector<pool::Permission>>& aGood);
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -157,7 +157,7 @@
     tasks.push_back({ place.first,
                       place.second,
                       task.m_done,
-                      task.m_failures,
+                      task.m_failedRuns,
                       task.m_checkpoint });
   }
   return Dump(
@@ -208,7 +208,7 @@
       TaskProgress& task = progress.m_tasks[{
         item.at(0).get<std::uint32_t>(), item.at(1).get<std::uint32_t>() }];
       task.m_done = item.at(2).get<bool>();
-      task.m_failures = item.at(3).get<std::uint32_t>();
+      task.m_failedRuns = item.at(3).get<std::vector<std::uint64_t>>();
       task.m_checkpoint = item.at(4).get<std::string>();
     }
     return progress;
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -48,7 +48,9 @@
 struct TaskProgress
 {
   bool m_done = false;
-  std::uint32_t m_failures = 0;
+  /// Runs that ended as failed. A worker lists an end until the leader has
+  /// confirmed it, so that a new leader may see one that is counted already.
+  std::vector<std::uint64_t> m_failedRuns;
   std::string m_checkpoint;
 
   bool operator==(const TaskProgress&) const = default;
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -170,6 +170,8 @@
 void
 LeaderElection::OnFenced(Time)
 {
+  // Only a later leader can have given the worker a higher token.
+  m_role = Role::Follower;
   m_reread = true;
 }
 
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -45,7 +45,7 @@
   /// Least time between two reads of the row.
   Duration m_readPeriod = milliseconds(250);
   /// Without a renewal for this long a leader gives no orders any more.
-  Duration m_ordersWithoutRenewal = seconds(10);
+  Duration m_ordersWithoutRenewal = seconds(5);
 };
 
 /// What a daemon knows about the leader from asking it.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -16,15 +16,29 @@
 
 } // namespace
 
-PoolScheduler::PoolScheduler(std::uint64_t aTerm,
+PoolScheduler::PoolScheduler(Time aNow,
+                             std::uint64_t aTerm,
                              std::set<WorkerId> aPreviousWorkers,
                              Time aBarrier)
   : m_term(aTerm)
   , m_unheard(std::move(aPreviousWorkers))
   , m_barrier(aBarrier)
+  , m_began(aNow)
 {
 }
 
+void
+PoolScheduler::OnLoaded(Time aNow)
+{
+  m_loadedAt = aNow;
+}
+
+void
+PoolScheduler::SetBarrier(Time aBarrier)
+{
+  m_barrier = std::min(m_barrier, aBarrier);
+}
+
 void
 PoolScheduler::SetConfig(Time, const PoolConfig& aConfig)
 {
@@ -307,9 +321,9 @@
     return 0;
   }
   WorkerRecord& worker = it->second;
-  if (aNow > worker.m_lastAnswer + kSilentAfter) {
-    // The lease of a worker that does not answer runs out, so that its tasks
-    // can start elsewhere.
+  if (aNow > worker.m_lastAnswer + kSilentAfter || !worker.m_listed) {
+    // The lease of a worker that does not answer or is gone runs out, so that
+    // its tasks can start elsewhere.
     return 0;
   }
   const std::int64_t deadline = worker.m_clockMs +
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -53,6 +53,8 @@
   std::vector<StartTask> m_starts;
   std::vector<StopTask> m_stops;
   std::vector<AskAdvice> m_questions;
+  /// Jobs that run on workers and are not known here; to be looked up.
+  std::vector<JobId> m_lookups;
 };
 
 enum class StartOutcome : std::uint8_t
@@ -90,7 +92,8 @@
   /// loaded from the store may run on one of the previous leader's workers.
   /// They wait until all of these have answered, or until the barrier, when
   /// all leases of the previous leader have run out.
-  PoolScheduler(std::uint64_t aTerm,
+  PoolScheduler(Time aNow,
+                std::uint64_t aTerm,
                 std::set<WorkerId> aPreviousWorkers,
                 Time aBarrier);
 
@@ -107,6 +110,13 @@
   /// Stops the job. False if it is not known.
   bool CancelJob(Time aNow, const JobId& aJob);
 
+  /// There is no row of a job that was to be looked up.
+  void OnNoSuchJob(Time aNow, const JobId& aJob);
+  /// The stored jobs are loaded; workers are asked for their lists.
+  void OnLoaded(Time aNow);
+  /// All leases of the previous leader have run out by this time.
+  void SetBarrier(Time aBarrier);
+
   /// Replaces the list of workers.
   void SetWorkers(Time aNow, const std::vector<WorkerInfo>& aWorkers);
   /// Takes a worker's answer to an extension of its lease.
@@ -196,6 +206,7 @@
                                const Candidate& aCandidate);
   RunNumber NextRun(const TaskRecord& aTask) const;
   void PassBarrier(Time aNow);
+  bool InFirstRound(Time aNow) const;
   void PlaceSingles(Time aNow,
                     const Candidate& aCandidate,
                     const std::set<WorkerId>& aReserved,
@@ -226,8 +237,10 @@
   void CountFailure(Time aNow,
                     TrackedJob& aJob,
                     const TaskRef& aTask,
+                    RunNumber aRun,
                     WorkerRecord& aWorker);
   void TakeRunning(Time aNow, WorkerRecord& aWorker, const ListedRun& aRun);
+  void Identify(Time aNow, WorkerRecord& aWorker, const ListedRun& aRun);
   void CheckMissing(Time aNow,
                     WorkerRecord& aWorker,
                     const Inventory& aInventory);
@@ -253,6 +266,9 @@
   std::map<TeamId, Resources> m_teamUse;
   std::map<TeamId, std::pair<double, Time>> m_shareLeft; ///< jobs owed, by team
   std::set<JobId> m_dirty;
+  std::set<JobId> m_lookups;
+  Time m_loadedAt = Time::max();
+  Time m_began{};
   std::vector<StopTask> m_stops; ///< decided since the last plan
   int m_openQuestions = 0;       ///< to the policy service
   Time m_nextStuckCheck{};
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -67,7 +67,7 @@
     return;
   }
   if (aEnd.m_how == RunEnd::Failed) {
-    CountFailure(aNow, aJob, aEnd.m_task, aWorker);
+    CountFailure(aNow, aJob, aEnd.m_task, aEnd.m_run, aWorker);
   }
   if (!aJob.IsOver() && spec.m_gang) {
     StopGang(aNow, aJob, aEnd.m_task.m_step);
@@ -107,6 +107,7 @@
 PoolScheduler::CountFailure(Time aNow,
                             TrackedJob& aJob,
                             const TaskRef& aTask,
+                            RunNumber aRun,
                             WorkerRecord& aWorker)
 {
   ++aWorker.m_failuresInRow;
@@ -119,14 +120,15 @@
   const bool gang = aJob.Spec().m_steps[aTask.m_step].m_gang;
   StepRecord& step = aJob.Step(aTask.m_step);
   TaskRecord& counted = gang ? step.m_tasks.front() : aJob.Task(aTask);
-  if (gang && step.m_failedRun == aJob.Task(aTask).m_run) {
+  if (std::ranges::find(counted.m_failedRuns, aRun) !=
+      counted.m_failedRuns.end()) {
     return;
   }
-  step.m_failedRun = aJob.Task(aTask).m_run;
   aJob.Task(aTask).m_lastFailure = aWorker.m_info.m_id;
-  ++counted.m_failures;
+  counted.m_failedRuns.push_back(aRun);
   const auto rule = m_rules.find(aJob.Spec().m_queue);
-  if (rule != m_rules.end() && counted.m_failures >= rule->second.m_attempts) {
+  if (rule != m_rules.end() &&
+      counted.m_failedRuns.size() >= rule->second.m_attempts) {
     aJob.SetState(JobState::Failed);
     aJob.m_endedAt = aNow;
     m_open.erase(aJob.Spec().m_id);
@@ -139,60 +141,91 @@
                            WorkerRecord& aWorker,
                            const ListedRun& aRun)
 {
-  TrackedJob* job = Find(aRun.m_task.m_job);
-  const bool known = job != nullptr && job->HasTask(aRun.m_task);
-  const auto it = aWorker.m_placements.find(aRun.m_task);
-  if (it != aWorker.m_placements.end() && it->second.m_run == aRun.m_run) {
-    Placement& placement = it->second;
-    if (placement.m_state == PlacementState::Starting) {
-      placement.m_state = PlacementState::Running;
-      placement.m_progressAt = aNow;
-    }
-    if (aRun.m_percent > placement.m_percent) {
-      placement.m_percent = aRun.m_percent;
-      placement.m_progressAt = aNow;
-    }
-    placement.m_missingLists = 0;
-    if (known && !aRun.m_checkpoint.empty() &&
-        job->Spec().m_steps[aRun.m_task.m_step].m_checkpointing) {
-      job->Task(aRun.m_task).m_checkpoint = aRun.m_checkpoint;
-    }
+  auto it = aWorker.m_placements.find(aRun.m_task);
+  if (it != aWorker.m_placements.end() && it->second.m_run != aRun.m_run) {
+    return; // the list is older than the start of the later run
+  }
+  if (it == aWorker.m_placements.end()) {
+    Placement found;
+    found.m_run = aRun.m_run;
+    found.m_state = PlacementState::Running;
+    found.m_since = aNow;
+    found.m_progressAt = aNow;
+    found.m_unknown = true;
+    AddPlacement(aWorker, aRun.m_task, found);
+    it = aWorker.m_placements.find(aRun.m_task);
+  }
+  Placement& placement = it->second;
+  if (placement.m_state == PlacementState::Starting) {
+    placement.m_state = PlacementState::Running;
+    placement.m_progressAt = aNow;
+  }
+  if (aRun.m_percent > placement.m_percent) {
+    placement.m_percent = aRun.m_percent;
+    placement.m_progressAt = aNow;
+  }
+  placement.m_missingLists = 0;
+  if (placement.m_unknown) {
+    Identify(aNow, aWorker, aRun);
     return;
   }
-  if (it != aWorker.m_placements.end()) {
-    // The list is older than the start of the later run.
+  TrackedJob* job = Find(aRun.m_task.m_job);
+  if (job != nullptr && !aRun.m_checkpoint.empty() &&
+      job->Spec().m_steps[aRun.m_task.m_step].m_checkpointing) {
+    job->Task(aRun.m_task).m_checkpoint = aRun.m_checkpoint;
+  }
+}
+
+void
+PoolScheduler::Identify(Time aNow, WorkerRecord& aWorker, const ListedRun& aRun)
+{
+  TrackedJob* job = Find(aRun.m_task.m_job);
+  if (job == nullptr || !job->HasTask(aRun.m_task)) {
+    // A previous leader may have learnt of the job after this one had read the
+    // store.
+    m_lookups.insert(aRun.m_task.m_job);
     return;
   }
-  Placement placement;
-  placement.m_run = aRun.m_run;
-  placement.m_state = PlacementState::Running;
-  placement.m_since = aNow;
-  placement.m_progressAt = aNow;
-  placement.m_percent = aRun.m_percent;
-  if (known) {
-    placement.m_room = job->Spec().m_steps[aRun.m_task.m_step].m_each;
-    placement.m_team = job->Spec().m_team;
-  }
-  AddPlacement(aWorker, aRun.m_task, placement);
-  const bool adoptable = known && !job->IsOver() &&
-                         job->Task(aRun.m_task).m_state == TaskState::Waiting &&
-                         aRun.m_run >= job->Task(aRun.m_task).m_run;
+  const StepSpec& spec = job->Spec().m_steps[aRun.m_task.m_step];
+  Placement& placement = aWorker.m_placements.at(aRun.m_task);
+  placement.m_unknown = false;
+  placement.m_room = spec.m_each;
+  placement.m_team = job->Spec().m_team;
+  aWorker.m_used += placement.m_room;
+  m_teamUse[placement.m_team] += placement.m_room;
+  TaskRecord& task = job->Task(aRun.m_task);
+  const bool adoptable = !job->IsOver() && task.m_state == TaskState::Waiting &&
+                         aRun.m_run >= task.m_run;
   if (!adoptable) {
     Stop(aWorker, aRun.m_task, aNow);
     return;
   }
-  TaskRecord& task = job->Task(aRun.m_task);
   task.m_state = TaskState::Placed;
   task.m_worker = aWorker.m_info.m_id;
   task.m_run = aRun.m_run;
   task.m_mayRunUnseen = false;
-  if (!aRun.m_checkpoint.empty() &&
-      job->Spec().m_steps[aRun.m_task.m_step].m_checkpointing) {
+  if (!aRun.m_checkpoint.empty() && spec.m_checkpointing) {
     task.m_checkpoint = aRun.m_checkpoint;
   }
   ++job->Step(aRun.m_task.m_step).m_placed;
 }
 
+void
+PoolScheduler::OnNoSuchJob(Time aNow, const JobId& aJob)
+{
+  for (auto& [id, worker] : m_workers) {
+    std::vector<TaskRef> strange;
+    for (const auto& [task, placement] : worker.m_placements) {
+      if (placement.m_unknown && task.m_job == aJob) {
+        strange.push_back(task);
+      }
+    }
+    for (const TaskRef& task : strange) {
+      Stop(worker, task, aNow);
+    }
+  }
+}
+
 void
 PoolScheduler::CheckMissing(Time,
                             WorkerRecord& aWorker,
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -24,6 +24,12 @@
 constexpr RunNumber kRunsPerTerm = 1000;
 /// Without progress for this long a running task counts as stuck.
 constexpr Duration kStuckAfter = milliseconds(3500);
+/// Time for the workers' first lists after a change of the leader, for those
+/// that answer at all.
+constexpr Duration kFirstRound = milliseconds(400);
+/// A worker that is not listed any more gets no lease; what ran there has ended
+/// after this time.
+constexpr Duration kGoneWorkerLease = milliseconds(5200);
 constexpr Duration kStuckCheckPeriod = milliseconds(500);
 /// Pause of a worker on which a task was stuck.
 constexpr Duration kStuckAvoidance = seconds(4);
@@ -64,6 +70,12 @@
   ExpireLeases(aNow);
   PassBarrier(aNow);
   StopStuck(aNow);
+  actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
+  m_lookups.clear();
+  if (InFirstRound(aNow)) {
+    actions.m_stops = std::exchange(m_stops, {});
+    return actions;
+  }
   std::set<WorkerId> reserved;
   int reserving = 0;
   int rank = 0;
@@ -86,9 +98,23 @@
   return actions;
 }
 
+bool
+PoolScheduler::InFirstRound(Time aNow) const
+{
+  // The previous leader may have started a job that was accepted during the
+  // change; the workers' first lists show it.
+  return !m_unheard.empty() && aNow < m_loadedAt + kFirstRound;
+}
+
 void
 PoolScheduler::PassBarrier(Time aNow)
 {
+  if (aNow > m_began + kGoneWorkerLease) {
+    std::erase_if(m_unheard, [&](const WorkerId& aWorker) {
+      const auto it = m_workers.find(aWorker);
+      return it == m_workers.end() || !it->second.m_listed;
+    });
+  }
   if (m_barrierPassed || (!m_unheard.empty() && aNow < m_barrier)) {
     return;
   }
@@ -153,15 +179,21 @@
   }
   StepRecord& step = aCandidate.Record();
   const StepSpec& spec = aCandidate.Spec();
+  // Tickets of workers that can't be used now say nothing about the others.
   Time earliest = Time::max();
-  for (const auto& [worker, ticket] : step.m_tickets) {
+  bool valid = false;
+  int usable = 0;
+  for (const auto& [id, ticket] : step.m_tickets) {
+    const auto worker = m_workers.find(id);
+    if (worker == m_workers.end() || !worker->second.CanTake(aNow)) {
+      continue;
+    }
+    ++usable;
     earliest = std::min(earliest, ticket.m_until);
+    valid = valid || ticket.m_until > aNow + kTicketMargin;
   }
-  const bool valid = !step.m_tickets.empty() && earliest > aNow + kTicketMargin;
-  const Duration cost = rule->m_decide +
-                        rule->m_each * static_cast<int>(step.m_tickets.size()) +
-                        kTicketRenewal;
-  const bool fresh = valid && earliest > aNow + cost;
+  const Duration cost = rule->m_decide + rule->m_each * usable + kTicketRenewal;
+  const bool fresh = usable > 0 && earliest > aNow + cost;
   const bool mayAsk = !step.m_adviceOpen &&
                       m_openQuestions < kMaxOpenQuestions && !fresh &&
                       (aRefresh || step.m_tickets.empty());
--- a/src/pool/TrackedJob.cpp
+++ b/src/pool/TrackedJob.cpp
@@ -48,7 +48,7 @@
       continue;
     }
     TaskRecord& task = Task(ref);
-    task.m_failures = stored.m_failures;
+    task.m_failedRuns = stored.m_failedRuns;
     task.m_checkpoint = stored.m_checkpoint;
     if (stored.m_done) {
       task.m_state = TaskState::Done;
@@ -122,9 +122,9 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       const TaskRecord& task = tasks[index];
       const bool done = task.m_state == TaskState::Done;
-      if (done || task.m_failures > 0 || !task.m_checkpoint.empty()) {
+      if (done || !task.m_failedRuns.empty() || !task.m_checkpoint.empty()) {
         progress.m_tasks[{ step, index }] = {
-          done, task.m_failures, done ? std::string() : task.m_checkpoint
+          done, task.m_failedRuns, done ? std::string() : task.m_checkpoint
         };
       }
     }
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -28,7 +28,7 @@
 struct TaskRecord
 {
   TaskState m_state = TaskState::Waiting;
-  std::uint32_t m_failures = 0;
+  std::vector<RunNumber> m_failedRuns; ///< of a gang: at its first task
   std::string m_checkpoint;
   WorkerId m_worker;      ///< of the present run, if placed
   RunNumber m_run = 0;    ///< of the latest run known
@@ -51,9 +51,8 @@
   std::size_t m_placed = 0;
   std::map<WorkerId, Ticket> m_tickets; ///< of workers that may run the step
   std::set<WorkerId> m_asked;           ///< workers the service has decided on
-  RunNumber m_failedRun = 0; ///< of a gang, whose members fail together
-  bool m_adviceOpen = false; ///< a question is on its way
-  Time m_adviceAt{};         ///< when the last question was asked
+  bool m_adviceOpen = false;            ///< a question is on its way
+  Time m_adviceAt{};                    ///< when the last question was asked
 
   std::size_t Waiting() const { return m_tasks.size() - m_done - m_placed; }
 };
--- a/src/pool/WorkerBook.cpp
+++ b/src/pool/WorkerBook.cpp
@@ -24,11 +24,19 @@
   return m_lastAnswer + Scale(left, 1 / (1 - kWorkerClockError));
 }
 
+bool
+WorkerRecord::HasUnknownRuns() const
+{
+  return std::ranges::any_of(
+    m_placements, [](const auto& aItem) { return aItem.second.m_unknown; });
+}
+
 bool
 WorkerRecord::CanTake(Time aNow) const
 {
   return m_listed && m_adopted && m_recorded && !m_info.m_draining &&
-         aNow < m_lastAnswer + kSilentAfter && aNow >= m_avoidUntil;
+         aNow < m_lastAnswer + kSilentAfter && aNow >= m_avoidUntil &&
+         !HasUnknownRuns();
 }
 
 } // namespace lacewing::pool
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -46,6 +46,8 @@
   int m_percent = 0;      ///< progress that the worker listed last
   Time m_progressAt{};    ///< when the progress last grew
   int m_missingLists = 0; ///< answers in a row that do not list it
+  /// The worker lists it, and this leader does not know its job yet.
+  bool m_unknown = false;
 };
 
 /// One run in a worker's list.
@@ -92,6 +94,8 @@
   std::uint64_t m_highestEnd = 0;
   std::set<std::uint64_t> m_unsavedEnds;
 
+  /// True if a run is there whose needs are not known.
+  bool HasUnknownRuns() const;
   Resources Free() const { return m_info.m_capacity - m_used; }
   /// Ends up to this one are stored, so that the worker may forget them.
   std::uint64_t SavedEnds() const;
