Refuse new jobs at once while the store looks down; keep idle connections; log ends

Change: StoreHealth counts failed calls in a row; an idle connection is closed after 3 s. Each listed end and each final state has a log line.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -31,10 +31,8 @@
 constexpr Duration kAnswerMargin = milliseconds(100);
 /// One attempt to store a row.
 constexpr Duration kStoreTimeout = milliseconds(900);
-constexpr Duration kRetryPause = milliseconds(40);
+constexpr Duration kRetryPause = milliseconds(60);
 constexpr Duration kLeaderTimeout = milliseconds(500);
-/// Without an answer of the store for this long, new work is refused at once.
-constexpr Duration kStoreSilence = milliseconds(2200);
 /// Age up to which the count of waiting jobs is shown.
 constexpr Duration kWaitingAge = milliseconds(1800);
 
@@ -91,7 +89,7 @@
 bool
 CallerFront::StoreLooksDown() const
 {
-  return net::Loop::Now() > m_config.LastContact() + kStoreSilence;
+  return m_context.m_storeHealth.LooksDown(net::Loop::Now());
 }
 
 void
--- a/src/edge/ConfigWatch.cpp
+++ b/src/edge/ConfigWatch.cpp
@@ -28,19 +28,6 @@
 {
 }
 
-void
-ConfigWatch::Contact(bool aOk)
-{
-  if (aOk) {
-    m_lastContact = net::Loop::Now();
-  }
-  m_log.WriteOnChange("store",
-                      aOk ? "reachable" : "unreachable",
-                      aOk ? settings::LogLevel::Info : settings::LogLevel::Warn,
-                      "dependency",
-                      {});
-}
-
 void
 ConfigWatch::Read()
 {
@@ -48,7 +35,6 @@
   m_store.ReadRow(platform::kConfigKey,
                   kReadTimeout,
                   [this, asked](const platform::PageResult& aPage) {
-                    Contact(aPage.m_read.m_ok);
                     if (!aPage.m_read.m_ok) {
                       m_loop.After(kRetryPause, [this] { Read(); });
                       return;
@@ -71,7 +57,6 @@
     kWatchWait,
     kWatchTimeout,
     [this](const platform::Changes& aChanges) {
-      Contact(aChanges.m_ok || aChanges.m_historyGone);
       if (aChanges.m_historyGone) {
         Read();
         return;
--- a/src/edge/ConfigWatch.h
+++ b/src/edge/ConfigWatch.h
@@ -25,8 +25,6 @@
   /// True once a desired state is in force.
   bool HasConfig() const { return m_config.m_version != 0; }
   const pool::PoolConfig& Config() const { return m_config; }
-  /// When the store answered last.
-  Time LastContact() const { return m_lastContact; }
   /// Time that the fastest read of the row has taken.
   Duration ReadTime() const { return m_readTime; }
 
@@ -34,7 +32,6 @@
   void Read();
   void Watch();
   void Take(const table::Row& aRow);
-  void Contact(bool aOk);
 
   net::Loop& m_loop;
   platform::TableStore& m_store;
@@ -42,7 +39,6 @@
   OnChange m_onChange;
   pool::PoolConfig m_config;
   RowVersion m_after = 0;
-  Time m_lastContact{};
   Duration m_readTime = seconds(1);
 };
 
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -20,8 +20,6 @@
 /// Kept back from the time until the kill.
 constexpr Duration kKillMargin = milliseconds(700);
 constexpr Duration kDrainTick = milliseconds(50);
-/// A daemon that the store does not answer takes no new callers.
-constexpr Duration kStoreSilence = milliseconds(2600);
 constexpr Duration kStatePeriod = seconds(5);
 /// Log lines a second; more are counted and left out.
 constexpr int kLogLinesPerSecond = 400;
@@ -60,10 +58,12 @@
   , m_settings(aSettings)
   , m_log(LogOptionsOf(aSettings))
   , m_http(aLoop)
-  , m_store(m_http, aSettings.m_store)
+  , m_store(m_http,
+            aSettings.m_store,
+            [this](bool aAnswered) { OnStoreCall(aAnswered); })
   , m_workers(m_http)
   , m_desk(m_workers, aSettings.m_policyService)
-  , m_context{ aLoop,  m_http, m_store,   m_workers,
+  , m_context{ aLoop,  m_http, m_store,   m_storeHealth, m_workers,
                m_desk, m_log,  m_metrics, m_settings }
   , m_config(aLoop,
              m_store,
@@ -111,6 +111,24 @@
   m_leadership.SetConfig(aConfig);
 }
 
+void
+EdgeDaemon::OnStoreCall(bool aAnswered)
+{
+  const Time now = net::Loop::Now();
+  if (aAnswered) {
+    m_storeHealth.OnAnswer(now);
+  } else {
+    m_storeHealth.OnFailure(now);
+  }
+  const bool down = m_storeHealth.LooksDown(now);
+  m_log.WriteOnChange("store",
+                      down ? "down" : "works",
+                      down ? settings::LogLevel::Warn
+                           : settings::LogLevel::Info,
+                      "dependency",
+                      {});
+}
+
 void
 EdgeDaemon::OnSettingsChanged()
 {
@@ -120,8 +138,9 @@
 bool
 EdgeDaemon::IsReady() const
 {
+  // A daemon that the store does not answer takes no new callers.
   return !m_draining && m_config.HasConfig() &&
-         net::Loop::Now() < m_config.LastContact() + kStoreSilence;
+         !m_storeHealth.LooksDown(net::Loop::Now());
 }
 
 void
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -41,6 +41,7 @@
   void HandleAdvice(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply);
   bool IsReady() const;
+  void OnStoreCall(bool aAnswered);
   void OnConfig(const pool::PoolConfig& aConfig);
   void TickDrain();
   void LogState();
@@ -50,6 +51,7 @@
   observe::Log m_log;
   observe::Metrics m_metrics;
   net::HttpClient m_http;
+  StoreHealth m_storeHealth;
   platform::TableStore m_store;
   platform::WorkerClient m_workers;
   AdviceDesk m_desk;
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kReadTimeout = milliseconds(700);
 constexpr Duration kWriteTimeout = milliseconds(1000);
 /// Least time between two transactions; what comes in between shares one.
-constexpr Duration kWritePause = milliseconds(15);
+constexpr Duration kWritePause = milliseconds(25);
 constexpr Duration kFailedWritePause = milliseconds(120);
 /// Rows of one transaction, below the store's limit of 100 entries.
 constexpr std::size_t kRowsPerWrite = 60;
@@ -247,8 +247,19 @@
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "leader" });
   if (m_leader) {
     for (const auto& row : aRows) {
-      committed ? m_leader->Scheduler().OnSaved(now, row)
-                : m_leader->Scheduler().OnNotSaved(row);
+      if (!committed) {
+        m_leader->Scheduler().OnNotSaved(row);
+        continue;
+      }
+      m_leader->Scheduler().OnSaved(now, row);
+      if (pool::IsFinal(row.m_progress.m_state)) {
+        m_context.m_log.Write(
+          settings::LogLevel::Info,
+          "job_ended",
+          { { "request", row.m_job.Value() },
+            { "state", std::string(NameOf(row.m_progress.m_state)) },
+            { "row_version", static_cast<std::int64_t>(aResult.m_version) } });
+      }
     }
   }
   const bool wroteLeader = aOrder.m_step != pool::ElectionStep::None;
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -6,6 +6,7 @@
 #include "edge/AdvicePlan.h"
 #include "edge/EdgeSettings.h"
 #include "edge/PeerProtocol.h"
+#include "edge/StoreHealth.h"
 #include "edge/WorkerLinks.h"
 #include "net/PacedTimer.h"
 #include "observe/Log.h"
@@ -26,6 +27,7 @@
   net::Loop& m_loop;
   net::HttpClient& m_http;
   platform::TableStore& m_store;
+  const StoreHealth& m_storeHealth;
   platform::WorkerClient& m_workers;
   AdviceDesk& m_desk;
   observe::Log& m_log;
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -143,12 +143,28 @@
     HoldAfter(kHoldRetryPause, aWorker);
     return;
   }
+  LogNewEnds(it->second, *aResult.m_inventory);
   m_scheduler.OnInventory(net::Loop::Now(), aWorker, *aResult.m_inventory);
   const bool unsaved = !it->second.m_unsavedEnds.empty();
   HoldAfter(unsaved ? kUnsavedPause : Duration::zero(), aWorker);
   m_hooks.m_onChange();
 }
 
+void
+WorkerLinks::LogNewEnds(const pool::WorkerRecord& aWorker,
+                        const pool::Inventory& aInventory)
+{
+  for (const pool::ListedEnd& end : aInventory.m_ended) {
+    if (end.m_number > aWorker.m_highestEnd) {
+      m_log.Write(
+        settings::LogLevel::Info,
+        "end",
+        OrderFields(
+          aWorker.m_info.m_id, end.m_task, end.m_run, NameOf(end.m_how)));
+    }
+  }
+}
+
 void
 WorkerLinks::Fenced(const pool::WorkerId& aWorker)
 {
--- a/src/edge/WorkerLinks.h
+++ b/src/edge/WorkerLinks.h
@@ -53,6 +53,8 @@
   void OnStarted(const pool::StartTask& aStart,
                  bool aInDoubt,
                  const platform::StartResult& aResult);
+  void LogNewEnds(const pool::WorkerRecord& aWorker,
+                  const pool::Inventory& aInventory);
   void Fenced(const pool::WorkerId& aWorker);
   std::optional<net::Address> AddressOf(const pool::WorkerId& aWorker) const;
 
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -19,6 +19,20 @@
 /// A shorter timeout counts as this one. libevent ends the process for a
 /// negative one.
 constexpr Duration kMinTimeout = milliseconds(1);
+/// An idle connection is closed after this time, before most servers close it:
+/// a request that meets a close would be left in doubt.
+constexpr Duration kIdleTimeout = seconds(3);
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+  const Duration bounded = std::max(aDuration, kMinTimeout);
+  timeval result{};
+  result.tv_sec = bounded.count() / kMicrosecondsPerSecond;
+  result.tv_usec = bounded.count() % kMicrosecondsPerSecond;
+  return result;
+}
 
 evhttp_cmd_type
 CommandOf(const std::string& aMethod)
@@ -101,6 +115,9 @@
     if (status != 0) {
       outcome.m_response = ToResponse(aRequest);
       self->m_connection->m_busy = false;
+      // The timeout of the request would close the idle connection.
+      const timeval idle = ToTimeval(kIdleTimeout);
+      evhttp_connection_set_timeout_tv(self->m_connection->m_handle, &idle);
     } else {
       self->m_connection->m_broken = true;
       outcome.m_error.m_verdict =
@@ -158,11 +175,7 @@
   exchange->m_loop = &m_loop;
 
   evhttp_connection* handle = exchange->m_connection->m_handle;
-  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
-  const Duration bounded = std::max(aTimeout, kMinTimeout);
-  timeval timeout{};
-  timeout.tv_sec = bounded.count() / kMicrosecondsPerSecond;
-  timeout.tv_usec = bounded.count() % kMicrosecondsPerSecond;
+  const timeval timeout = ToTimeval(aTimeout);
   evhttp_connection_set_timeout_tv(handle, &timeout);
 
   exchange->m_output =
