Keep jobs in either of two parts of the store; judge the store part by part

Change: a job's row lies in a first or a second part, chosen by what the front's own calls say of them; StoreHealth keeps a state for each part.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -32,6 +32,8 @@
 /// One attempt to store a row.
 constexpr Duration kStoreTimeout = milliseconds(900);
 constexpr Duration kRetryPause = milliseconds(60);
+/// With less time than this left, no further attempt is made.
+constexpr Duration kLeastAttempt = milliseconds(200);
 constexpr Duration kLeaderTimeout = milliseconds(500);
 /// Age up to which the count of waiting jobs is shown.
 constexpr Duration kWaitingAge = milliseconds(1800);
@@ -86,10 +88,16 @@
   return aCall.m_deadline - net::Loop::Now();
 }
 
-bool
-CallerFront::StoreLooksDown() const
+std::optional<pool::JobPlace>
+CallerFront::PlaceFor(const JobId& aJob) const
 {
-  return m_context.m_storeHealth.LooksDown(net::Loop::Now());
+  for (const auto place : { pool::JobPlace::First, pool::JobPlace::Second }) {
+    if (!m_context.m_storeHealth.LooksDown(net::Loop::Now(),
+                                           pool::JobPart(aJob, place))) {
+      return place;
+    }
+  }
+  return std::nullopt;
 }
 
 void
@@ -202,11 +210,7 @@
       job.m_queue = aCall.m_queue;
       job.m_team = aCall.m_team;
       job.m_acceptedUnixMs = UnixMilliseconds();
-      if (StoreLooksDown()) {
-        Refuse(aCall, kUnavailable, "store_unreachable");
-      } else {
-        Store(aCall, job, false);
-      }
+      Store(aCall, job, false);
       return {};
     },
     [&](const Error& aError) {
@@ -222,9 +226,21 @@
 void
 CallerFront::Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
 {
+  const auto place = PlaceFor(aJob.m_id);
+  if (TimeLeft(aCall) < kLeastAttempt || (!place && !aInDoubt)) {
+    Refuse(aCall,
+           aInDoubt ? kGatewayTimeout : kUnavailable,
+           aInDoubt ? "store_silent" : "store_refuses");
+    return;
+  }
+  if (!place) {
+    StoreLater(aCall, aJob, aInDoubt);
+    return;
+  }
+  const std::string key = pool::JobKey(aJob.m_id, *place);
   table::Commit commit;
-  commit.m_checks = { { pool::JobKey(aJob.m_id), 0 } };
-  commit.m_puts = { { pool::JobKey(aJob.m_id), pool::EncodeJob(aJob) } };
+  commit.m_checks = { { key, 0 } };
+  commit.m_puts = { { key, pool::EncodeJob(aJob) } };
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "job" });
   m_context.m_store.Submit(
     commit,
@@ -234,6 +250,14 @@
     });
 }
 
+void
+CallerFront::StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
+{
+  m_context.m_loop.After(kRetryPause, [this, aCall, aJob, aInDoubt] {
+    Store(aCall, aJob, aInDoubt);
+  });
+}
+
 void
 CallerFront::OnStored(const Call& aCall,
                       const pool::Job& aJob,
@@ -247,15 +271,7 @@
     Accept(aCall, aJob);
     return;
   }
-  const bool inDoubt = aInDoubt || aResult.m_state == CommitState::Unknown;
-  if (TimeLeft(aCall) < kRetryPause * 4 || (!inDoubt && StoreLooksDown())) {
-    Refuse(aCall,
-           inDoubt ? kGatewayTimeout : kUnavailable,
-           inDoubt ? "store_silent" : "store_refuses");
-    return;
-  }
-  m_context.m_loop.After(
-    kRetryPause, [this, aCall, aJob, inDoubt] { Store(aCall, aJob, inDoubt); });
+  StoreLater(aCall, aJob, aInDoubt || aResult.m_state == CommitState::Unknown);
 }
 
 void
@@ -294,35 +310,39 @@
 CallerFront::Cancel(const Call& aCall)
 {
   // The row tells whether there is such a job.
-  m_context.m_store.ReadRow(
-    pool::JobKey(aCall.m_job),
-    std::min(kStoreTimeout, TimeLeft(aCall)),
-    [this, aCall](const platform::PageResult& aPage) {
-      if (!aPage.m_read.m_ok) {
-        if (TimeLeft(aCall) < kRetryPause * 4) {
-          Refuse(aCall, kUnavailable, "store_unreachable");
-          return;
-        }
-        m_context.m_loop.After(kRetryPause, [this, aCall] { Cancel(aCall); });
-        return;
-      }
-      if (aPage.m_read.m_rows.empty()) {
-        Finish(aCall, kGone, "no_job");
-        return;
-      }
-      StoreCancellation(aCall);
-    });
+  FindJobRow(m_context.m_store,
+             aCall.m_job,
+             std::min(kStoreTimeout, TimeLeft(aCall)),
+             [this, aCall](const FoundJob& aFound) {
+               if (!aFound.m_known) {
+                 AskAgain(aCall, [this, aCall] { Cancel(aCall); });
+               } else if (!aFound.m_job) {
+                 Finish(aCall, kGone, "no_job");
+               } else {
+                 StoreCancellation(aCall, aFound.m_place);
+               }
+             });
 }
 
 void
-CallerFront::StoreCancellation(const Call& aCall)
+CallerFront::AskAgain(const Call& aCall, std::function<void()> aAgain)
+{
+  if (TimeLeft(aCall) < kLeastAttempt) {
+    Refuse(aCall, kUnavailable, "store_unreachable");
+    return;
+  }
+  m_context.m_loop.After(kRetryPause, std::move(aAgain));
+}
+
+void
+CallerFront::StoreCancellation(const Call& aCall, pool::JobPlace aPlace)
 {
   table::Commit commit;
-  commit.m_puts = { { pool::CancelKey(aCall.m_job), "{}" } };
+  commit.m_puts = { { pool::CancelKey(aCall.m_job, aPlace), "{}" } };
   m_context.m_store.Submit(
     commit,
     std::min(kStoreTimeout, TimeLeft(aCall)),
-    [this, aCall](const table::CommitResult& aResult) {
+    [this, aCall, aPlace](const table::CommitResult& aResult) {
       if (aResult.m_state == table::CommitState::Committed) {
         if (const auto leader = m_leadership.Local()) {
           leader->CancelJob(aCall.m_job);
@@ -332,12 +352,15 @@
         Finish(aCall, kOk, "cancelled");
         return;
       }
-      if (TimeLeft(aCall) < kRetryPause * 4) {
+      if (TimeLeft(aCall) < kLeastAttempt) {
         Refuse(aCall, kGatewayTimeout, "store_silent");
         return;
       }
-      m_context.m_loop.After(kRetryPause,
-                             [this, aCall] { StoreCancellation(aCall); });
+      const auto other = aPlace == pool::JobPlace::First
+                           ? pool::JobPlace::Second
+                           : pool::JobPlace::First;
+      m_context.m_loop.After(
+        kRetryPause, [this, aCall, other] { StoreCancellation(aCall, other); });
     });
 }
 
@@ -384,44 +407,43 @@
 void
 CallerFront::ShowStoredState(const Call& aCall)
 {
-  const Duration timeout = std::min(kStoreTimeout, TimeLeft(aCall));
+  FindJobRow(m_context.m_store,
+             aCall.m_job,
+             std::min(kStoreTimeout, TimeLeft(aCall)),
+             [this, aCall](const FoundJob& aFound) {
+               if (!aFound.m_known) {
+                 AskAgain(aCall, [this, aCall] { ShowState(aCall); });
+                 return;
+               }
+               if (!aFound.m_job ||
+                   (!aCall.m_public && aFound.m_job->m_team != aCall.m_team)) {
+                 Finish(aCall, kGone, "no_job");
+                 return;
+               }
+               ShowStoredProgress(aCall);
+             });
+}
+
+void
+CallerFront::ShowStoredProgress(const Call& aCall)
+{
   m_context.m_store.ReadRow(
-    pool::JobKey(aCall.m_job),
-    timeout,
-    [this, aCall](const platform::PageResult& aJob) {
-      if (!aJob.m_read.m_ok) {
-        if (TimeLeft(aCall) < kRetryPause * 4) {
-          Refuse(aCall, kUnavailable, "store_unreachable");
-          return;
-        }
-        m_context.m_loop.After(kRetryPause,
-                               [this, aCall] { ShowState(aCall); });
+    pool::ProgressKey(aCall.m_job),
+    std::min(kStoreTimeout, TimeLeft(aCall)),
+    [this, aCall](const platform::PageResult& aProgress) {
+      if (!aProgress.m_read.m_ok) {
+        AskAgain(aCall, [this, aCall] { ShowState(aCall); });
         return;
       }
-      std::optional<pool::Job> job;
-      for (const auto& [key, row] : aJob.m_read.m_rows) {
-        job = TryDecode<pool::Job>(
-          [&] { return pool::DecodeJob(aCall.m_job, row.m_value); });
-      }
-      if (!job || (!aCall.m_public && job->m_team != aCall.m_team)) {
-        Finish(aCall, kGone, "no_job");
-        return;
+      pool::JobState state = pool::JobState::Pending;
+      for (const auto& [key, row] : aProgress.m_read.m_rows) {
+        const auto progress = TryDecode<pool::JobProgress>(
+          [&] { return pool::DecodeProgress(row.m_value); });
+        state = progress && pool::IsFinal(progress->m_state)
+                  ? progress->m_state
+                  : pool::JobState::Running;
       }
-      m_context.m_store.ReadRow(
-        pool::ProgressKey(aCall.m_job),
-        std::min(kStoreTimeout, TimeLeft(aCall)),
-        [this, aCall](const platform::PageResult& aProgress) {
-          pool::JobState state = pool::JobState::Pending;
-          for (const auto& [key, row] : aProgress.m_read.m_rows) {
-            if (const auto progress = TryDecode<pool::JobProgress>(
-                  [&] { return pool::DecodeProgress(row.m_value); })) {
-              state = pool::IsFinal(progress->m_state)
-                        ? progress->m_state
-                        : pool::JobState::Running;
-            }
-          }
-          ReplyState(aCall, state);
-        });
+      ReplyState(aCall, state);
     });
 }
 
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "edge/ConfigWatch.h"
+#include "edge/JobFinder.h"
 #include "edge/Leadership.h"
 #include "net/HttpServer.h"
 
@@ -38,6 +39,7 @@
 
   void Submit(const Call& aCall, const std::string& aBody);
   void Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
+  void StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
   void OnStored(const Call& aCall,
                 const pool::Job& aJob,
                 bool aInDoubt,
@@ -45,9 +47,12 @@
   void Accept(const Call& aCall, const pool::Job& aJob);
   void TellLeader(const char* aPath, const JobId& aJob, std::string aBody);
   void Cancel(const Call& aCall);
-  void StoreCancellation(const Call& aCall);
+  void StoreCancellation(const Call& aCall, pool::JobPlace aPlace);
+  /// Tries again while the caller waits, and refuses then.
+  void AskAgain(const Call& aCall, std::function<void()> aAgain);
   void ShowState(const Call& aCall);
   void ShowStoredState(const Call& aCall);
+  void ShowStoredProgress(const Call& aCall);
   void ShowWaiting(const Call& aCall);
   void ReplyState(const Call& aCall, pool::JobState aState);
   void Finish(const Call& aCall,
@@ -56,7 +61,8 @@
               std::string aBody = "{}");
   void Refuse(const Call& aCall, int aStatus, std::string_view aReason);
   Duration TimeLeft(const Call& aCall) const;
-  bool StoreLooksDown() const;
+  /// The place whose part works, as far as known; nothing if neither does.
+  std::optional<pool::JobPlace> PlaceFor(const JobId& aJob) const;
 
   LeaderContext m_context;
   ConfigWatch& m_config;
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -1,6 +1,7 @@
 #include "edge/EdgeDaemon.h"
 
 #include "core/TryDecode.h"
+#include "platform/Documents.h"
 #include "pool/JobRows.h"
 
 #include <random>
@@ -60,7 +61,9 @@
   , m_http(aLoop)
   , m_store(m_http,
             aSettings.m_store,
-            [this](bool aAnswered) { OnStoreCall(aAnswered); })
+            [this](const std::string& aPart, bool aAnswered) {
+              OnStoreCall(aPart, aAnswered);
+            })
   , m_workers(m_http)
   , m_desk(m_workers, aSettings.m_policyService)
   , m_context{ aLoop,  m_http, m_store,   m_storeHealth, m_workers,
@@ -112,16 +115,16 @@
 }
 
 void
-EdgeDaemon::OnStoreCall(bool aAnswered)
+EdgeDaemon::OnStoreCall(const std::string& aPart, bool aAnswered)
 {
   const Time now = net::Loop::Now();
   if (aAnswered) {
-    m_storeHealth.OnAnswer(now);
+    m_storeHealth.OnAnswer(now, aPart);
   } else {
-    m_storeHealth.OnFailure(now);
+    m_storeHealth.OnFailure(now, aPart);
   }
-  const bool down = m_storeHealth.LooksDown(now);
-  m_log.WriteOnChange("store",
+  const bool down = m_storeHealth.LooksDown(now, aPart);
+  m_log.WriteOnChange("store part '" + aPart + "'",
                       down ? "down" : "works",
                       down ? settings::LogLevel::Warn
                            : settings::LogLevel::Info,
@@ -139,8 +142,10 @@
 EdgeDaemon::IsReady() const
 {
   // A daemon that the store does not answer takes no new callers.
+  const Time now = net::Loop::Now();
   return !m_draining && m_config.HasConfig() &&
-         !m_storeHealth.LooksDown(net::Loop::Now());
+         !(m_storeHealth.LooksDown(now, platform::kConfigPart) &&
+           m_storeHealth.LooksDown(now, platform::kWatchPart));
 }
 
 void
--- /dev/null
+++ b/src/edge/JobFinder.cpp
@@ -0,0 +1,57 @@
+#include "edge/JobFinder.h"
+
+#include "core/TryDecode.h"
+
+namespace lacewing::edge {
+
+namespace {
+
+FoundJob
+FromPage(const platform::PageResult& aPage,
+         const JobId& aJob,
+         pool::JobPlace aPlace)
+{
+  FoundJob found;
+  found.m_known = aPage.m_read.m_ok;
+  found.m_place = aPlace;
+  for (const auto& [key, row] : aPage.m_read.m_rows) {
+    found.m_job =
+      TryDecode<pool::Job>([&] { return pool::DecodeJob(aJob, row.m_value); });
+  }
+  return found;
+}
+
+} // namespace
+
+void
+FindJobRow(platform::TableStore& aStore,
+           const JobId& aJob,
+           Duration aTimeout,
+           std::function<void(const FoundJob&)> aDone)
+{
+  using pool::JobPlace;
+  aStore.ReadRow(
+    pool::JobKey(aJob, JobPlace::First),
+    aTimeout,
+    [&aStore, aJob, aTimeout, aDone = std::move(aDone)](
+      const platform::PageResult& aFirst) {
+      const FoundJob first = FromPage(aFirst, aJob, JobPlace::First);
+      if (first.m_job) {
+        aDone(first);
+        return;
+      }
+      aStore.ReadRow(pool::JobKey(aJob, JobPlace::Second),
+                     aTimeout,
+                     [aJob, first, aDone](const platform::PageResult& aSecond) {
+                       FoundJob second =
+                         FromPage(aSecond, aJob, JobPlace::Second);
+                       // Only both places together tell that there is no such
+                       // job.
+                       second.m_known = second.m_job.has_value() ||
+                                        (second.m_known && first.m_known);
+                       aDone(second);
+                     });
+    });
+}
+
+} // namespace lacewing::edge
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -1,6 +1,7 @@
 #include "edge/PoolLeader.h"
 
 #include "core/TryDecode.h"
+#include "edge/JobFinder.h"
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
 
@@ -509,25 +510,21 @@
 void
 PoolLeader::LookUp(const JobId& aJob)
 {
-  m_context.m_store.ReadRow(
-    pool::JobKey(aJob),
-    kReadTimeout,
-    [weak = weak_from_this(), aJob](const platform::PageResult& aPage) {
-      const auto self = weak.lock();
-      if (!self || self->m_closed || !aPage.m_read.m_ok) {
-        return; // the worker lists the run again
-      }
-      if (aPage.m_read.m_rows.empty()) {
-        self->m_scheduler.OnNoSuchJob(net::Loop::Now(), aJob);
-      }
-      for (const auto& [key, row] : aPage.m_read.m_rows) {
-        if (const auto job = TryDecode<pool::Job>(
-              [&] { return pool::DecodeJob(aJob, row.m_value); })) {
-          self->Add(*job, {}, true);
-        }
-      }
-      self->m_planTimer.CallSoon();
-    });
+  FindJobRow(m_context.m_store,
+             aJob,
+             kReadTimeout,
+             [weak = weak_from_this(), aJob](const FoundJob& aFound) {
+               const auto self = weak.lock();
+               if (!self || self->m_closed || !aFound.m_known) {
+                 return; // the worker lists the run again
+               }
+               if (aFound.m_job) {
+                 self->Add(*aFound.m_job, {}, true);
+               } else {
+                 self->m_scheduler.OnNoSuchJob(net::Loop::Now(), aJob);
+               }
+               self->m_planTimer.CallSoon();
+             });
 }
 
 void
--- a/src/edge/StoreHealth.cpp
+++ b/src/edge/StoreHealth.cpp
@@ -7,30 +7,32 @@
 /// Single answers get lost while the store works; three in a row are rare even
 /// if it loses a third of them.
 constexpr int kFailuresForDown = 3;
-/// The watch of the desired state has an answer at least once a second.
-constexpr Duration kSilence = milliseconds(2200);
+/// A part that looked down is tried again after this time.
+constexpr Duration kTryAgainAfter = milliseconds(400);
 
 } // namespace
 
 void
-StoreHealth::OnAnswer(Time aNow)
+StoreHealth::OnAnswer(Time, const std::string& aPart)
 {
-  m_failuresInRow = 0;
-  m_lastAnswer = aNow;
+  m_parts.erase(aPart);
 }
 
 void
-StoreHealth::OnFailure(Time)
+StoreHealth::OnFailure(Time aNow, const std::string& aPart)
 {
-  ++m_failuresInRow;
+  Part& part = m_parts[aPart];
+  ++part.m_failuresInRow;
+  part.m_lastFailure = aNow;
 }
 
 bool
-StoreHealth::LooksDown(Time aNow) const
+StoreHealth::LooksDown(Time aNow, const std::string& aPart) const
 {
-  const bool silent =
-    m_lastAnswer != Time::min() && aNow > m_lastAnswer + kSilence;
-  return m_failuresInRow >= kFailuresForDown || silent;
+  const auto it = m_parts.find(aPart);
+  return it != m_parts.end() &&
+         it->second.m_failuresInRow >= kFailuresForDown &&
+         aNow < it->second.m_lastFailure + kTryAgainAfter;
 }
 
 } // namespace lacewing::edge
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -14,16 +14,6 @@
 constexpr const char* kCancelSuffix = ".cancel";
 constexpr const char* kLeaderPart = "main";
 
-std::string
-JobPart(const JobId& aJob)
-{
-  unsigned sum = 0;
-  for (const char letter : aJob.Value()) {
-    sum += static_cast<unsigned char>(letter);
-  }
-  return std::to_string(sum % kJobParts);
-}
-
 std::string
 Dump(const Json& aJson)
 {
@@ -87,15 +77,28 @@
 } // namespace
 
 std::string
-JobKey(const JobId& aJob)
+JobPart(const JobId& aJob, JobPlace aPlace)
+{
+  unsigned sum = 0;
+  for (const char letter : aJob.Value()) {
+    sum += static_cast<unsigned char>(letter);
+  }
+  constexpr unsigned kSecondOffset = kJobParts / 2;
+  const unsigned offset = aPlace == JobPlace::First ? 0 : kSecondOffset;
+  return std::to_string((sum + offset) % kJobParts);
+}
+
+std::string
+JobKey(const JobId& aJob, JobPlace aPlace)
 {
-  return std::string(kJobTable) + "/" + JobPart(aJob) + "/" + aJob.Value();
+  return std::string(kJobTable) + "/" + JobPart(aJob, aPlace) + "/" +
+         aJob.Value();
 }
 
 std::string
-CancelKey(const JobId& aJob)
+CancelKey(const JobId& aJob, JobPlace aPlace)
 {
-  return JobKey(aJob) + kCancelSuffix;
+  return JobKey(aJob, aPlace) + kCancelSuffix;
 }
 
 std::string
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -20,11 +20,22 @@
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr int kJobParts = 4;
 
+/// A job's row lies in one of two parts, so that jobs are taken while one part
+/// of the store is down. Its row may stand in both; it is one job.
+enum class JobPlace : std::uint8_t
+{
+  First,
+  Second,
+};
+
+std::string
+JobKey(const JobId& aJob, JobPlace aPlace);
+/// Present, in either place, if the job has been cancelled.
 std::string
-JobKey(const JobId& aJob);
-/// Present if the job has been cancelled.
+CancelKey(const JobId& aJob, JobPlace aPlace);
+/// Name of the part of a place.
 std::string
-CancelKey(const JobId& aJob);
+JobPart(const JobId& aJob, JobPlace aPlace);
 std::string
 ProgressKey(const JobId& aJob);
 std::string
