--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -28,12 +28,12 @@
 constexpr Duration kDefaultDeadline = seconds(3);
 constexpr Duration kMaxDeadline = seconds(30);
 /// Kept back from the caller's time for the answer's way.
-constexpr Duration kAnswerMargin = milliseconds(100);
+constexpr Duration kAnswerMargin = milliseconds(20);
 /// One attempt to store a row.
 constexpr Duration kStoreTimeout = milliseconds(900);
 constexpr Duration kRetryPause = milliseconds(60);
 /// With less time than this left, no further attempt is made.
-constexpr Duration kLeastAttempt = milliseconds(200);
+constexpr Duration kLeastAttempt = milliseconds(50);
 constexpr Duration kLeaderTimeout = milliseconds(500);
 /// Age up to which the count of waiting jobs is shown.
 constexpr Duration kWaitingAge = milliseconds(1800);
@@ -227,7 +227,17 @@
 CallerFront::Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
 {
   const auto place = PlaceFor(aJob.m_id);
-  if (TimeLeft(aCall) < kLeastAttempt || (!place && !aInDoubt)) {
+  const bool hasTime = TimeLeft(aCall) >= kLeastAttempt;
+  if (!place && hasTime &&
+      PassOn(aCall,
+             kStoreJobPath,
+             pool::EncodeJob(aJob),
+             [this, aCall, aJob, aInDoubt](bool aPassInDoubt) {
+               StoreLater(aCall, aJob, aInDoubt || aPassInDoubt);
+             })) {
+    return;
+  }
+  if (!hasTime || (!place && !aInDoubt)) {
     Refuse(aCall,
            aInDoubt ? kGatewayTimeout : kUnavailable,
            aInDoubt ? "store_silent" : "store_refuses");
@@ -250,6 +260,67 @@
     });
 }
 
+bool
+CallerFront::PassOn(const Call& aCall,
+                    const char* aPath,
+                    std::string aBody,
+                    std::function<void(bool aInDoubt)> aFailed)
+{
+  const auto address = m_leadership.LeaderAddress();
+  if (aCall.m_forPeer || !address || *address == m_context.m_settings.m_peers) {
+    return false;
+  }
+  net::HttpRequest request = MakeRequest(
+    "POST", std::string(aPath) + "/" + aCall.m_job.Value(), std::move(aBody));
+  request.m_headers[platform::kDeadlineHeader] =
+    std::to_string(ToMilliseconds(TimeLeft(aCall)));
+  m_context.m_http.Send(
+    *address,
+    request,
+    TimeLeft(aCall),
+    [this, aCall, aFailed = std::move(aFailed)](
+      const net::HttpOutcome& aOutcome) {
+      const int status =
+        aOutcome.m_response ? aOutcome.m_response->m_status : 0;
+      if (status == kOk || status == kGone) {
+        Finish(aCall, status, "answered_by_leader");
+        return;
+      }
+      const bool refused =
+        status == kUnavailable || status == kNotFound ||
+        (status == 0 && aOutcome.m_error.m_verdict == Verdict::NotRun);
+      aFailed(!refused);
+    });
+  return true;
+}
+
+void
+CallerFront::StoreForPeer(const net::HttpRequest& aRequest,
+                          const net::HttpReply& aReply)
+{
+  const std::size_t slash = aRequest.m_path.rfind('/');
+  Call call;
+  call.m_job = JobId(aRequest.m_path.substr(slash + 1));
+  call.m_received = net::Loop::Now();
+  call.m_deadline = call.m_received + DeadlineOf(aRequest) - kAnswerMargin;
+  call.m_method = aRequest.m_method;
+  call.m_forPeer = true;
+  call.m_reply = aReply;
+  if (aRequest.m_path.starts_with(kStoreCancelPath)) {
+    Cancel(call);
+    return;
+  }
+  const auto job = TryDecode<pool::Job>(
+    [&] { return pool::DecodeJob(call.m_job, aRequest.m_body); });
+  if (!job) {
+    Refuse(call, kNotFound, "bad_row");
+    return;
+  }
+  call.m_queue = job->m_queue;
+  call.m_team = job->m_team;
+  Store(call, *job, false);
+}
+
 void
 CallerFront::StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
 {
@@ -315,7 +386,7 @@
              std::min(kStoreTimeout, TimeLeft(aCall)),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
-                 AskAgain(aCall, [this, aCall] { Cancel(aCall); });
+                 PassOnCancel(aCall);
                } else if (!aFound.m_job) {
                  Finish(aCall, kGone, "no_job");
                } else {
@@ -324,6 +395,18 @@
              });
 }
 
+void
+CallerFront::PassOnCancel(const Call& aCall)
+{
+  const auto again = [this, aCall] {
+    AskAgain(aCall, [this, aCall] { Cancel(aCall); });
+  };
+  if (TimeLeft(aCall) < kLeastAttempt ||
+      !PassOn(aCall, kStoreCancelPath, "{}", [again](bool) { again(); })) {
+    again();
+  }
+}
+
 void
 CallerFront::AskAgain(const Call& aCall, std::function<void()> aAgain)
 {
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -22,6 +22,9 @@
               Leadership& aLeadership);
 
   void Handle(const net::HttpRequest& aRequest, const net::HttpReply& aReply);
+  /// Stores a job or a cancellation for a daemon that cannot reach the store.
+  void StoreForPeer(const net::HttpRequest& aRequest,
+                    const net::HttpReply& aReply);
 
 private:
   /// One call of a caller.
@@ -34,11 +37,18 @@
     Time m_received{};
     Time m_deadline{};
     std::string m_method;
+    bool m_forPeer = false; ///< sent by another daemon; not passed on again
     net::HttpReply m_reply;
   };
 
   void Submit(const Call& aCall, const std::string& aBody);
   void Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
+  /// Lets the leader's daemon store what this one can't. False if there is no
+  /// other daemon to ask.
+  bool PassOn(const Call& aCall,
+              const char* aPath,
+              std::string aBody,
+              std::function<void(bool aInDoubt)> aFailed);
   void StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
   void OnStored(const Call& aCall,
                 const pool::Job& aJob,
@@ -47,6 +57,7 @@
   void Accept(const Call& aCall, const pool::Job& aJob);
   void TellLeader(const char* aPath, const JobId& aJob, std::string aBody);
   void Cancel(const Call& aCall);
+  void PassOnCancel(const Call& aCall);
   void StoreCancellation(const Call& aCall, pool::JobPlace aPlace);
   /// Tries again while the caller waits, and refuses then.
   void AskAgain(const Call& aCall, std::function<void()> aAgain);
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -177,6 +177,9 @@
     HandleStatus(aRequest, aReply);
   } else if (aRequest.m_path == kAdvicePath) {
     HandleAdvice(aRequest, aReply);
+  } else if (aRequest.m_path.starts_with(kStoreJobPath) ||
+             aRequest.m_path.starts_with(kStoreCancelPath)) {
+    m_front.StoreForPeer(aRequest, aReply);
   } else if (aRequest.m_path == kMetricsPath) {
     net::HttpResponse response;
     response.m_headers["Content-Type"] = "text/plain; version=0.0.4";
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -14,6 +14,9 @@
 
 inline constexpr const char* kStatusPath = "/v1/pool/status";
 inline constexpr const char* kJobsPath = "/v1/pool/jobs";
+/// A job or a cancellation that the sender could not store itself.
+inline constexpr const char* kStoreJobPath = "/v1/pool/stored_jobs";
+inline constexpr const char* kStoreCancelPath = "/v1/pool/stored_cancellations";
 inline constexpr const char* kCancelPath = "/v1/pool/cancellations";
 inline constexpr const char* kAdvicePath = "/v1/pool/advice";
 inline constexpr const char* kMetricsPath = "/metrics";
--- /dev/null
+++ b/tests/correctness/PoolGangs.cpp
@@ -0,0 +1,107 @@
+/// Guards against gangs that start in parts, that go on without a member, or
+/// that never start under a steady stream of small tasks.
+#include "fakes/PoolSamples.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::fakes {
+
+namespace {
+
+pool::StepSpec
+GangStep(std::uint32_t aTasks, std::int64_t aMillicores)
+{
+  pool::StepSpec step = PoolStep(aTasks, aMillicores);
+  step.m_gang = true;
+  return step;
+}
+
+TEST(PoolGangs, StartsAllMembersWithOneRunOrNone)
+{
+  PoolBench bench({ PoolWorker("w1"), PoolWorker("w2") });
+  bench.AnswerAll();
+  bench.Add(PoolJob("wide", kPatientQueue, { GangStep(5, 4000) }));
+  EXPECT_TRUE(bench.Plan().m_starts.empty());
+  bench.Add(PoolJob("fits", kPatientQueue, { GangStep(4, 4000) }));
+  const auto starts = bench.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 4U);
+  for (const auto& start : starts) {
+    EXPECT_EQ(start.m_run, starts[0].m_run);
+    EXPECT_EQ(start.m_task.m_job, JobId("fits"));
+  }
+}
+
+TEST(PoolGangs, RefusedMemberStopsTheOthersAndAllStartAgain)
+{
+  PoolBench bench({ PoolWorker("w1"), PoolWorker("w2") });
+  bench.AnswerAll();
+  bench.Add(PoolJob("gang", kPatientQueue, { GangStep(4, 4000) }));
+  const auto starts = bench.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 4U);
+  bench.m_scheduler.OnStartOutcome(
+    bench.m_now, starts[0], pool::StartOutcome::Refused);
+  const auto actions = bench.Plan();
+  EXPECT_EQ(actions.m_stops.size(), 3U);
+  EXPECT_TRUE(actions.m_starts.empty());
+}
+
+TEST(PoolGangs, OneFailureOfARunCountsOnceForAllMembers)
+{
+  PoolBench bench({ PoolWorker("w1") });
+  bench.AnswerAll();
+  bench.Add(PoolJob("gang", kPatientQueue, { GangStep(2, 4000) }));
+  const auto starts = bench.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 2U);
+  bench.Answer(starts[0].m_worker,
+               {},
+               { EndOf(starts[0], 1, pool::RunEnd::Failed),
+                 EndOf(starts[1], 2, pool::RunEnd::Failed) });
+  const auto* job = bench.m_scheduler.FindJob(JobId("gang"));
+  EXPECT_EQ(job->Step(0).m_tasks[0].m_failedRuns.size(), 1U);
+  EXPECT_EQ(job->State(), pool::JobState::Pending);
+}
+
+/// Load pattern: small patient tasks arrive all the time and would fill each
+/// hole before a gang of large tasks fits.
+TEST(PoolGangs, SteadyStreamOfSmallTasksLeavesRoomForAWaitingGang)
+{
+  PoolBench bench({ PoolWorker("w1"), PoolWorker("w2") });
+  bench.AnswerAll();
+  bench.Add(PoolJob("small0", kPatientQueue, { PoolStep(16, 1000) }));
+  std::vector<pool::StartTask> running = bench.Plan().m_starts;
+  ASSERT_EQ(running.size(), 16U);
+  bench.Add(PoolJob("gang", kPatientQueue, { GangStep(4, 4000) }));
+  std::map<pool::WorkerId, std::uint64_t> ends;
+  bool started = false;
+  // Each round one small task ends on each worker and two more arrive.
+  for (int round = 1; round <= 12 && !started; ++round) {
+    bench.m_now += milliseconds(50);
+    bench.Add(PoolJob(
+      "small" + std::to_string(round), kPatientQueue, { PoolStep(2, 1000) }));
+    for (const pool::WorkerInfo& worker : bench.m_workers) {
+      const auto ended =
+        std::ranges::find(running, worker.m_id, &pool::StartTask::m_worker);
+      std::vector<pool::ListedEnd> list;
+      if (ended != running.end()) {
+        list.push_back(EndOf(*ended, ++ends[worker.m_id], pool::RunEnd::Done));
+        running.erase(ended);
+      }
+      std::vector<pool::ListedRun> left;
+      for (const auto& run : running) {
+        if (run.m_worker == worker.m_id) {
+          left.push_back(RunOf(run, round));
+        }
+      }
+      bench.Answer(worker.m_id, left, list);
+    }
+    for (const auto& start : bench.Plan().m_starts) {
+      started = started || start.m_task.m_job == JobId("gang");
+      running.push_back(start);
+    }
+  }
+  EXPECT_TRUE(started);
+}
+
+} // namespace
+
+} // namespace lacewing::fakes
