--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -99,7 +99,7 @@
   if (!job->IsOver()) {
     job->SetState(JobState::Cancelled);
     job->m_endedAt = aNow;
-    StopJob(aNow, *job);
+    StopJob(aNow, *job, StopReason::Cancelled);
     MarkDirty(*job);
     m_open.erase(aJob);
   }
@@ -205,7 +205,7 @@
   TrackedJob* job = Find(aStart.m_task.m_job);
   if (job != nullptr && !job->IsOver() &&
       job->Spec().m_steps[aStart.m_task.m_step].m_gang) {
-    StopGang(aNow, *job, aStart.m_task.m_step);
+    StopStep(aNow, *job, aStart.m_task.m_step, StopReason::GangBroken);
   }
 }
 
@@ -213,7 +213,8 @@
 PoolScheduler::AbandonStart(Time aNow, const StartTask& aStart)
 {
   if (IsWanted(aStart)) {
-    Stop(m_workers.at(aStart.m_worker), aStart.m_task, aNow);
+    Stop(
+      aNow, m_workers.at(aStart.m_worker), aStart.m_task, StopReason::InDoubt);
   }
 }
 
@@ -427,7 +428,10 @@
 }
 
 void
-PoolScheduler::Stop(WorkerRecord& aWorker, const TaskRef& aTask, Time aNow)
+PoolScheduler::Stop(Time aNow,
+                    WorkerRecord& aWorker,
+                    const TaskRef& aTask,
+                    StopReason aReason)
 {
   Placement& placement = aWorker.m_placements.at(aTask);
   if (placement.m_state == PlacementState::Stopping) {
@@ -435,19 +439,22 @@
   }
   placement.m_state = PlacementState::Stopping;
   placement.m_since = aNow;
-  m_stops.push_back({ aWorker.m_info.m_id, aTask, placement.m_run });
+  m_stops.push_back({ aWorker.m_info.m_id, aTask, placement.m_run, aReason });
 }
 
 void
-PoolScheduler::StopJob(Time aNow, TrackedJob& aJob)
+PoolScheduler::StopJob(Time aNow, TrackedJob& aJob, StopReason aReason)
 {
   for (std::uint32_t step = 0; step < aJob.Steps(); ++step) {
-    StopGang(aNow, aJob, step);
+    StopStep(aNow, aJob, step, aReason);
   }
 }
 
 void
-PoolScheduler::StopGang(Time aNow, TrackedJob& aJob, std::uint32_t aStep)
+PoolScheduler::StopStep(Time aNow,
+                        TrackedJob& aJob,
+                        std::uint32_t aStep,
+                        StopReason aReason)
 {
   const auto& tasks = aJob.Step(aStep).m_tasks;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -456,7 +463,7 @@
     if (tasks[index].m_state == TaskState::Placed &&
         worker != m_workers.end() &&
         worker->second.m_placements.contains(ref)) {
-      Stop(worker->second, ref, aNow);
+      Stop(aNow, worker->second, ref, aReason);
     }
   }
 }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -33,11 +33,24 @@
   std::string m_ticket;
 };
 
+/// Why a run is stopped.
+enum class StopReason : std::uint8_t
+{
+  Cancelled,
+  JobFailed,  ///< another task has used up its attempts
+  GangBroken, ///< another member of its gang is gone
+  Stuck,      ///< it makes no progress
+  NotNeeded,  ///< an earlier run of the task was done
+  Unknown,    ///< nobody waits for it: no such job, or its task runs elsewhere
+  InDoubt,    ///< its start was refused after one without an answer
+};
+
 struct StopTask
 {
   WorkerId m_worker;
   TaskRef m_task;
   RunNumber m_run = 0;
+  StopReason m_reason = StopReason::Unknown;
 };
 
 /// Asks the policy service which of the workers may run the step.
@@ -222,9 +235,15 @@
              RunNumber aRun,
              WorkerRecord& aWorker,
              Actions& aActions);
-  void Stop(WorkerRecord& aWorker, const TaskRef& aTask, Time aNow);
-  void StopJob(Time aNow, TrackedJob& aJob);
-  void StopGang(Time aNow, TrackedJob& aJob, std::uint32_t aStep);
+  void Stop(Time aNow,
+            WorkerRecord& aWorker,
+            const TaskRef& aTask,
+            StopReason aReason);
+  void StopJob(Time aNow, TrackedJob& aJob, StopReason aReason);
+  void StopStep(Time aNow,
+                TrackedJob& aJob,
+                std::uint32_t aStep,
+                StopReason aReason);
   void StopStuck(Time aNow);
   void ExpireLeases(Time aNow);
 
@@ -276,6 +295,21 @@
 
 } // namespace lacewing::pool
 
+template<>
+struct lacewing::EnumNames<lacewing::pool::StopReason>
+{
+  using Reason = lacewing::pool::StopReason;
+  static constexpr std::array kTable = {
+    std::pair{ Reason::Cancelled, std::string_view("cancelled") },
+    std::pair{ Reason::JobFailed, std::string_view("job_failed") },
+    std::pair{ Reason::GangBroken, std::string_view("gang_broken") },
+    std::pair{ Reason::Stuck, std::string_view("stuck") },
+    std::pair{ Reason::NotNeeded, std::string_view("not_needed") },
+    std::pair{ Reason::Unknown, std::string_view("unknown") },
+    std::pair{ Reason::InDoubt, std::string_view("in_doubt") },
+  };
+};
+
 template<>
 struct lacewing::EnumNames<lacewing::pool::StartOutcome>
 {
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -70,7 +70,7 @@
     CountFailure(aNow, aJob, aEnd.m_task, aEnd.m_run, aWorker);
   }
   if (!aJob.IsOver() && spec.m_gang) {
-    StopGang(aNow, aJob, aEnd.m_task.m_step);
+    StopStep(aNow, aJob, aEnd.m_task.m_step, StopReason::GangBroken);
   }
 }
 
@@ -90,7 +90,7 @@
     // members of a gang end by themselves.
     if (!gang && worker != m_workers.end() &&
         worker->second.m_placements.contains(aTask)) {
-      Stop(worker->second, aTask, aNow);
+      Stop(aNow, worker->second, aTask, StopReason::NotNeeded);
     }
   }
   task.m_state = TaskState::Done;
@@ -132,7 +132,7 @@
     aJob.SetState(JobState::Failed);
     aJob.m_endedAt = aNow;
     m_open.erase(aJob.Spec().m_id);
-    StopJob(aNow, aJob);
+    StopJob(aNow, aJob, StopReason::JobFailed);
   }
 }
 
@@ -197,7 +197,7 @@
   const bool adoptable = !job->IsOver() && task.m_state == TaskState::Waiting &&
                          aRun.m_run >= task.m_run;
   if (!adoptable) {
-    Stop(aWorker, aRun.m_task, aNow);
+    Stop(aNow, aWorker, aRun.m_task, StopReason::Unknown);
     return;
   }
   task.m_state = TaskState::Placed;
@@ -221,7 +221,7 @@
       }
     }
     for (const TaskRef& task : strange) {
-      Stop(worker, task, aNow);
+      Stop(aNow, worker, task, StopReason::Unknown);
     }
   }
 }
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -348,7 +348,8 @@
   });
   if (torn && m_barrierPassed) {
     // A member is gone with its worker; the others cannot work without it.
-    StopGang(aNow, *aCandidate.m_job, aCandidate.m_step);
+    StopStep(
+      aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
   }
   if (!allWait ||
       !HasQuota(aCandidate.m_job->Spec().m_team,
@@ -478,7 +479,7 @@
       }
     }
     for (const TaskRef& task : stuck) {
-      Stop(worker, task, aNow);
+      Stop(aNow, worker, task, StopReason::Stuck);
       worker.m_avoidUntil =
         std::max(worker.m_avoidUntil, aNow + kStuckAvoidance);
     }
