Spread jobs over 64 parts of the store; try the other place of a job after a failure

Change: 64 parts; after each failure a front tries the other place of the job; StoreHealth judges tables, since a single part sees too few calls.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -88,16 +88,10 @@
   return aCall.m_deadline - net::Loop::Now();
 }
 
-std::optional<pool::JobPlace>
-CallerFront::PlaceFor(const JobId& aJob) const
+bool
+CallerFront::StoreLooksDown() const
 {
-  for (const auto place : { pool::JobPlace::First, pool::JobPlace::Second }) {
-    if (!m_context.m_storeHealth.LooksDown(net::Loop::Now(),
-                                           pool::JobPart(aJob, place))) {
-      return place;
-    }
-  }
-  return std::nullopt;
+  return m_context.m_storeHealth.LooksDown(net::Loop::Now(), pool::kJobTable);
 }
 
 void
@@ -210,7 +204,7 @@
       job.m_queue = aCall.m_queue;
       job.m_team = aCall.m_team;
       job.m_acceptedUnixMs = UnixMilliseconds();
-      Store(aCall, job, false);
+      Store(aCall, job, pool::JobPlace::First, false);
       return {};
     },
     [&](const Error& aError) {
@@ -224,30 +218,29 @@
 }
 
 void
-CallerFront::Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
+CallerFront::Store(const Call& aCall,
+                   const pool::Job& aJob,
+                   pool::JobPlace aPlace,
+                   bool aInDoubt)
 {
-  const auto place = PlaceFor(aJob.m_id);
   const bool hasTime = TimeLeft(aCall) >= kLeastAttempt;
-  if (!place && hasTime &&
+  const bool down = StoreLooksDown();
+  if (down && hasTime &&
       PassOn(aCall,
              kStoreJobPath,
              pool::EncodeJob(aJob),
-             [this, aCall, aJob, aInDoubt](bool aPassInDoubt) {
-               StoreLater(aCall, aJob, aInDoubt || aPassInDoubt);
+             [this, aCall, aJob, aPlace, aInDoubt](bool aPassInDoubt) {
+               StoreLater(aCall, aJob, aPlace, aInDoubt || aPassInDoubt);
              })) {
     return;
   }
-  if (!hasTime || (!place && !aInDoubt)) {
+  if (!hasTime || (down && !aInDoubt)) {
     Refuse(aCall,
            aInDoubt ? kGatewayTimeout : kUnavailable,
            aInDoubt ? "store_silent" : "store_refuses");
     return;
   }
-  if (!place) {
-    StoreLater(aCall, aJob, aInDoubt);
-    return;
-  }
-  const std::string key = pool::JobKey(aJob.m_id, *place);
+  const std::string key = pool::JobKey(aJob.m_id, aPlace);
   table::Commit commit;
   commit.m_checks = { { key, 0 } };
   commit.m_puts = { { key, pool::EncodeJob(aJob) } };
@@ -255,8 +248,20 @@
   m_context.m_store.Submit(
     commit,
     std::min(kStoreTimeout, TimeLeft(aCall)),
-    [this, aCall, aJob, aInDoubt](const table::CommitResult& aResult) {
-      OnStored(aCall, aJob, aInDoubt, aResult);
+    [this, aCall, aJob, aPlace, aInDoubt](const table::CommitResult& aResult) {
+      using table::CommitState;
+      // A conflict means that the job is stored, by this call or an earlier
+      // one.
+      if (aResult.m_state == CommitState::Committed ||
+          aResult.m_state == CommitState::Conflict) {
+        Accept(aCall, aJob);
+        return;
+      }
+      // The part of the other place may work.
+      StoreLater(aCall,
+                 aJob,
+                 pool::OtherPlace(aPlace),
+                 aInDoubt || aResult.m_state == CommitState::Unknown);
     });
 }
 
@@ -318,33 +323,20 @@
   }
   call.m_queue = job->m_queue;
   call.m_team = job->m_team;
-  Store(call, *job, false);
+  Store(call, *job, pool::JobPlace::First, false);
 }
 
 void
-CallerFront::StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt)
+CallerFront::StoreLater(const Call& aCall,
+                        const pool::Job& aJob,
+                        pool::JobPlace aPlace,
+                        bool aInDoubt)
 {
-  m_context.m_loop.After(kRetryPause, [this, aCall, aJob, aInDoubt] {
-    Store(aCall, aJob, aInDoubt);
+  m_context.m_loop.After(kRetryPause, [this, aCall, aJob, aPlace, aInDoubt] {
+    Store(aCall, aJob, aPlace, aInDoubt);
   });
 }
 
-void
-CallerFront::OnStored(const Call& aCall,
-                      const pool::Job& aJob,
-                      bool aInDoubt,
-                      const table::CommitResult& aResult)
-{
-  using table::CommitState;
-  // A conflict means that the job is stored, by this call or an earlier one.
-  if (aResult.m_state == CommitState::Committed ||
-      aResult.m_state == CommitState::Conflict) {
-    Accept(aCall, aJob);
-    return;
-  }
-  StoreLater(aCall, aJob, aInDoubt || aResult.m_state == CommitState::Unknown);
-}
-
 void
 CallerFront::Accept(const Call& aCall, const pool::Job& aJob)
 {
@@ -439,9 +431,7 @@
         Refuse(aCall, kGatewayTimeout, "store_silent");
         return;
       }
-      const auto other = aPlace == pool::JobPlace::First
-                           ? pool::JobPlace::Second
-                           : pool::JobPlace::First;
+      const auto other = pool::OtherPlace(aPlace);
       m_context.m_loop.After(
         kRetryPause, [this, aCall, other] { StoreCancellation(aCall, other); });
     });
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -42,18 +42,20 @@
   };
 
   void Submit(const Call& aCall, const std::string& aBody);
-  void Store(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
+  void Store(const Call& aCall,
+             const pool::Job& aJob,
+             pool::JobPlace aPlace,
+             bool aInDoubt);
   /// Lets the leader's daemon store what this one can't. False if there is no
   /// other daemon to ask.
   bool PassOn(const Call& aCall,
               const char* aPath,
               std::string aBody,
               std::function<void(bool aInDoubt)> aFailed);
-  void StoreLater(const Call& aCall, const pool::Job& aJob, bool aInDoubt);
-  void OnStored(const Call& aCall,
-                const pool::Job& aJob,
-                bool aInDoubt,
-                const table::CommitResult& aResult);
+  void StoreLater(const Call& aCall,
+                  const pool::Job& aJob,
+                  pool::JobPlace aPlace,
+                  bool aInDoubt);
   void Accept(const Call& aCall, const pool::Job& aJob);
   void TellLeader(const char* aPath, const JobId& aJob, std::string aBody);
   void Cancel(const Call& aCall);
@@ -72,8 +74,7 @@
               std::string aBody = "{}");
   void Refuse(const Call& aCall, int aStatus, std::string_view aReason);
   Duration TimeLeft(const Call& aCall) const;
-  /// The place whose part works, as far as known; nothing if neither does.
-  std::optional<pool::JobPlace> PlaceFor(const JobId& aJob) const;
+  bool StoreLooksDown() const;
 
   LeaderContext m_context;
   ConfigWatch& m_config;
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -61,8 +61,8 @@
   , m_http(aLoop)
   , m_store(m_http,
             aSettings.m_store,
-            [this](const std::string& aPart, bool aAnswered) {
-              OnStoreCall(aPart, aAnswered);
+            [this](const std::string& aTable, bool aAnswered) {
+              OnStoreCall(aTable, aAnswered);
             })
   , m_workers(m_http)
   , m_desk(m_workers, aSettings.m_policyService)
@@ -115,16 +115,16 @@
 }
 
 void
-EdgeDaemon::OnStoreCall(const std::string& aPart, bool aAnswered)
+EdgeDaemon::OnStoreCall(const std::string& aTable, bool aAnswered)
 {
   const Time now = net::Loop::Now();
   if (aAnswered) {
-    m_storeHealth.OnAnswer(now, aPart);
+    m_storeHealth.OnAnswer(now, aTable);
   } else {
-    m_storeHealth.OnFailure(now, aPart);
+    m_storeHealth.OnFailure(now, aTable);
   }
-  const bool down = m_storeHealth.LooksDown(now, aPart);
-  m_log.WriteOnChange("store part '" + aPart + "'",
+  const bool down = m_storeHealth.LooksDown(now, aTable);
+  m_log.WriteOnChange("store table '" + aTable + "'",
                       down ? "down" : "works",
                       down ? settings::LogLevel::Warn
                            : settings::LogLevel::Info,
@@ -144,8 +144,7 @@
   // A daemon that the store does not answer takes no new callers.
   const Time now = net::Loop::Now();
   return !m_draining && m_config.HasConfig() &&
-         !(m_storeHealth.LooksDown(now, platform::kConfigPart) &&
-           m_storeHealth.LooksDown(now, platform::kWatchPart));
+         !m_storeHealth.LooksDown(now, platform::kOperatorTable);
 }
 
 void
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -41,7 +41,7 @@
   void HandleAdvice(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply);
   bool IsReady() const;
-  void OnStoreCall(const std::string& aPart, bool aAnswered);
+  void OnStoreCall(const std::string& aTable, bool aAnswered);
   void OnConfig(const pool::PoolConfig& aConfig);
   void TickDrain();
   void LogState();
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -9,7 +9,7 @@
 
 constexpr Duration kTickPeriod = milliseconds(25);
 constexpr Duration kReadTimeout = milliseconds(700);
-constexpr Duration kWriteTimeout = milliseconds(1000);
+constexpr Duration kWriteTimeout = milliseconds(1200);
 /// Least time between two transactions; what comes in between shares one.
 constexpr Duration kWritePause = milliseconds(25);
 constexpr Duration kFailedWritePause = milliseconds(120);
--- a/src/edge/StoreHealth.cpp
+++ b/src/edge/StoreHealth.cpp
@@ -4,33 +4,33 @@
 
 namespace {
 
-/// Single answers get lost while the store works; three in a row are rare even
-/// if it loses a third of them.
-constexpr int kFailuresForDown = 3;
-/// A part that looked down is tried again after this time.
+/// Single answers get lost while the store works, and single parts fail; four
+/// failures in a row are rare even if a third of the calls fail.
+constexpr int kFailuresForDown = 4;
+/// A table that looked down is tried again after this time.
 constexpr Duration kTryAgainAfter = milliseconds(400);
 
 } // namespace
 
 void
-StoreHealth::OnAnswer(Time, const std::string& aPart)
+StoreHealth::OnAnswer(Time, const std::string& aTable)
 {
-  m_parts.erase(aPart);
+  m_tables.erase(aTable);
 }
 
 void
-StoreHealth::OnFailure(Time aNow, const std::string& aPart)
+StoreHealth::OnFailure(Time aNow, const std::string& aTable)
 {
-  Part& part = m_parts[aPart];
-  ++part.m_failuresInRow;
-  part.m_lastFailure = aNow;
+  Table& table = m_tables[aTable];
+  ++table.m_failuresInRow;
+  table.m_lastFailure = aNow;
 }
 
 bool
-StoreHealth::LooksDown(Time aNow, const std::string& aPart) const
+StoreHealth::LooksDown(Time aNow, const std::string& aTable) const
 {
-  const auto it = m_parts.find(aPart);
-  return it != m_parts.end() &&
+  const auto it = m_tables.find(aTable);
+  return it != m_tables.end() &&
          it->second.m_failuresInRow >= kFailuresForDown &&
          aNow < it->second.m_lastFailure + kTryAgainAfter;
 }
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -270,8 +270,8 @@
       if (!self || self->m_closed) {
         return;
       }
-      observe::Fields fields = OrderFields(
-        aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
+      observe::Fields fields =
+        OrderFields(aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
       fields.emplace_back("reason", std::string(NameOf(aStop.m_reason)));
       self->m_log.Write(settings::LogLevel::Info, "stop", fields);
       if (aState == platform::OrderState::Fenced) {
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -81,7 +81,8 @@
 {
   unsigned sum = 0;
   for (const char letter : aJob.Value()) {
-    sum += static_cast<unsigned char>(letter);
+    constexpr unsigned kMultiplier = 31;
+    sum = sum * kMultiplier + static_cast<unsigned char>(letter);
   }
   constexpr unsigned kSecondOffset = kJobParts / 2;
   const unsigned offset = aPlace == JobPlace::First ? 0 : kSecondOffset;
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -18,7 +18,9 @@
 
 inline constexpr const char* kJobTable = "jobs";
 inline constexpr const char* kProgressTable = "progress";
-inline constexpr int kJobParts = 4;
+/// Many, since a part applies its transactions one after another: when the
+/// store is slow a part takes only a few a second.
+inline constexpr int kJobParts = 64;
 
 /// A job's row lies in one of two parts, so that jobs are taken while one part
 /// of the store is down. Its row may stand in both; it is one job.
@@ -36,6 +38,11 @@
 /// Name of the part of a place.
 std::string
 JobPart(const JobId& aJob, JobPlace aPlace);
+constexpr JobPlace
+OtherPlace(JobPlace aPlace)
+{
+  return aPlace == JobPlace::First ? JobPlace::Second : JobPlace::First;
+}
 std::string
 ProgressKey(const JobId& aJob);
 std::string
--- a/tests/correctness/EdgeStoreHealth.cpp
+++ b/tests/correctness/EdgeStoreHealth.cpp
@@ -1,6 +1,6 @@
 /// Guards against a store that is taken for down because one part of it fails
 /// or single answers are lost, and against callers left in doubt by writes to a
-/// part that is down. Load pattern: a share of the store's parts is away.
+/// table that is down. Load pattern: the store is away, whole or in part.
 #include "edge/StoreHealth.h"
 
 #include <gtest/gtest.h>
@@ -11,10 +11,10 @@
 
 constexpr Time kStart{ seconds(1000) };
 
-TEST(EdgeStoreHealth, PartsAreJudgedOneByOne)
+TEST(EdgeStoreHealth, TablesAreJudgedOneByOne)
 {
   StoreHealth health;
-  for (int number = 0; number < 3; ++number) {
+  for (int number = 0; number < 4; ++number) {
     health.OnFailure(kStart, "1");
     health.OnAnswer(kStart, "2");
   }
@@ -33,10 +33,10 @@
   EXPECT_FALSE(health.LooksDown(kStart, "1"));
 }
 
-TEST(EdgeStoreHealth, PartIsTriedAgainAfterAWhile)
+TEST(EdgeStoreHealth, TableIsTriedAgainAfterAWhile)
 {
   StoreHealth health;
-  for (int number = 0; number < 3; ++number) {
+  for (int number = 0; number < 4; ++number) {
     health.OnFailure(kStart, "1");
   }
   EXPECT_FALSE(health.LooksDown(kStart + milliseconds(500), "1"));
