--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -18,6 +18,7 @@
                    [--accelerators=N] [--lease-ms=MS] [--fail] [--count=N]
   lacewing-standin endpoint --listen=ADDR [--name=NAME] [--slots=N]
                    [--service-ms=MS]
+  lacewing-standin platform --listen=ADDR [--count=N]
   lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
 
 Options:
@@ -53,6 +54,10 @@
       if (aOptions["table"].asBool()) {
         return lacewing::standin::RunTable(loop, listen);
       }
+      if (aOptions["platform"].asBool()) {
+        return lacewing::standin::RunPlatform(
+          loop, listen, static_cast<int>(aOptions["--count"].asLong()));
+      }
       if (aOptions["vmlist"].asBool()) {
         return lacewing::standin::RunVmList(
           loop,
--- /dev/null
+++ b/standins/PlatformServer.cpp
@@ -0,0 +1,242 @@
+// The users' platform in one process: the store of rows, the policy service and
+// a few workers, on consecutive ports.
+#include "PlatformStore.h"
+#include "PlatformWorker.h"
+#include "Servers.h"
+#include "net/HttpServer.h"
+
+#include <chrono>
+#include <memory>
+
+namespace lacewing::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr Duration kPoll = milliseconds(5);
+
+std::int64_t
+QueryNumber(const Json& aBody, const char* aField)
+{
+  return aBody.value(aField, std::int64_t{ 0 });
+}
+
+class Platform
+{
+public:
+  Platform(net::Loop& aLoop, const net::Address& aListen, int aWorkers);
+  Result<void> Listen();
+
+private:
+  struct WorkerProcess
+  {
+    PlatformWorker m_model;
+    net::Address m_address;
+    Time m_start;
+    std::unique_ptr<net::HttpServer> m_server;
+  };
+
+  void HandleStore(const net::HttpRequest& aRequest,
+                   const net::HttpReply& aReply);
+  void WaitForChange(const net::HttpRequest& aRequest,
+                     const net::HttpReply& aReply,
+                     Time aUntil);
+  void HandleWorker(WorkerProcess& aWorker,
+                    const net::HttpRequest& aRequest,
+                    const net::HttpReply& aReply);
+  void WaitForEnd(WorkerProcess& aWorker,
+                  const net::HttpRequest& aRequest,
+                  const net::HttpReply& aReply,
+                  Time aUntil);
+  void Control(const net::HttpRequest& aRequest);
+  std::string Starts() const;
+  static std::int64_t ClockOf(const WorkerProcess& aWorker);
+
+  net::Loop& m_loop;
+  net::Address m_listen;
+  PlatformStore m_store;
+  net::HttpServer m_storeServer;
+  net::HttpServer m_policyServer;
+  std::vector<std::unique_ptr<WorkerProcess>> m_workers;
+};
+
+Platform::Platform(net::Loop& aLoop, const net::Address& aListen, int aWorkers)
+  : m_loop(aLoop)
+  , m_listen(aListen)
+  , m_storeServer(aLoop,
+                  {},
+                  [this](const auto& aRequest, const auto& aReply) {
+                    HandleStore(aRequest, aReply);
+                  })
+  , m_policyServer(aLoop, {}, [](const auto& aRequest, const auto& aReply) {
+    // Every worker that is named may run the step.
+    const Json body = Json::parse(aRequest.m_body);
+    Json good = Json::array();
+    for (const Json& worker : body.at("workers")) {
+      good.push_back({ worker, "ticket" });
+    }
+    aReply(net::JsonResponse(kOk, Json{ { "good", good } }.dump()));
+  })
+{
+  constexpr std::int64_t kBorn = 1'000;
+  for (int number = 0; number < aWorkers; ++number) {
+    const std::string id = "i-" + std::to_string(number);
+    auto worker = std::make_unique<WorkerProcess>(WorkerProcess{
+      PlatformWorker(id, kBorn), aListen, net::Loop::Now(), nullptr });
+    worker->m_address.m_port =
+      static_cast<std::uint16_t>(aListen.m_port + 2 + number);
+    WorkerProcess* raw = worker.get();
+    worker->m_server = std::make_unique<net::HttpServer>(
+      aLoop,
+      net::HttpServerLimits(),
+      [this, raw](const auto& aRequest, const auto& aReply) {
+        HandleWorker(*raw, aRequest, aReply);
+      });
+    m_store.Put(
+      "servers", id, raw->m_model.Entry(raw->m_address.ToString(), 1).dump());
+    m_workers.push_back(std::move(worker));
+  }
+}
+
+Result<void>
+Platform::Listen()
+{
+  net::Address policy = m_listen;
+  ++policy.m_port;
+  BOOST_LEAF_CHECK(m_storeServer.Listen(m_listen));
+  BOOST_LEAF_CHECK(m_policyServer.Listen(policy));
+  for (const auto& worker : m_workers) {
+    BOOST_LEAF_CHECK(worker->m_server->Listen(worker->m_address));
+  }
+  return {};
+}
+
+std::int64_t
+Platform::ClockOf(const WorkerProcess& aWorker)
+{
+  return ToMilliseconds(net::Loop::Now() - aWorker.m_start) + 1;
+}
+
+void
+Platform::HandleStore(const net::HttpRequest& aRequest,
+                      const net::HttpReply& aReply)
+{
+  if (aRequest.m_path == "/control") {
+    Control(aRequest);
+    aReply(net::JsonResponse(kOk, "{}"));
+    return;
+  }
+  if (aRequest.m_path == "/starts") {
+    aReply(net::JsonResponse(kOk, Starts()));
+    return;
+  }
+  const std::string wait = aRequest.Query("wait_ms");
+  WaitForChange(aRequest,
+                aReply,
+                net::Loop::Now() +
+                  milliseconds(wait.empty() ? 0 : std::stoll(wait)));
+}
+
+void
+Platform::WaitForChange(const net::HttpRequest& aRequest,
+                        const net::HttpReply& aReply,
+                        Time aUntil)
+{
+  const auto answer = m_store.Handle(aRequest);
+  if (!answer) {
+    return; // the caller runs into its timeout
+  }
+  const Json body = Json::parse(answer->m_body, nullptr, false);
+  const bool empty = aRequest.m_path == "/api/rows-feed" &&
+                     answer->m_status == kOk && body.at("rows").empty();
+  if (!empty || net::Loop::Now() >= aUntil) {
+    aReply(*answer);
+    return;
+  }
+  m_loop.After(kPoll, [this, aRequest, aReply, aUntil] {
+    WaitForChange(aRequest, aReply, aUntil);
+  });
+}
+
+void
+Platform::HandleWorker(WorkerProcess& aWorker,
+                       const net::HttpRequest& aRequest,
+                       const net::HttpReply& aReply)
+{
+  const Json body = Json::parse(aRequest.m_body);
+  WaitForEnd(aWorker,
+             aRequest,
+             aReply,
+             net::Loop::Now() + milliseconds(QueryNumber(body, "wait_ms")));
+}
+
+void
+Platform::WaitForEnd(WorkerProcess& aWorker,
+                     const net::HttpRequest& aRequest,
+                     const net::HttpReply& aReply,
+                     Time aUntil)
+{
+  const net::HttpResponse answer =
+    aWorker.m_model.Handle(ClockOf(aWorker), aRequest);
+  if (aWorker.m_model.HasEnds() || net::Loop::Now() >= aUntil ||
+      answer.m_status != kOk) {
+    aReply(answer);
+    return;
+  }
+  m_loop.After(kPoll, [this, &aWorker, aRequest, aReply, aUntil] {
+    WaitForEnd(aWorker, aRequest, aReply, aUntil);
+  });
+}
+
+void
+Platform::Control(const net::HttpRequest& aRequest)
+{
+  if (aRequest.m_method == "POST" && !aRequest.m_body.empty()) {
+    m_store.Put("op", "config", aRequest.m_body);
+  }
+  const std::string mode = aRequest.Query("store");
+  if (mode == "works") {
+    m_store.SetMode(StoreMode::Works);
+  } else if (mode == "busy") {
+    m_store.SetMode(StoreMode::Busy);
+  } else if (mode == "loses-answers") {
+    m_store.SetMode(StoreMode::LosesAnswer);
+  } else if (mode == "compact") {
+    m_store.Compact();
+  }
+}
+
+std::string
+Platform::Starts() const
+{
+  std::map<std::string, int> sum;
+  for (const auto& worker : m_workers) {
+    for (const auto& [task, count] : worker->m_model.Starts()) {
+      sum[task] += count;
+    }
+  }
+  int most = 0;
+  for (const auto& [task, count] : sum) {
+    most = std::max(most, count);
+  }
+  return Json{ { "tasks", sum.size() }, { "most_of_one", most } }.dump();
+}
+
+} // namespace
+
+int
+RunPlatform(net::Loop& aLoop, const net::Address& aListen, int aWorkers)
+{
+  Platform platform(aLoop, aListen, aWorkers);
+  return leaf::try_handle_all(
+    [&]() -> Result<int> {
+      BOOST_LEAF_CHECK(platform.Listen());
+      aLoop.Run();
+      return 0;
+    },
+    [] { return 2; });
+}
+
+} // namespace lacewing::standin
--- /dev/null
+++ b/standins/PlatformWorker.h
@@ -0,0 +1,65 @@
+/// Stand-in for one of the users' workers: runs tasks under a lease, with
+/// fencing tokens, run numbers and a list of ends.
+#pragma once
+
+#include "net/HttpMessage.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewing::standin {
+
+class PlatformWorker
+{
+public:
+  using Json = nlohmann::json;
+
+  /// The born time is Unix milliseconds; its own clock starts at 1.
+  PlatformWorker(std::string aId, std::int64_t aBorn);
+
+  /// The answer to an order, at the worker's clock in milliseconds.
+  net::HttpResponse Handle(std::int64_t aClockMs,
+                           const net::HttpRequest& aRequest);
+  /// Ends what is due; true if an end was listed.
+  bool Advance(std::int64_t aClockMs);
+  bool HasEnds() const { return !m_ended.empty(); }
+  Json Entry(const std::string& aAddress, std::int64_t aClockMs) const;
+  /// Starts of each task, by name, that the worker has carried out.
+  const std::map<std::string, int>& Starts() const { return m_starts; }
+
+private:
+  struct Run
+  {
+    std::uint64_t m_run = 0;
+    std::int64_t m_startMs = 0;
+    std::int64_t m_endMs = 0;
+  };
+  struct End
+  {
+    std::string m_task;
+    std::uint64_t m_run = 0;
+    std::string m_how;
+  };
+
+  net::HttpResponse Start(std::int64_t aClockMs, const Json& aBody);
+  net::HttpResponse Stop(std::int64_t aClockMs, const Json& aBody);
+  net::HttpResponse Lists(std::int64_t aClockMs, const Json& aBody);
+  void Finish(const std::string& aTask, const char* aHow);
+  static net::HttpResponse Refusal(std::int64_t aClockMs, const char* aReason);
+
+  std::string m_id;
+  std::int64_t m_born;
+  std::uint64_t m_fence = 0;
+  std::int64_t m_leaseMs = 0;
+  std::map<std::string, Run> m_running;
+  std::map<std::string, std::uint64_t> m_past; ///< highest run that ended
+  std::map<std::uint64_t, End> m_ended;
+  std::uint64_t m_lastEnd = 0;
+  std::map<std::string, int> m_starts;
+};
+
+} // namespace lacewing::standin
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -40,6 +40,14 @@
             const net::Address& aListen,
             const EndpointOptions& aOptions);
 
+/// The users' platform: the store of rows at `aListen`, the policy service at
+/// the next port and workers at those after it. POST /control on the store's
+/// address writes the desired state from its body; store=works|busy|
+/// loses-answers|compact sets what the store does. GET /starts tells how often
+/// tasks were started.
+int
+RunPlatform(net::Loop& aLoop, const net::Address& aListen, int aWorkers);
+
 /// TCP relay to an address. POST /control on `aControl` cuts one direction or
 /// both, or closes the connections.
 int
--- /dev/null
+++ b/tests/process/platform_store_faults.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# Guards against untrue refusals, doubled jobs and a pool that stands still after the store was
+# busy, lost its answers or forgot its history; and against keys and queues that do not follow the
+# desired state.
+set -euo pipefail
+BIN=$1
+BASE_PORT=9900
+source "$(dirname "$0")/../../scripts/platform-cell"
+start_platform_cell
+
+submit 1 urgent 2 50
+wait_state 1 urgent completed
+store_mode busy
+refused=0
+for try in 1 2 3 4 5 6; do
+  code=$(call 1 POST "/urgent/$(job_id 2)" -d '{"spec":"50","steps":[{"count":1,"cpu":500,"mem_mb":64}]}')
+  [ "$code" = 503 ] && refused=$((refused + 1))
+  [ "$code" != 200 ] || fail "a job was accepted without the store"
+done
+[ $refused -gt 0 ] || fail "no refusal while the store was busy"
+store_mode works
+for daemon in 1 2 3; do wait_ready $daemon; done
+# A refused job has not run and is not known.
+[ "$(call 2 GET "/urgent/$(job_id 2)")" = 410 ] || fail "a refused job is known"
+
+store_mode loses-answers
+(sleep 1.5 && store_mode works) &
+submit 3 urgent 1 50
+wait_state 3 urgent completed
+store_mode compact
+submit 4 policy 1 50
+wait_state 4 policy completed
+
+# Cancelling stops what runs; unknown jobs and keys are told apart.
+submit 5 urgent 1 60000
+wait_state 5 urgent running
+[ "$(call 3 DELETE "/urgent/$(job_id 5)")" = 200 ] || fail "a job was not cancelled"
+wait_state 5 urgent cancelled
+[ "$(call 1 DELETE "/urgent/$(job_id 99)")" = 410 ] || fail "an unknown job was cancelled"
+[ "$(call 1 GET "/urgent/$(job_id 1)" -H 'Authorization: Bearer other')" = 401 ] || fail "a wrong key was taken"
+[ "$(call 1 GET "/nowhere/$(job_id 1)")" = 404 ] || fail "a path without a queue was taken"
+[ "$(call 1 POST "/urgent/$(job_id 6)" -d '{')" = 400 ] || fail "a broken job was taken"
+[ "$(call 1 GET /urgent/)" = 200 ] || fail "no count of waiting jobs"
+
+# A withdrawn key stops working everywhere.
+curl -sf -X POST -d "$(config 2 | sed 's/key-1/key-2/')" "http://$(store_address)/control" >/dev/null
+for daemon in 1 2 3; do
+  tries=0
+  until [ "$(call "$daemon" GET "/urgent/$(job_id 1)")" = 401 ]; do
+    tries=$((tries + 1))
+    [ $tries -lt 200 ] || fail "daemon $daemon still takes a withdrawn key"
+    sleep 0.05
+  done
+done
+expect_single_starts
+echo "platform store faults: passed"
