--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -509,9 +509,9 @@
         return;
       }
       pool::JobState state = pool::JobState::Pending;
-      for (const auto& [key, row] : aProgress.m_read.m_rows) {
+      for (const auto& item : aProgress.m_read.m_rows) {
         const auto progress = TryDecode<pool::JobProgress>(
-          [&] { return pool::DecodeProgress(row.m_value); });
+          [&] { return pool::DecodeProgress(item.second.m_value); });
         state = progress && pool::IsFinal(progress->m_state)
                   ? progress->m_state
                   : pool::JobState::Running;
--- a/src/edge/JobFinder.cpp
+++ b/src/edge/JobFinder.cpp
@@ -14,9 +14,9 @@
   FoundJob found;
   found.m_known = aPage.m_read.m_ok;
   found.m_place = aPlace;
-  for (const auto& [key, row] : aPage.m_read.m_rows) {
-    found.m_job =
-      TryDecode<pool::Job>([&] { return pool::DecodeJob(aJob, row.m_value); });
+  for (const auto& item : aPage.m_read.m_rows) {
+    found.m_job = TryDecode<pool::Job>(
+      [&] { return pool::DecodeJob(aJob, item.second.m_value); });
   }
   return found;
 }
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -175,10 +175,10 @@
       }
       std::optional<pool::LeaderRow> row;
       RowVersion version = 0;
-      for (const auto& [key, stored] : aPage.m_read.m_rows) {
-        version = stored.m_version;
+      for (const auto& item : aPage.m_read.m_rows) {
+        version = item.second.m_version;
         row = TryDecode<pool::LeaderRow>(
-          [&] { return pool::DecodeLeader(stored.m_value); });
+          [&] { return pool::DecodeLeader(item.second.m_value); });
       }
       m_election.OnRow(now, row, version);
       UpdateRole();
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -249,23 +249,30 @@
 void
 PoolLeader::AddLoadedJobs()
 {
-  for (const auto& [id, row] : m_loadedJobs) {
+  for (const auto& item : m_loadedJobs) {
+    const JobId& id = item.first;
     const auto job =
-      TryDecode<pool::Job>([&] { return pool::DecodeJob(id, row); });
+      TryDecode<pool::Job>([&] { return pool::DecodeJob(id, item.second); });
     if (!job) {
       m_context.m_log.Write(settings::LogLevel::Error,
                             "job_row_unreadable",
                             { { "request", id.Value() } });
       continue;
     }
-    pool::JobProgress progress;
+    std::optional<pool::JobProgress> progress = pool::JobProgress();
     if (const auto it = m_loadedProgress.find(id);
         it != m_loadedProgress.end()) {
-      progress = TryDecode<pool::JobProgress>([&] {
-                   return pool::DecodeProgress(it->second);
-                 }).value_or(progress);
+      progress = TryDecode<pool::JobProgress>(
+        [&] { return pool::DecodeProgress(it->second); });
     }
-    Add(*job, progress, true);
+    if (!progress) {
+      // Without its progress a job could run what is done again.
+      m_context.m_log.Write(settings::LogLevel::Error,
+                            "progress_row_unreadable",
+                            { { "request", id.Value() } });
+      continue;
+    }
+    Add(*job, *progress, true);
   }
   for (const JobId& id : m_loadedCancellations) {
     m_scheduler.CancelJob(net::Loop::Now(), id);
