Keep the room of an unconfirmed start until its stop is confirmed

A start without an answer that was being stopped lost its room after three lists that did not show it, while both orders could still be on their way, up to 12 s late.

Change: only a run that was confirmed, or whose stop was, counts as lost when lists miss it. The test failed before.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -278,6 +278,7 @@
         self->Fenced(aStop.m_worker);
       }
       if (aState == platform::OrderState::Done) {
+        self->m_scheduler.OnStopConfirmed(aStop);
         return;
       }
       self->m_loop.After(kRetryPause, [weak, aStop] {
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -177,6 +177,7 @@
   Placement& placement = worker.m_placements.at(aStart.m_task);
   switch (aOutcome) {
     case StartOutcome::Started:
+      placement.m_confirmed = true;
       if (placement.m_state == PlacementState::Starting) {
         placement.m_state = PlacementState::Running;
         placement.m_progressAt = aNow;
@@ -209,6 +210,15 @@
   }
 }
 
+void
+PoolScheduler::OnStopConfirmed(const StopTask& aStop)
+{
+  if (IsWanted(aStop)) {
+    m_workers.at(aStop.m_worker).m_placements.at(aStop.m_task).m_confirmed =
+      true;
+  }
+}
+
 void
 PoolScheduler::AbandonStart(Time aNow, const StartTask& aStart)
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -139,6 +139,8 @@
   void OnStartOutcome(Time aNow,
                       const StartTask& aStart,
                       StartOutcome aOutcome);
+  /// The worker has taken the stop: the run has ended there or never starts.
+  void OnStopConfirmed(const StopTask& aStop);
   /// Gives up a start whose earlier order may still be carried out.
   void AbandonStart(Time aNow, const StartTask& aStart);
   /// The workers among those asked about that may run the step.
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -156,6 +156,7 @@
     it = aWorker.m_placements.find(aRun.m_task);
   }
   Placement& placement = it->second;
+  placement.m_confirmed = true;
   if (placement.m_state == PlacementState::Starting) {
     placement.m_state = PlacementState::Running;
     placement.m_progressAt = aNow;
@@ -237,8 +238,7 @@
   }
   std::vector<TaskRef> lost;
   for (auto& [task, placement] : aWorker.m_placements) {
-    const bool missing =
-      placement.m_state != PlacementState::Starting && !listed.contains(task);
+    const bool missing = placement.m_confirmed && !listed.contains(task);
     if (missing && ++placement.m_missingLists >= kMissingListsForLost) {
       lost.push_back(task);
     }
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -43,8 +43,11 @@
   TeamId m_team;
   PlacementState m_state = PlacementState::Starting;
   Time m_since{};
-  int m_percent = 0;      ///< progress that the worker listed last
-  Time m_progressAt{};    ///< when the progress last grew
+  int m_percent = 0;   ///< progress that the worker listed last
+  Time m_progressAt{}; ///< when the progress last grew
+  /// The worker has listed or confirmed it, or confirmed its stop: it can't
+  /// start there any more after it is gone.
+  bool m_confirmed = false;
   int m_missingLists = 0; ///< answers in a row that do not list it
   /// The worker lists it, and this leader does not know its job yet.
   bool m_unknown = false;
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -71,6 +71,29 @@
   EXPECT_TRUE(actions.m_starts.empty());
 }
 
+/// A start that was never confirmed may still be carried out while its stop is
+/// on the way too; lists that do not show it say nothing. Its room was given
+/// away after three such lists.
+TEST(PoolLostOrders, UnconfirmedStartKeepsItsRoomUntilItsStopIsConfirmed)
+{
+  PoolBench bench({ PoolWorker("w1") });
+  bench.AnswerAll();
+  bench.Add(PoolJob("job", kPatientQueue, { PoolStep(1, 5000) }));
+  const auto start = bench.Plan().m_starts.at(0);
+  bench.m_scheduler.AbandonStart(bench.m_now, start);
+  const auto stop = bench.Plan().m_stops.at(0);
+  for (int list = 0; list < 5; ++list) {
+    bench.AnswerAll();
+  }
+  EXPECT_TRUE(bench.m_scheduler.IsWanted(stop));
+  EXPECT_TRUE(bench.Plan().m_starts.empty());
+  bench.m_scheduler.OnStopConfirmed(stop);
+  for (int list = 0; list < 3; ++list) {
+    bench.AnswerAll();
+  }
+  EXPECT_EQ(bench.Plan().m_starts.size(), 1U);
+}
+
 TEST(PoolLostOrders, NewLifeOfAWorkerFreesItsTasksAtOnce)
 {
   PoolBench bench({ PoolWorker("w1") });
