Replace only a leader that has ended or does not renew; let a resignation stand

While the store was slow, a resigned leader led again, a leader whose claim was not answered yet was replaced at once, and renewals took longer than the silence allowed: six terms in three seconds.

After a change of the leader it looks for new jobs every 150 ms for 3 s, since fronts still tell the previous one.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -30,6 +30,7 @@
 Leadership::Leadership(const LeaderContext& aContext,
                        std::uint64_t aIncarnation)
   : m_context(aContext)
+  , m_incarnation(aIncarnation)
   , m_election(pool::LeaderRow{ aContext.m_settings.m_vm.Value(),
                                 aContext.m_settings.m_peers.ToString(),
                                 aIncarnation,
@@ -85,6 +86,7 @@
   LeaderStatus status;
   status.m_leads = m_election.CurrentRole() == pool::Role::Leader;
   status.m_term = m_election.Term();
+  status.m_incarnation = m_incarnation;
   status.m_storeWorks =
     net::Loop::Now() < m_election.LastRenewal() + kStoreFailedAfter;
   if (m_leader) {
@@ -96,32 +98,16 @@
 void
 Leadership::Resign()
 {
-  const pool::ElectionOrder order = m_election.Resign();
-  if (order.m_step == pool::ElectionStep::None) {
-    return;
-  }
-  m_context.m_log.Write(
-    settings::LogLevel::Info,
-    "leader_resigns",
-    { { "term", static_cast<std::int64_t>(m_election.Term()) } });
-  table::Commit commit;
-  commit.m_checks = { { pool::LeaderKey(), order.m_expected } };
-  pool::LeaderRow row = order.m_row;
   if (m_leader) {
-    row.m_workers = m_leader->WorkersToRecord();
-    m_leader->Close();
-    m_leader.reset();
+    m_context.m_log.Write(
+      settings::LogLevel::Info,
+      "leader_resigns",
+      { { "term", static_cast<std::int64_t>(m_election.Term()) } });
+    m_election.SetWorkers(m_leader->WorkersToRecord());
   }
-  commit.m_puts = { { pool::LeaderKey(), pool::EncodeLeader(row) } };
-  m_writing = true;
-  m_context.m_store.Submit(
-    commit, kWriteTimeout, [this](const table::CommitResult& aResult) {
-      m_writing = false;
-      m_context.m_log.Write(
-        settings::LogLevel::Info,
-        "leader_resigned",
-        { { "outcome", std::string(NameOf(aResult.m_state)) } });
-    });
+  m_election.Resign();
+  UpdateRole();
+  m_timer.CallSoon();
 }
 
 void
@@ -166,9 +152,13 @@
 void
 Leadership::ReadRow()
 {
+  const Time asked = net::Loop::Now();
   m_context.m_store.ReadRow(
-    pool::LeaderKey(), kReadTimeout, [this](const platform::PageResult& aPage) {
+    pool::LeaderKey(),
+    kReadTimeout,
+    [this, asked](const platform::PageResult& aPage) {
       const Time now = net::Loop::Now();
+      m_election.SetReadTime(now - asked);
       if (!aPage.m_read.m_ok) {
         m_election.OnReadFailed(now);
         return;
@@ -400,8 +390,11 @@
   if (aOutcome.m_response) {
     const auto status = TryDecode<LeaderStatus>(
       [&] { return DecodeStatus(aOutcome.m_response->m_body); });
-    if (!status || !status->m_leads || status->m_term < m_election.Term()) {
-      contact = LeaderContact::Denies;
+    if (status && status->m_incarnation != m_election.Leader().m_incarnation) {
+      contact = LeaderContact::Ended;
+    } else if (!status || !status->m_leads ||
+               status->m_term < m_election.Term()) {
+      contact = LeaderContact::Unsettled;
     } else {
       contact = status->m_storeWorks ? LeaderContact::Leads
                                      : LeaderContact::StoreFailed;
@@ -410,7 +403,7 @@
     }
   } else if (aOutcome.m_error.m_verdict == Verdict::NotRun &&
              now < aAsked + kRefusedWithin) {
-    contact = LeaderContact::Denies;
+    contact = LeaderContact::Ended;
   }
   m_context.m_log.WriteOnChange(
     "leader",
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -51,6 +51,7 @@
                std::vector<pool::PoolScheduler::SaveOrder>& aRows);
 
   LeaderContext m_context;
+  std::uint64_t m_incarnation;
   pool::LeaderElection m_election;
   pool::PoolConfig m_config;
   std::shared_ptr<PoolLeader> m_leader;
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -21,6 +21,7 @@
   return Json{
     { "leads", aStatus.m_leads },
     { "term", aStatus.m_term },
+    { "incarnation", aStatus.m_incarnation },
     { "store_works", aStatus.m_storeWorks },
     { "waiting", std::move(waiting) }
   }.dump();
@@ -66,6 +67,7 @@
     LeaderStatus status;
     status.m_leads = TypedField<bool>(json, "leads");
     status.m_term = NumberField<std::uint64_t>(json, "term");
+    status.m_incarnation = NumberField<std::uint64_t>(json, "incarnation");
     status.m_storeWorks = TypedField<bool>(json, "store_works");
     for (const auto& [queue, count] : ObjectField(json, "waiting").items()) {
       status.m_waitingJobs[pool::QueueId(queue)] = count.get<std::size_t>();
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -16,6 +16,10 @@
 /// Jobs are told to the leader at once; the watch finds those whose message was
 /// lost.
 constexpr Duration kJobWatchPeriod = milliseconds(1000);
+/// Shorter for a while after a change of the leader: fronts still tell the
+/// previous one.
+constexpr Duration kFirstJobWatchPeriod = milliseconds(150);
+constexpr Duration kFirstWatches = seconds(3);
 /// Time after which the state of a leaving worker is seen at the latest.
 constexpr Duration kWorkerWatchPeriod = milliseconds(400);
 /// Least time between two plans.
@@ -228,7 +232,8 @@
   }
   AddLoadedJobs();
   m_loaded = true;
-  m_scheduler.OnLoaded(net::Loop::Now());
+  m_loadedAt = net::Loop::Now();
+  m_scheduler.OnLoaded(m_loadedAt);
   m_context.m_log.Write(
     settings::LogLevel::Info,
     "leader_loaded",
@@ -346,7 +351,9 @@
         }
         return; // the end of the load starts the watch again
       }
-      self->After(kJobWatchPeriod, [self = self.get()] { self->WatchJobs(); });
+      const bool first = net::Loop::Now() < self->m_loadedAt + kFirstWatches;
+      self->After(first ? kFirstJobWatchPeriod : kJobWatchPeriod,
+                  [self = self.get()] { self->WatchJobs(); });
     });
 }
 
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -113,6 +113,7 @@
 
   int m_partsToLoad = 0;
   bool m_loaded = false;
+  Time m_loadedAt{};
   std::map<JobId, std::string> m_loadedJobs;
   std::set<JobId> m_loadedCancellations;
   std::map<JobId, std::string> m_loadedProgress;
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -6,6 +6,9 @@
 
 /// Pause after a failed read or write of the row.
 constexpr Duration kRetryPause = milliseconds(150);
+/// Reads of the row that a renewal may take on top of the silence: it waits for
+/// the transactions before it.
+constexpr int kReadsForRenewal = 6;
 
 } // namespace
 
@@ -39,11 +42,13 @@
   switch (m_contact) {
     case LeaderContact::Leads:
       return false;
-    case LeaderContact::Denies:
+    case LeaderContact::Ended:
       return aNow >= unchangedSince;
     case LeaderContact::StoreFailed:
+    case LeaderContact::Unsettled:
     case LeaderContact::Unreachable:
-      return aNow >= unchangedSince + m_options.m_silence;
+      return aNow >= unchangedSince + m_options.m_silence +
+                       m_readTime * kReadsForRenewal;
   }
   return false;
 }
@@ -54,6 +59,9 @@
   ElectionOrder order{ aStep, m_version, m_self };
   order.m_row.m_term = aTerm;
   order.m_row.m_workers = m_workers;
+  if (m_resigned) {
+    order.m_row.m_vm.clear();
+  }
   m_busy = true;
   return order;
 }
@@ -61,7 +69,7 @@
 ElectionOrder
 LeaderElection::OnTick(Time aNow)
 {
-  if (m_busy || m_resigned || aNow < m_retryAt) {
+  if (m_busy || aNow < m_retryAt) {
     return {};
   }
   if (m_reread || !m_known) {
@@ -69,6 +77,10 @@
     m_readAt = aNow;
     return { ElectionStep::ReadRow, 0, {} };
   }
+  if (m_resigned) {
+    const bool own = !m_row.m_vm.empty() && IsSelf(m_row);
+    return own ? Write(ElectionStep::Renew, m_row.m_term) : ElectionOrder();
+  }
   if (m_role == Role::Leader) {
     if (m_renewSoon || aNow >= m_lastRenewal + m_options.m_renewPeriod) {
       m_renewSoon = false;
@@ -111,7 +123,7 @@
   const bool own = !m_row.m_vm.empty() && IsSelf(m_row);
   if (!own) {
     m_role = Role::Follower;
-  } else if (changed) {
+  } else if (changed && !m_resigned) {
     // A write whose answer was lost has taken effect.
     m_role = Role::Leader;
     m_lastRenewal = aNow;
@@ -133,7 +145,8 @@
   m_version = aVersion;
   m_changedAt = aNow;
   m_lastRenewal = aNow;
-  m_role = Role::Leader;
+  const bool leads = !aRow.m_vm.empty() && !m_resigned;
+  m_role = leads ? Role::Leader : Role::Follower;
   m_contact = LeaderContact::Leads;
 }
 
@@ -175,17 +188,11 @@
   m_reread = true;
 }
 
-ElectionOrder
+void
 LeaderElection::Resign()
 {
   m_resigned = true;
-  if (m_role != Role::Leader) {
-    return {};
-  }
-  ElectionOrder order = Write(ElectionStep::Renew, m_row.m_term);
-  order.m_row.m_vm.clear();
   m_role = Role::Follower;
-  return order;
 }
 
 } // namespace lacewing::pool
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -53,7 +53,8 @@
 {
   Leads,       ///< it answers, and its row is fresh
   StoreFailed, ///< it answers, but cannot renew its row
-  Denies,      ///< its process answers, and does not lead
+  Unsettled,   ///< its process answers that it does not lead (yet or any more)
+  Ended,       ///< its process has ended
   Unreachable,
 };
 
@@ -82,8 +83,11 @@
   void OnContact(Time aNow, LeaderContact aContact);
   /// A worker has refused an order with this leader's token.
   void OnFenced(Time aNow);
-  /// Gives up leading; the caller writes the returned row.
-  ElectionOrder Resign();
+  /// Gives up leading; the next steps write a row without a leader.
+  void Resign();
+  /// How long the last read of the row took. Renewals take longer too while
+  /// the store is slow.
+  void SetReadTime(Duration aReadTime) { m_readTime = aReadTime; }
 
   Role CurrentRole() const { return m_role; }
   /// True while this daemon may give orders.
@@ -109,6 +113,7 @@
   LeaderRow m_self;
   ElectionOptions m_options;
   Duration m_claimDelay{};
+  Duration m_readTime{};
   Role m_role = Role::Follower;
   LeaderRow m_row;
   RowVersion m_version = 0;
@@ -134,7 +139,8 @@
   static constexpr std::array kTable = {
     std::pair{ Contact::Leads, std::string_view("leads") },
     std::pair{ Contact::StoreFailed, std::string_view("store_failed") },
-    std::pair{ Contact::Denies, std::string_view("denies") },
+    std::pair{ Contact::Unsettled, std::string_view("unsettled") },
+    std::pair{ Contact::Ended, std::string_view("ended") },
     std::pair{ Contact::Unreachable, std::string_view("unreachable") },
   };
 };
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -61,7 +61,7 @@
 TEST(PoolElection, StoppedProcessOfTheLeaderIsReplacedAfterOneRead)
 {
   LeaderElection election = Follower(kStart);
-  election.OnContact(kStart, LeaderContact::Denies);
+  election.OnContact(kStart, LeaderContact::Ended);
   EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
   election.OnRow(kStart, RowOf("b", 4), 40);
   const ElectionOrder order = election.OnTick(kStart);
@@ -153,10 +153,81 @@
   election.OnTick(kStart);
   election.OnRow(kStart, std::nullopt, 0);
   election.OnWritten(kStart, election.OnTick(kStart).m_row, 5);
-  const ElectionOrder order = election.Resign();
-  EXPECT_TRUE(order.m_row.m_vm.empty());
+  election.Resign();
   EXPECT_FALSE(election.MayOrder(kStart));
-  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::None);
+  const ElectionOrder order = election.OnTick(kStart);
+  EXPECT_EQ(order.m_step, ElectionStep::Renew);
+  EXPECT_TRUE(order.m_row.m_vm.empty());
+  election.OnWritten(kStart, order.m_row, 6);
+  EXPECT_EQ(election.CurrentRole(), Role::Follower);
+  EXPECT_EQ(election.OnTick(kStart + seconds(1)).m_step, ElectionStep::None);
+}
+
+/// A renewal on its way made the row of the resigned leader conflict. It read
+/// its own row and took itself for the leader again, so that nobody led.
+TEST(PoolElection, ResignationIsWrittenAgainAfterAConflict)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  election.OnRow(kStart, std::nullopt, 0);
+  const LeaderRow own = election.OnTick(kStart).m_row;
+  election.OnWritten(kStart, own, 5);
+  election.Resign();
+  election.OnTick(kStart);
+  election.OnConflict(kStart);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  election.OnRow(kStart, own, 6);
+  EXPECT_EQ(election.CurrentRole(), Role::Follower);
+  const ElectionOrder order = election.OnTick(kStart);
+  EXPECT_EQ(order.m_step, ElectionStep::Renew);
+  EXPECT_EQ(order.m_expected, 6U);
+  EXPECT_TRUE(order.m_row.m_vm.empty());
+}
+
+/// A renewal that was on its way when the leader resigned made it lead again.
+TEST(PoolElection, RenewalThatEndsAfterTheResignationDoesNotUndoIt)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  election.OnRow(kStart, std::nullopt, 0);
+  const LeaderRow own = election.OnTick(kStart).m_row;
+  election.OnWritten(kStart, own, 5);
+  election.OnTick(kStart + milliseconds(600));
+  election.Resign();
+  election.OnWritten(kStart + milliseconds(700), own, 6);
+  EXPECT_EQ(election.CurrentRole(), Role::Follower);
+  EXPECT_TRUE(election.OnTick(kStart + milliseconds(700)).m_row.m_vm.empty());
+}
+
+/// The daemon that has just claimed does not know it yet when the store's
+/// answer takes long; another one took its answer for a stopped leader.
+TEST(PoolElection, LeaderWhoseClaimIsNotAnsweredYetIsNotReplacedAtOnce)
+{
+  LeaderElection election = Follower(kStart);
+  election.OnContact(kStart, LeaderContact::Unsettled);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  election.OnRow(kStart, RowOf("b", 4), 40);
+  EXPECT_NE(election.OnTick(kStart + milliseconds(100)).m_step,
+            ElectionStep::Claim);
+}
+
+/// Load pattern: the store takes a quarter of a second for each call. Renewals
+/// take longer then for every leader; replacing one after the other left the
+/// pool without one for seconds.
+TEST(PoolElection, SlowStoreIsNoReasonToReplaceALeaderThatAnswers)
+{
+  LeaderElection election = Follower(kStart);
+  election.SetReadTime(milliseconds(250));
+  for (int tick = 0; tick < 80; ++tick) {
+    const Time now = kStart + milliseconds(50) * tick;
+    election.OnContact(now, LeaderContact::StoreFailed);
+    const ElectionOrder order = election.OnTick(now);
+    EXPECT_NE(order.m_step, ElectionStep::Claim) << tick;
+    if (order.m_step == ElectionStep::ReadRow) {
+      const RowVersion version = 40 + tick / 28; // a renewal takes 1.4 s
+      election.OnRow(now, RowOf("b", 4), version);
+    }
+  }
 }
 
 } // namespace
