Learn the workers' speed; give interactive tasks the fast workers

Change: a mean of time over estimate for each worker beside that of all. Interactive steps take fast workers first, all steps take very slow ones last.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -217,6 +217,10 @@
                     bool aRefresh,
                     Actions& aActions);
   std::vector<WorkerRecord*> Eligible(Time aNow, const Candidate& aCandidate);
+  /// The class that counts for the step: patient work avoids only very slow
+  /// workers.
+  SpeedClass SpeedFor(const Candidate& aCandidate,
+                      const WorkerRecord& aWorker) const;
   static std::uint32_t RoomFor(const WorkerRecord& aWorker,
                                const Candidate& aCandidate);
   RunNumber NextRun(const TaskRecord& aTask) const;
@@ -250,6 +254,11 @@
   void ExpireLeases(Time aNow);
 
   void TakeEnd(Time aNow, WorkerRecord& aWorker, const ListedEnd& aEnd);
+  void NotePace(Time aNow,
+                const TrackedJob& aJob,
+                const TaskRef& aTask,
+                const Placement& aPlacement,
+                WorkerRecord& aWorker);
   void ApplyEnd(Time aNow,
                 TrackedJob& aJob,
                 const ListedEnd& aEnd,
@@ -291,6 +300,7 @@
   Time m_loadedAt = Time::max();
   Time m_began{};
   std::vector<StopTask> m_stops; ///< decided since the last plan
+  Pace m_pace;                   ///< of all workers
   int m_openQuestions = 0;       ///< to the policy service
   Time m_nextStuckCheck{};
 };
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -30,6 +30,9 @@
   const bool present = placement != aWorker.m_placements.end() &&
                        placement->second.m_run == aEnd.m_run;
   if (present) {
+    if (job != nullptr && aEnd.m_how == RunEnd::Done) {
+      NotePace(aNow, *job, aEnd.m_task, placement->second, aWorker);
+    }
     DropPlacement(aWorker, aEnd.m_task);
   }
   if (job == nullptr || job->IsOver() || !job->HasTask(aEnd.m_task)) {
@@ -42,6 +45,27 @@
   MarkDirty(*job);
 }
 
+void
+PoolScheduler::NotePace(Time aNow,
+                        const TrackedJob& aJob,
+                        const TaskRef& aTask,
+                        const Placement& aPlacement,
+                        WorkerRecord& aWorker)
+{
+  const Duration estimate = aJob.Spec().m_steps[aTask.m_step].m_estimate;
+  // An adopted run began before this leader knew of it.
+  if (estimate <= Duration::zero() || aPlacement.m_adopted) {
+    return;
+  }
+  const double ratio =
+    std::chrono::duration<double>(aNow - aPlacement.m_since) /
+    std::chrono::duration<double>(estimate);
+  aWorker.m_pace.Add(ratio);
+  // Each worker moves the mean of all by its part.
+  const double share = 1.0 / static_cast<double>(m_workers.size());
+  m_pace.Add(m_pace.Mean() + (ratio - m_pace.Mean()) * share);
+}
+
 void
 PoolScheduler::ApplyEnd(Time aNow,
                         TrackedJob& aJob,
@@ -152,6 +176,7 @@
     found.m_since = aNow;
     found.m_progressAt = aNow;
     found.m_unknown = true;
+    found.m_adopted = true;
     AddPlacement(aWorker, aRun.m_task, found);
     it = aWorker.m_placements.find(aRun.m_task);
   }
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -274,6 +274,17 @@
            : std::min(room, spec.m_maxPerWorker - present);
 }
 
+SpeedClass
+PoolScheduler::SpeedFor(const Candidate& aCandidate,
+                        const WorkerRecord& aWorker) const
+{
+  const SpeedClass speed = SpeedOf(aWorker.m_pace, m_pace);
+  if (aCandidate.m_interactive || speed == SpeedClass::VerySlow) {
+    return speed;
+  }
+  return SpeedClass::Usual;
+}
+
 bool
 PoolScheduler::HasQuota(const TeamId& aTeam, const Resources& aExtra) const
 {
@@ -307,9 +318,10 @@
     if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
       return;
     }
-    // The tightest fit leaves the large holes to large tasks.
+    // The tightest fit leaves the large holes to large tasks. Interactive tasks
+    // go to the fastest workers first.
     WorkerRecord* best = nullptr;
-    std::tuple<bool, bool, bool, std::int64_t> bestCost;
+    std::tuple<bool, bool, bool, SpeedClass, std::int64_t> bestCost;
     for (WorkerRecord* worker : eligible) {
       const bool reserved = aReserved.contains(worker->m_info.m_id);
       if ((reserved && !aCandidate.m_interactive) ||
@@ -320,6 +332,7 @@
                             !spec.m_preferredRack.empty() &&
                               worker->m_info.m_rack != spec.m_preferredRack,
                             reserved,
+                            SpeedFor(aCandidate, *worker),
                             worker->Free().m_millicores);
       if (best == nullptr || cost < bestCost) {
         best = worker;
@@ -372,8 +385,9 @@
   });
   // Few workers: the gang breaks with each of them.
   std::ranges::sort(eligible, {}, [&](const WorkerRecord* aWorker) {
-    return std::pair(-static_cast<std::int64_t>(RoomFor(*aWorker, aCandidate)),
-                     aWorker->Free().m_millicores);
+    return std::tuple(SpeedFor(aCandidate, *aWorker),
+                      -static_cast<std::int64_t>(RoomFor(*aWorker, aCandidate)),
+                      aWorker->Free().m_millicores);
   });
   RunNumber run = 0;
   std::string checkpoint;
--- a/src/pool/WorkerBook.cpp
+++ b/src/pool/WorkerBook.cpp
@@ -4,6 +4,40 @@
 
 namespace lacewing::pool {
 
+namespace {
+
+/// Weight of one task in a mean; some ten tasks outweigh what was before.
+constexpr double kPaceWeight = 0.12;
+/// One task may not move a mean further than this ratio.
+constexpr double kMinRatio = 0.25;
+constexpr double kMaxRatio = 6;
+/// Bounds of the classes, relative to all workers.
+constexpr double kFastBelow = 0.93;
+constexpr double kSlowAbove = 1.12;
+constexpr double kVerySlowAbove = 1.8;
+
+} // namespace
+
+void
+Pace::Add(double aRatio)
+{
+  const double bounded = std::clamp(aRatio, kMinRatio, kMaxRatio);
+  m_mean += (bounded - m_mean) * kPaceWeight;
+}
+
+SpeedClass
+SpeedOf(const Pace& aWorker, const Pace& aAll)
+{
+  const double relative = aWorker.Mean() / aAll.Mean();
+  if (relative > kVerySlowAbove) {
+    return SpeedClass::VerySlow;
+  }
+  if (relative > kSlowAbove) {
+    return SpeedClass::Slow;
+  }
+  return relative < kFastBelow ? SpeedClass::Fast : SpeedClass::Usual;
+}
+
 bool
 WorkerInfo::HasLabel(const std::string& aLabel) const
 {
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -51,6 +51,7 @@
   int m_missingLists = 0; ///< answers in a row that do not list it
   /// The worker lists it, and this leader does not know its job yet.
   bool m_unknown = false;
+  bool m_adopted = false; ///< started by an earlier leader
 };
 
 /// One run in a worker's list.
@@ -81,6 +82,30 @@
   std::vector<ListedEnd> m_ended;
 };
 
+/// How long tasks take on a worker, as a mean of time over estimate. Estimates
+/// are rough, so that only the comparison of workers says something.
+class Pace
+{
+public:
+  void Add(double aRatio);
+  double Mean() const { return m_mean; }
+
+private:
+  double m_mean = 1;
+};
+
+/// Workers in comparison with all others.
+enum class SpeedClass : std::uint8_t
+{
+  Fast,
+  Usual,
+  Slow,
+  VerySlow, ///< used only if there is no other
+};
+
+SpeedClass
+SpeedOf(const Pace& aWorker, const Pace& aAll);
+
 struct WorkerRecord
 {
   WorkerInfo m_info;
@@ -93,6 +118,7 @@
   std::map<TaskRef, Placement> m_placements;
   Resources m_used;
   int m_failuresInRow = 0;
+  Pace m_pace;
   Time m_avoidUntil{};
   std::uint64_t m_highestEnd = 0;
   std::set<std::uint64_t> m_unsavedEnds;
--- a/tests/correctness/PoolOrder.cpp
+++ b/tests/correctness/PoolOrder.cpp
@@ -93,6 +93,49 @@
   }
 }
 
+/// Workers of unlike speed, and one that has turned slow: interactive tasks go
+/// to the fast ones, and nothing goes to the slow one while others have room.
+TEST(PoolOrder, SlowWorkersAreUsedLast)
+{
+  PoolBench bench({ PoolWorker("w1"), PoolWorker("w2") });
+  bench.AnswerAll();
+  std::map<pool::WorkerId, std::uint64_t> ends;
+  // Tasks take a second on the first worker and six on the second.
+  for (int round = 0; round < 12; ++round) {
+    bench.Add(PoolJob(
+      "job" + std::to_string(round), kPatientQueue, { PoolStep(16, 1000) }));
+    const auto starts = bench.Plan().m_starts;
+    for (int second = 1; second <= 6; ++second) {
+      bench.m_now += seconds(1);
+      for (const pool::WorkerInfo& worker : bench.m_workers) {
+        const bool fast = worker.m_id == pool::WorkerId("w1");
+        const bool over = second == (fast ? 1 : 6);
+        std::vector<pool::ListedEnd> list;
+        std::vector<pool::ListedRun> running;
+        for (const auto& start : starts) {
+          if (start.m_worker != worker.m_id) {
+            continue;
+          }
+          if (over) {
+            list.push_back(
+              EndOf(start, ++ends[worker.m_id], pool::RunEnd::Done));
+          } else if (!fast) {
+            running.push_back(RunOf(start, second * 15));
+          }
+        }
+        bench.Answer(worker.m_id, running, list);
+      }
+    }
+  }
+  bench.Add(PoolJob("patient", kPatientQueue, { PoolStep(4) }));
+  bench.Add(PoolJob("urgent", kUrgentQueue, { PoolStep(4) }));
+  const auto starts = bench.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 8U);
+  for (const auto& start : starts) {
+    EXPECT_EQ(start.m_worker, pool::WorkerId("w1"));
+  }
+}
+
 TEST(PoolOrder, JobFailsAfterItsAttemptsAndItsOtherTasksStop)
 {
   PoolBench bench({ PoolWorker("w1"), PoolWorker("w2"), PoolWorker("w3") });
