--- a/tests/fakes/PoolSamples.h
+++ b/tests/fakes/PoolSamples.h
@@ -93,7 +93,7 @@
 {
 public:
   explicit PoolBench(std::vector<pool::WorkerInfo> aWorkers,
-                     pool::PoolConfig aConfig = PoolSample(),
+                     const pool::PoolConfig& aConfig = PoolSample(),
                      std::uint64_t aTerm = 1,
                      std::set<pool::WorkerId> aPrevious = {})
     : m_scheduler(kStart, aTerm, std::move(aPrevious), kStart + seconds(10))
