Keep adopted runs for the longest lease; wait for unseen runs of the first second

Cause: found by the new random histories (PoolHistories). A deposed leader that fronts still told of new jobs had started them on workers not heard yet. Runs on such workers did not count against team limits.

Change: the longest lease counts from a worker's first answer; jobs of the first second wait for the previous workers; unseen runs count up to the workers' room; a leader steps down when it is asked with a later term. The check of order in the histories asks for an end as done, as the rule does, not for the absence of a superseded run.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -4,6 +4,7 @@
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
 
+#include <charconv>
 #include <random>
 
 namespace lacewing::edge {
@@ -193,6 +194,11 @@
 EdgeDaemon::HandleStatus(const net::HttpRequest& aRequest,
                          const net::HttpReply& aReply)
 {
+  if (const std::string term = aRequest.Query("term"); !term.empty()) {
+    std::uint64_t value = 0;
+    std::from_chars(term.data(), term.data() + term.size(), value);
+    m_leadership.OnLaterTerm(value);
+  }
   const LeaderStatus status = m_leadership.OwnStatus();
   const auto leader = m_leadership.Local();
   const auto address = TryDecode<net::Address>(
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -95,6 +95,15 @@
   return status;
 }
 
+void
+Leadership::OnLaterTerm(std::uint64_t aTerm)
+{
+  if (aTerm > m_election.Term()) {
+    m_election.OnFenced(net::Loop::Now());
+    UpdateRole();
+  }
+}
+
 void
 Leadership::Resign()
 {
@@ -333,7 +342,9 @@
   const Time asked = net::Loop::Now();
   m_context.m_http.Send(
     *address,
-    MakeRequest("GET", kStatusPath),
+    MakeRequest("GET",
+                std::string(kStatusPath) +
+                  "?term=" + std::to_string(m_election.Term())),
     kAskTimeout,
     [this, asked, leader = std::weak_ptr<PoolLeader>(m_leader)](
       const net::HttpOutcome& aOutcome) {
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -20,6 +20,8 @@
   void SetConfig(const pool::PoolConfig& aConfig);
   /// Time of a read of the store; a daemon that is near claims first.
   void SetStoreDelay(Duration aReadTime);
+  /// Another daemon leads with this term.
+  void OnLaterTerm(std::uint64_t aTerm);
   /// Hands the leadership over; no orders after this.
   void Resign();
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kUnreachedPause = milliseconds(300);
 /// Pause after a worker has refused an order because it is unhealthy.
 constexpr Duration kUnhealthyPause = seconds(1);
+/// After a change of the leader fronts may tell the previous one of new jobs
+/// for this long.
+constexpr Duration kFrontsTellPrevious = seconds(1);
 /// Added to the end of a lease for the resolution of the clocks.
 constexpr Duration kLeaseMargin = milliseconds(50);
 
@@ -67,7 +70,9 @@
     m_jobs.emplace(aJob.m_id, std::move(job));
     return;
   }
-  if (aLoaded && !m_barrierPassed) {
+  const bool mayBeKnownToPrevious =
+    aLoaded || aNow < m_began + kFrontsTellPrevious;
+  if (mayBeKnownToPrevious && !m_barrierPassed) {
     for (std::uint32_t step = 0; step < job->Steps(); ++step) {
       for (TaskRecord& task : job->Step(step).m_tasks) {
         task.m_mayRunUnseen = task.m_state == TaskState::Waiting;
@@ -150,9 +155,16 @@
     worker.m_listed = listed;
     worker.m_recorded = recorded;
   }
-  worker.m_adopted = true;
   worker.m_lastAnswer = aNow;
   worker.m_clockMs = std::max(worker.m_clockMs, aInventory.m_clockMs);
+  if (!worker.m_adopted) {
+    // What runs there holds a lease of the previous leader.
+    worker.m_adopted = true;
+    if (!aInventory.m_running.empty()) {
+      worker.m_deadlineMs = std::max(
+        worker.m_deadlineMs, worker.m_clockMs + ToMilliseconds(kLongestLease));
+    }
+  }
   m_unheard.erase(aWorker);
   for (const ListedEnd& end : aInventory.m_ended) {
     if (end.m_number > worker.m_highestEnd) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -226,6 +226,8 @@
   RunNumber NextRun(const TaskRecord& aTask) const;
   void PassBarrier(Time aNow);
   bool InFirstRound(Time aNow) const;
+  /// What may run on the previous leader's workers that have not answered.
+  void EstimateUnseenUse();
   void PlaceSingles(Time aNow,
                     const Candidate& aCandidate,
                     const std::set<WorkerId>& aReserved,
@@ -294,6 +296,7 @@
   std::set<JobId> m_open; ///< jobs that are not over
   std::map<WorkerId, WorkerRecord> m_workers;
   std::map<TeamId, Resources> m_teamUse;
+  std::map<TeamId, Resources> m_unseenUse; ///< upper bound, by team
   std::map<TeamId, std::pair<double, Time>> m_shareLeft; ///< jobs owed, by team
   std::set<JobId> m_dirty;
   std::set<JobId> m_lookups;
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -69,6 +69,7 @@
   Actions actions;
   ExpireLeases(aNow);
   PassBarrier(aNow);
+  EstimateUnseenUse();
   StopStuck(aNow);
   actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
   m_lookups.clear();
@@ -129,6 +130,38 @@
   }
 }
 
+void
+PoolScheduler::EstimateUnseenUse()
+{
+  m_unseenUse.clear();
+  if (m_barrierPassed) {
+    return;
+  }
+  Resources room;
+  for (const WorkerId& id : m_unheard) {
+    if (const auto it = m_workers.find(id); it != m_workers.end()) {
+      room += it->second.m_info.m_capacity;
+    }
+  }
+  for (const JobId& id : m_open) {
+    const TrackedJob& job = *m_jobs.at(id);
+    for (std::uint32_t step = 0; step < job.Steps(); ++step) {
+      const auto count = std::ranges::count_if(
+        job.Step(step).m_tasks, [](const TaskRecord& aTask) {
+          return aTask.m_mayRunUnseen && aTask.m_state == TaskState::Waiting;
+        });
+      m_unseenUse[job.Spec().m_team] +=
+        Times(job.Spec().m_steps[step].m_each, count);
+    }
+  }
+  // No more can run there than the workers hold.
+  for (auto& [team, use] : m_unseenUse) {
+    use.m_millicores = std::min(use.m_millicores, room.m_millicores);
+    use.m_memoryMib = std::min(use.m_memoryMib, room.m_memoryMib);
+    use.m_accelerators = std::min(use.m_accelerators, room.m_accelerators);
+  }
+}
+
 std::vector<PoolScheduler::Candidate>
 PoolScheduler::ReadySteps(Time aNow)
 {
@@ -293,8 +326,10 @@
     return true;
   }
   const auto used = m_teamUse.find(aTeam);
+  const auto unseen = m_unseenUse.find(aTeam);
   const Resources sum =
-    (used == m_teamUse.end() ? Resources{} : used->second) + aExtra;
+    (used == m_teamUse.end() ? Resources{} : used->second) +
+    (unseen == m_unseenUse.end() ? Resources{} : unseen->second) + aExtra;
   const Resources& limit = team->m_limit;
   return WithinLimit(sum.m_millicores, limit.m_millicores) &&
          WithinLimit(sum.m_memoryMib, limit.m_memoryMib) &&
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -140,6 +140,10 @@
 /// sooner.
 inline constexpr Duration kLeaseLength = milliseconds(4800);
 
+/// Longest lease that a worker takes, and so that a previous leader can have
+/// given it.
+inline constexpr Duration kLongestLease = milliseconds(6000);
+
 /// Part by which a worker's clock may be slow.
 inline constexpr double kWorkerClockError = 0.02;
 
--- /dev/null
+++ b/tests/fakes/PoolWorld.h
@@ -0,0 +1,519 @@
+/// A pool under virtual time: workers with leases and fences, a store that
+/// fences leaders, jobs that arrive, and faults from a seed: answers that are
+/// lost, orders carried out late, silent workers, changes of the leader with
+/// the previous one still giving orders. Checks what happens at the workers.
+#pragma once
+
+#include "fakes/PoolSamples.h"
+#include "pool/JobRows.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing::fakes {
+
+struct PoolWorldOptions
+{
+  std::uint64_t m_seed = 1;
+  int m_workers = 5;
+  bool m_leaderChanges = true;
+  bool m_silentWorkers = true;
+  bool m_lateOrders = true;
+  /// False only to show that the checks notice: the successor does not wait for
+  /// the workers of the previous leader.
+  bool m_waitForPreviousWorkers = true;
+};
+
+class PoolWorld
+{
+public:
+  explicit PoolWorld(PoolWorldOptions aOptions)
+    : m_options(aOptions)
+    , m_random(aOptions.m_seed)
+  {
+    for (int number = 0; number < aOptions.m_workers; ++number) {
+      const std::string name = "w" + std::to_string(number);
+      m_infos.push_back(PoolWorker(name));
+      m_workers[pool::WorkerId(name)] = {};
+    }
+    BecomeLeader();
+  }
+
+  /// Faults and arrivals for 20 s, then a calm time for all that is left.
+  void Run()
+  {
+    constexpr Duration kStep = milliseconds(10);
+    while (m_now < kStart + seconds(60)) {
+      m_now += kStep;
+      Deliver();
+      for (auto& [id, worker] : m_workers) {
+        AdvanceWorker(worker);
+      }
+      if (IsFaulty()) {
+        Arrive();
+        BreakSomething();
+      }
+      for (const auto& leader : m_leaders) {
+        Lead(*leader);
+      }
+      std::erase_if(m_leaders, [&](const auto& aLeader) {
+        return aLeader->m_stopsAt <= m_now;
+      });
+    }
+  }
+
+  const std::vector<std::string>& Violations() const { return m_violations; }
+  std::size_t Jobs() const { return m_jobs.size(); }
+  std::size_t Completed() const
+  {
+    std::size_t count = 0;
+    for (const auto& [id, progress] : m_progress) {
+      count += progress.m_state == pool::JobState::Completed ? 1 : 0;
+    }
+    return count;
+  }
+
+private:
+  using TaskRef = pool::TaskRef;
+
+  struct RunState
+  {
+    pool::RunNumber m_run = 0;
+    Time m_endsAt{};
+    Resources m_room;
+  };
+  struct SimWorker
+  {
+    std::uint64_t m_fence = 0;
+    std::map<TaskRef, RunState> m_running;
+    std::map<TaskRef, pool::RunNumber> m_past;
+    std::vector<pool::ListedEnd> m_ended;
+    std::uint64_t m_lastEnd = 0;
+    Time m_leaseEnd{};
+    Time m_silentUntil{};
+  };
+  struct SimLeader
+  {
+    std::uint64_t m_term = 0;
+    std::unique_ptr<pool::PoolScheduler> m_scheduler;
+    Time m_stopsAt = Time::max(); ///< of a deposed leader
+    Time m_nextSave{};
+    Time m_nextWatch{};
+    std::map<pool::WorkerId, Time> m_nextHold;
+  };
+  bool IsFaulty() const { return m_now < kStart + seconds(20); }
+  bool Chance(double aProbability)
+  {
+    return std::uniform_real_distribution<>(0, 1)(m_random) < aProbability;
+  }
+  Duration Between(int aMin, int aMax)
+  {
+    return milliseconds(std::uniform_int_distribution<>(aMin, aMax)(m_random));
+  }
+  void At(Time aTime, std::function<void()> aFunction)
+  {
+    m_events.emplace(aTime, std::move(aFunction));
+  }
+  void Deliver()
+  {
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+      const auto function = std::move(m_events.begin()->second);
+      m_events.erase(m_events.begin());
+      function();
+    }
+  }
+  std::int64_t Clock() const { return ToMilliseconds(m_now - kStart) + 1; }
+  void Violate(const std::string& aWhat, const TaskRef& aTask)
+  {
+    m_violations.push_back(aWhat + ": " + aTask.m_job.Value() + "." +
+                           std::to_string(aTask.m_step) + "." +
+                           std::to_string(aTask.m_index) + " at " +
+                           std::to_string(Clock()) + " ms");
+  }
+
+  void BecomeLeader()
+  {
+    ++m_term;
+    auto leader = std::make_shared<SimLeader>();
+    leader->m_term = m_term;
+    std::set<pool::WorkerId> previous;
+    if (m_term > 1 && m_options.m_waitForPreviousWorkers) {
+      for (const auto& info : m_infos) {
+        previous.insert(info.m_id);
+      }
+    }
+    // A deposed leader stops within 0.8 s here; its leases follow.
+    leader->m_scheduler = std::make_unique<pool::PoolScheduler>(
+      m_now, m_term, previous, m_now + seconds(7));
+    leader->m_scheduler->SetConfig(m_now, PoolSample(kTeamLimit));
+    leader->m_scheduler->SetWorkers(m_now, m_infos);
+    leader->m_scheduler->SetRecordedWorkers(
+      leader->m_scheduler->UsableWorkers());
+    for (const auto& [id, job] : m_jobs) {
+      leader->m_scheduler->AddJob(m_now, job, {}, m_progress[id], true);
+    }
+    leader->m_scheduler->OnLoaded(m_now);
+    m_leaders.push_back(leader);
+  }
+
+  void Arrive()
+  {
+    if (!Chance(0.06)) {
+      return;
+    }
+    const std::string name = "job" + std::to_string(m_jobs.size());
+    std::vector<pool::StepSpec> steps;
+    steps.push_back(PoolStep(1 + m_random() % 4, 500 + m_random() % 2500));
+    steps.back().m_gang = Chance(0.3);
+    if (Chance(0.4)) {
+      steps.push_back(PoolStep(1 + m_random() % 3, 1000));
+      steps.back().m_after = { 0 };
+    }
+    const pool::Job job = PoolJob(
+      name, Chance(0.5) ? kUrgentQueue : kPatientQueue, std::move(steps));
+    m_jobs[job.m_id] = job;
+    if (Chance(0.8)) {
+      const auto leader = m_leaders[m_random() % m_leaders.size()];
+      At(m_now + Between(1, 30), [this, leader, job] {
+        leader->m_scheduler->AddJob(m_now, job, {}, {}, false);
+      });
+    }
+  }
+
+  void BreakSomething()
+  {
+    if (m_options.m_leaderChanges && Chance(0.003)) {
+      m_leaders.back()->m_stopsAt = m_now + Between(0, 800);
+      BecomeLeader();
+    }
+    if (m_options.m_silentWorkers && Chance(0.004)) {
+      auto it = m_workers.begin();
+      std::advance(it, m_random() % m_workers.size());
+      it->second.m_silentUntil = m_now + Between(300, 8000);
+    }
+  }
+
+  void AdvanceWorker(SimWorker& aWorker)
+  {
+    std::vector<std::pair<TaskRef, pool::RunEnd>> finished;
+    for (const auto& [task, run] : aWorker.m_running) {
+      if (run.m_endsAt <= std::min(m_now, aWorker.m_leaseEnd)) {
+        finished.emplace_back(task, pool::RunEnd::Done);
+      } else if (aWorker.m_leaseEnd < m_now) {
+        finished.emplace_back(task, pool::RunEnd::Lapsed);
+      }
+    }
+    for (const auto& [task, how] : finished) {
+      End(aWorker, task, how);
+    }
+  }
+
+  void End(SimWorker& aWorker, const TaskRef& aTask, pool::RunEnd aHow)
+  {
+    const RunState run = aWorker.m_running.at(aTask);
+    aWorker.m_running.erase(aTask);
+    aWorker.m_past[aTask] = std::max(aWorker.m_past[aTask], run.m_run);
+    if (aHow == pool::RunEnd::Done) {
+      m_everDone.insert(aTask);
+    }
+    aWorker.m_ended.push_back(
+      { ++aWorker.m_lastEnd, aTask, run.m_run, aHow, {} });
+  }
+
+  void Lead(SimLeader& aLeader)
+  {
+    pool::PoolScheduler& scheduler = *aLeader.m_scheduler;
+    const auto shared = SharedOf(aLeader);
+    const pool::Actions actions = scheduler.Plan(m_now);
+    for (const auto& stop : actions.m_stops) {
+      SendStop(shared, stop);
+    }
+    for (const auto& start : actions.m_starts) {
+      SendStart(shared, start, false);
+    }
+    for (const JobId& id : actions.m_lookups) {
+      scheduler.AddJob(m_now, m_jobs.at(id), {}, {}, true);
+    }
+    for (auto& [id, worker] : m_workers) {
+      if (m_now >= aLeader.m_nextHold[id]) {
+        aLeader.m_nextHold[id] = m_now + milliseconds(120);
+        SendHold(shared, id);
+      }
+    }
+    if (m_now >= aLeader.m_nextSave) {
+      aLeader.m_nextSave = m_now + milliseconds(40);
+      Save(shared);
+    }
+    if (m_now >= aLeader.m_nextWatch) {
+      aLeader.m_nextWatch = m_now + milliseconds(300);
+      for (const auto& [id, job] : m_jobs) {
+        scheduler.AddJob(m_now, job, {}, {}, false);
+      }
+    }
+  }
+
+  std::shared_ptr<SimLeader> SharedOf(const SimLeader& aLeader) const
+  {
+    for (const auto& leader : m_leaders) {
+      if (leader.get() == &aLeader) {
+        return leader;
+      }
+    }
+    return nullptr;
+  }
+
+  bool IsSilent(const pool::WorkerId& aWorker) const
+  {
+    return m_now < m_workers.at(aWorker).m_silentUntil;
+  }
+
+  void Save(const std::shared_ptr<SimLeader>& aLeader)
+  {
+    for (const auto& order : aLeader->m_scheduler->TakeUnsaved(60)) {
+      At(m_now + milliseconds(10), [this, aLeader, order] {
+        if (aLeader->m_term != m_term) {
+          aLeader->m_scheduler->OnNotSaved(order);
+          return;
+        }
+        m_progress[order.m_job] = order.m_progress;
+        At(m_now + milliseconds(5), [this, aLeader, order] {
+          aLeader->m_scheduler->OnSaved(m_now, order);
+        });
+      });
+    }
+  }
+
+  void SendHold(const std::shared_ptr<SimLeader>& aLeader,
+                const pool::WorkerId& aWorker)
+  {
+    const std::int64_t deadline =
+      aLeader->m_scheduler->NextDeadline(m_now, aWorker);
+    const std::uint64_t saved =
+      aLeader->m_scheduler->Workers().at(aWorker).SavedEnds();
+    At(m_now + Between(1, 20), [this, aLeader, aWorker, deadline, saved] {
+      SimWorker& worker = m_workers.at(aWorker);
+      if (IsSilent(aWorker) || worker.m_fence > aLeader->m_term) {
+        return;
+      }
+      worker.m_fence = aLeader->m_term;
+      worker.m_leaseEnd =
+        std::max(worker.m_leaseEnd, kStart + milliseconds(deadline));
+      Confirm(worker, saved);
+      pool::Inventory list;
+      list.m_born = 1;
+      list.m_clockMs = Clock();
+      list.m_ended = worker.m_ended;
+      for (const auto& [task, run] : worker.m_running) {
+        const auto left =
+          std::max<std::int64_t>(0, ToMilliseconds(run.m_endsAt - m_now));
+        list.m_running.push_back(
+          { task, run.m_run, {}, 100 - static_cast<int>(left / 100) });
+      }
+      At(m_now + Between(1, 20), [this, aLeader, aWorker, list] {
+        if (!IsSilent(aWorker)) {
+          aLeader->m_scheduler->OnInventory(m_now, aWorker, list);
+        }
+      });
+    });
+  }
+
+  void Confirm(SimWorker& aWorker, std::uint64_t aSaved)
+  {
+    std::erase_if(aWorker.m_ended, [&](const pool::ListedEnd& aEnd) {
+      const bool confirmed = aEnd.m_number <= aSaved;
+      if (confirmed && aEnd.m_how == pool::RunEnd::Done) {
+        m_done.insert(aEnd.m_task);
+      }
+      return confirmed;
+    });
+  }
+
+  void SendStart(const std::shared_ptr<SimLeader>& aLeader,
+                 const pool::StartTask& aStart,
+                 bool aInDoubt)
+  {
+    if (!aLeader->m_scheduler->IsWanted(aStart) ||
+        aLeader->m_stopsAt <= m_now) {
+      return;
+    }
+    const std::int64_t deadline =
+      aLeader->m_scheduler->NextDeadline(m_now, aStart.m_worker);
+    if (deadline == 0) {
+      AnswerStart(aLeader, aStart, aInDoubt, pool::StartOutcome::NotSent);
+      return;
+    }
+    const bool late = m_options.m_lateOrders && IsFaulty() && Chance(0.05);
+    const Duration way = late ? Between(2000, 12'000) : Between(1, 20);
+    const auto answered = std::make_shared<bool>(false);
+    At(m_now + way,
+       [this, aLeader, aStart, aInDoubt, deadline, late, answered] {
+         if (IsSilent(aStart.m_worker) && !late) {
+           return;
+         }
+         const auto outcome = ExecuteStart(*aLeader, aStart, deadline);
+         if (!late) {
+           *answered = true;
+           AnswerStart(aLeader, aStart, aInDoubt, outcome);
+         }
+       });
+    At(m_now + milliseconds(600), [this, aLeader, aStart, answered] {
+      if (!*answered) {
+        AnswerStart(aLeader, aStart, true, pool::StartOutcome::Unknown);
+      }
+    });
+  }
+
+  /// The rules by which the links to the workers treat outcomes.
+  void AnswerStart(const std::shared_ptr<SimLeader>& aLeader,
+                   const pool::StartTask& aStart,
+                   bool aInDoubt,
+                   pool::StartOutcome aOutcome)
+  {
+    using pool::StartOutcome;
+    const bool conclusive = aOutcome == StartOutcome::Started || !aInDoubt;
+    if (aOutcome != StartOutcome::Unknown && conclusive) {
+      aLeader->m_scheduler->OnStartOutcome(m_now, aStart, aOutcome);
+      return;
+    }
+    if (aOutcome != StartOutcome::Unknown &&
+        aOutcome != StartOutcome::NotSent) {
+      aLeader->m_scheduler->AbandonStart(m_now, aStart);
+      return;
+    }
+    At(m_now + milliseconds(150),
+       [this, aLeader, aStart] { SendStart(aLeader, aStart, true); });
+  }
+
+  pool::StartOutcome ExecuteStart(const SimLeader& aLeader,
+                                  const pool::StartTask& aStart,
+                                  std::int64_t aDeadline)
+  {
+    using pool::StartOutcome;
+    SimWorker& worker = m_workers.at(aStart.m_worker);
+    if (worker.m_fence > aLeader.m_term) {
+      return StartOutcome::Refused;
+    }
+    worker.m_fence = aLeader.m_term;
+    const auto it = worker.m_running.find(aStart.m_task);
+    if (it != worker.m_running.end() && it->second.m_run == aStart.m_run) {
+      return StartOutcome::Started;
+    }
+    if (it != worker.m_running.end() ||
+        aStart.m_run <= worker.m_past[aStart.m_task]) {
+      return StartOutcome::OldRun;
+    }
+    if (aDeadline <= Clock()) {
+      return StartOutcome::TooLate;
+    }
+    CheckStart(worker, aStart);
+    worker.m_leaseEnd =
+      std::max(worker.m_leaseEnd, kStart + milliseconds(aDeadline));
+    worker.m_running[aStart.m_task] = { aStart.m_run,
+                                        m_now + Between(100, 1500),
+                                        RoomOf(aStart.m_task) };
+    return StartOutcome::Started;
+  }
+
+  Resources RoomOf(const TaskRef& aTask) const
+  {
+    return m_jobs.at(aTask.m_job).m_steps[aTask.m_step].m_each;
+  }
+
+  void CheckStart(const SimWorker& aWorker, const pool::StartTask& aStart)
+  {
+    const Resources room = RoomOf(aStart.m_task);
+    Resources here = room;
+    for (const auto& [task, run] : aWorker.m_running) {
+      here += run.m_room;
+    }
+    if (!here.FitsIn(kWorkerRoom)) {
+      Violate("worker above its room", aStart.m_task);
+    }
+    Resources team = room;
+    for (const auto& [id, worker] : m_workers) {
+      for (const auto& [task, run] : worker.m_running) {
+        team += run.m_room;
+      }
+      if (worker.m_running.contains(aStart.m_task)) {
+        Violate("two runs at a time", aStart.m_task);
+      }
+    }
+    if (team.m_millicores > kTeamLimit.m_millicores) {
+      Violate("team above its limit", aStart.m_task);
+    }
+    if (m_done.contains(aStart.m_task)) {
+      Violate("start after a confirmed end", aStart.m_task);
+    }
+    CheckOrder(aStart.m_task);
+  }
+
+  /// Each task of the steps before must have ended as done; one such end stands
+  /// for a whole gang.
+  void CheckOrder(const TaskRef& aTask)
+  {
+    const auto& steps = m_jobs.at(aTask.m_job).m_steps;
+    for (const std::uint32_t before : steps[aTask.m_step].m_after) {
+      std::uint32_t done = 0;
+      for (std::uint32_t index = 0; index < steps[before].m_tasks; ++index) {
+        done += m_everDone.contains({ aTask.m_job, before, index }) ? 1 : 0;
+      }
+      const std::uint32_t needed =
+        steps[before].m_gang ? 1 : steps[before].m_tasks;
+      if (done < needed) {
+        Violate("start before an earlier step has ended", aTask);
+      }
+    }
+  }
+
+  void SendStop(const std::shared_ptr<SimLeader>& aLeader,
+                const pool::StopTask& aStop)
+  {
+    if (!aLeader->m_scheduler->IsWanted(aStop) || aLeader->m_stopsAt <= m_now) {
+      return;
+    }
+    const bool late = m_options.m_lateOrders && IsFaulty() && Chance(0.05);
+    At(m_now + (late ? Between(2000, 12'000) : Between(1, 20)),
+       [this, aLeader, aStop, late] {
+         SimWorker& worker = m_workers.at(aStop.m_worker);
+         if ((IsSilent(aStop.m_worker) && !late) ||
+             worker.m_fence > aLeader->m_term) {
+           return;
+         }
+         const auto it = worker.m_running.find(aStop.m_task);
+         if (it != worker.m_running.end() && it->second.m_run == aStop.m_run) {
+           End(worker, aStop.m_task, pool::RunEnd::Stopped);
+         }
+         worker.m_past[aStop.m_task] =
+           std::max(worker.m_past[aStop.m_task], aStop.m_run);
+         if (!late) {
+           aLeader->m_scheduler->OnStopConfirmed(aStop);
+         }
+       });
+    At(m_now + milliseconds(300),
+       [this, aLeader, aStop] { SendStop(aLeader, aStop); });
+  }
+
+  static constexpr Resources kTeamLimit{ 30'000, 0, 0 };
+
+  PoolWorldOptions m_options;
+  std::mt19937_64 m_random;
+  Time m_now = kStart;
+  std::multimap<Time, std::function<void()>> m_events;
+  std::vector<pool::WorkerInfo> m_infos;
+  std::map<pool::WorkerId, SimWorker> m_workers;
+  std::vector<std::shared_ptr<SimLeader>> m_leaders;
+  std::uint64_t m_term = 0; ///< of the leader that the store knows
+  std::map<JobId, pool::Job> m_jobs;
+  std::map<JobId, pool::JobProgress> m_progress;
+  std::set<TaskRef> m_everDone;
+  std::set<TaskRef> m_done; ///< ends that a leader has confirmed
+  std::vector<std::string> m_violations;
+};
+
+} // namespace lacewing::fakes
