--- /dev/null
+++ b/tests/error/PlatformFormats.cpp
@@ -0,0 +1,220 @@
+/// Guards against fields of the platform's formats that are misread, and
+/// against malformed entries that are taken for workers, jobs or settings.
+#include "core/TryDecode.h"
+#include "platform/Documents.h"
+#include "platform/SettingsFile.h"
+#include "platform/TableStore.h"
+#include "platform/WorkerClient.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace lacewing::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+WorkerEntry()
+{
+  return { { "service", "s" },
+           { "address", "10.0.0.1:80" },
+           { "zone", "z" },
+           { "state", "ready" },
+           { "labels", { "a", "r1-3" } },
+           { "born", 1234 },
+           { "capacity", { { "cpu", 16'000 }, { "mem_mb", 32'768 } } } };
+}
+
+std::optional<pool::WorkerInfo>
+ReadWorker(const Json& aEntry)
+{
+  return TryDecode<pool::WorkerInfo>(
+    [&] { return DecodeWorker("i-1", aEntry.dump()); });
+}
+
+TEST(PlatformFormats, WorkerEntryHasRoomRackAndLife)
+{
+  const auto worker = ReadWorker(WorkerEntry());
+  ASSERT_TRUE(worker.has_value());
+  EXPECT_EQ(worker->m_capacity.m_millicores, 16'000);
+  EXPECT_EQ(worker->m_capacity.m_memoryMib, 32'768);
+  EXPECT_EQ(worker->m_rack, "r1-3");
+  EXPECT_EQ(worker->m_born, 1234);
+  EXPECT_FALSE(worker->m_draining);
+}
+
+TEST(PlatformFormats, MalformedWorkerEntriesNameNoWorker)
+{
+  for (const char* field :
+       { "service", "address", "state", "labels", "capacity" }) {
+    Json missing = WorkerEntry();
+    missing.erase(field);
+    EXPECT_FALSE(ReadWorker(missing).has_value()) << field;
+    Json otherType = WorkerEntry();
+    otherType[field] = 7;
+    EXPECT_FALSE(ReadWorker(otherType).has_value()) << field;
+  }
+  Json strange = WorkerEntry();
+  strange["state"] = "sleeping";
+  EXPECT_FALSE(ReadWorker(strange).has_value());
+  EXPECT_FALSE(TryDecode<pool::WorkerInfo>([] {
+                 return DecodeWorker("i-1", "\xff\xfe not JSON");
+               }).has_value());
+}
+
+TEST(PlatformFormats, JobHasItsStepsAndTheirNeeds)
+{
+  const auto job = TryDecode<pool::Job>([] {
+    return DecodeJobBody(
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,
+        "estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,
+        "mem_mb":1024,"after":[0],"checkpointing":true,"gang":true,
+        "max_per_server":2,"required_label":"b"}]})");
+  });
+  ASSERT_TRUE(job.has_value());
+  ASSERT_EQ(job->m_steps.size(), 2U);
+  EXPECT_EQ(job->m_steps[0].m_tasks, 4U);
+  EXPECT_EQ(job->m_steps[0].m_preferredRack, "r1-3");
+  EXPECT_EQ(job->m_steps[0].m_estimate, milliseconds(900));
+  EXPECT_EQ(job->m_steps[1].m_after, std::vector<std::uint32_t>{ 0 });
+  EXPECT_TRUE(job->m_steps[1].m_gang);
+  EXPECT_TRUE(job->m_steps[1].m_checkpointing);
+  EXPECT_EQ(job->m_steps[1].m_maxPerWorker, 2U);
+  EXPECT_EQ(job->m_steps[1].m_requiredLabel, "b");
+}
+
+TEST(PlatformFormats, JobsThatCannotBeRunAreRefused)
+{
+  for (const char* body :
+       { "",
+         "{}",
+         R"({"spec":"x","steps":[]})",
+         R"({"spec":"x","steps":[{"count":0}]})",
+         R"({"spec":"x","steps":[{"count":1,"cpu":-1}]})",
+         R"({"spec":"x","steps":[{"count":1,"after":[0]}]})",
+         R"({"spec":"x","steps":[{"count":1,"long_running":true}]})",
+         R"({"spec":"x","repeat_count":2,"steps":[{"count":1}]})" }) {
+    EXPECT_FALSE(
+      TryDecode<pool::Job>([&] { return DecodeJobBody(body); }).has_value())
+      << body;
+  }
+}
+
+TEST(PlatformFormats, DesiredStateHasQueuesTeamsAndAdvice)
+{
+  const auto config = TryDecode<pool::PoolConfig>([] {
+    return DecodeConfig(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+        "service":"s","priority":1,"attempts":4,"slack_factor":2.2,
+        "target_runtime_ms":1200,"advice":{"decide_ms":450.0,"each_ms":6.4,
+        "valid_ms":2000},"public":false}],"services":[{"name":"s",
+        "admission_check":true}],"limits":{"max_body_bytes":1000},
+        "tenants":[{"name":"t","api_keys":["k"],"weight":30,
+        "max_count":{"cpu":100,"mem_mb":200,"gpu":0}}]})");
+  });
+  ASSERT_TRUE(config.has_value());
+  const pool::QueueRule* queue = pool::FindQueue(*config, "h:80", "/p/x");
+  ASSERT_NE(queue, nullptr);
+  EXPECT_EQ(queue->m_attempts, 4U);
+  EXPECT_EQ(queue->m_advice->m_each, microseconds(6400));
+  EXPECT_EQ(pool::FindQueue(*config, "h", "/q/"), nullptr);
+  ASSERT_NE(pool::FindTeamByKey(*config, "k"), nullptr);
+  EXPECT_EQ(pool::FindTeamByKey(*config, "k")->m_limit.m_millicores, 100);
+  EXPECT_EQ(pool::FindTeamByKey(*config, ""), nullptr);
+  EXPECT_TRUE(config->m_services[0].m_guardsRoom);
+  EXPECT_EQ(config->m_maxBodyBytes, 1000U);
+}
+
+TEST(PlatformFormats, ListsOfAWorkerHaveRunsAndEnds)
+{
+  const auto list = TryDecode<pool::Inventory>([] {
+    return DecodeInventory(
+      R"({"clock_ms":482113,"born":5,"running":[["ab.0.1.17",2,"c",41,900]],
+        "ended":[[58,"ab.0.1.9",1,"lapsed",""]]})");
+  });
+  ASSERT_TRUE(list.has_value());
+  EXPECT_EQ(list->m_clockMs, 482'113);
+  EXPECT_EQ(list->m_born, 5);
+  EXPECT_EQ(list->m_running[0].m_task, (pool::TaskRef{ JobId("ab"), 1, 17 }));
+  EXPECT_EQ(list->m_running[0].m_percent, 41);
+  EXPECT_EQ(list->m_ended[0].m_how, pool::RunEnd::Lapsed);
+  EXPECT_FALSE(TryDecode<pool::Inventory>([] {
+                 return DecodeInventory(
+                   R"({"clock_ms":1,"running":[["x",1,"",0]],"ended":[]})");
+               }).has_value());
+}
+
+TEST(PlatformFormats, TaskNamesComeBackWhole)
+{
+  const pool::TaskRef task{ JobId("5c0e7a21d94b36f8"), 3, 12 };
+  EXPECT_EQ(ParseTaskName(TaskName(task)), task);
+  for (const char* text : { "", ".", "a.1.2", "a.0.x.1", "a.0.1.", ".0.1.2" }) {
+    EXPECT_FALSE(ParseTaskName(text).has_value()) << text;
+  }
+}
+
+TEST(PlatformFormats, TransactionNamesTablePartAndKey)
+{
+  table::Commit commit;
+  commit.m_checks = { { "t/p/k", 4 } };
+  commit.m_puts = { { "t/p/k", "node-1" } };
+  commit.m_deletes = { "t/p/old" };
+  const Json body = Json::parse(EncodeTransaction(commit));
+  EXPECT_EQ(body["expected_rev"][0]["ver"], 4);
+  EXPECT_EQ(body["writes"][0]["part"], "p");
+  EXPECT_EQ(body["writes"][0]["value"], "bm9kZS0x");
+  EXPECT_EQ(body["remove"][0]["key"], "old");
+}
+
+TEST(PlatformFormats, RowsOfAnyLengthComeBackWhole)
+{
+  for (const auto& [text, encoded] : { std::pair{ "node-1", "bm9kZS0x" },
+                                       std::pair{ "node", "bm9kZQ==" },
+                                       std::pair{ "nodes", "bm9kZXM=" },
+                                       std::pair{ "", "" } }) {
+    const Json body = {
+      { "rows",
+        { { { "table", "t" },
+            { "part", "" },
+            { "key", "k" },
+            { "ver", 3 },
+            { "value", encoded } } } },
+      { "ver", 9 },
+    };
+    const auto page =
+      TryDecode<PageResult>([&] { return DecodePage(body.dump()); });
+    ASSERT_TRUE(page.has_value());
+    EXPECT_EQ(page->m_read.m_rows.at("t//k").m_value, text);
+    EXPECT_EQ(page->m_version, 9U);
+  }
+  EXPECT_FALSE(
+    TryDecode<Changes>([] { return DecodeChanges("{}"); }).has_value());
+}
+
+TEST(PlatformFormats, SettingsNeedTheirAddresses)
+{
+  const std::string text =
+    "node: \"n\"\nzone: \"z\"\nregion: \"r\"\nnew_field: 1\n"
+    "listen:\n  front: \"10.0.0.1:1\"\n  ready: \"10.0.0.1:2\"\n"
+    "  control: \"10.0.0.1:3\"\n"
+    "bounds:\n  grace_s: 6\n  hold_max_ms: 6000\n  status_s: 1.5\n"
+    "platform:\n  address: \"10.0.0.2:1\"\nadvice: \"10.0.0.3:1\"\n";
+  const auto settings =
+    TryDecode<edge::EdgeSettings>([&] { return ParseSettings(text); });
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->m_peers.ToString(), "10.0.0.1:3");
+  EXPECT_EQ(settings->m_statusRetention, milliseconds(1500));
+  EXPECT_TRUE(settings->m_policyService.has_value());
+  for (const char* broken : { "", "node: [", "node: x\n", "a: b: c" }) {
+    EXPECT_FALSE(TryDecode<edge::EdgeSettings>([&] {
+                   return ParseSettings(broken);
+                 }).has_value())
+      << broken;
+  }
+}
+
+} // namespace
+
+} // namespace lacewing::platform
