Delete the rows of ended jobs

Cause: the leader and the store kept every job for ever.

Change: after 1.5 times the time for which an ended job is shown, its rows are deleted in transactions of one part each, its progress afterwards under the leader's condition.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kFailedWritePause = milliseconds(120);
 /// Rows of one transaction, below the store's limit of 100 entries.
 constexpr std::size_t kRowsPerWrite = 60;
+constexpr std::size_t kExpiredPerWrite = 30;
 constexpr Duration kAskPeriod = milliseconds(250);
 constexpr Duration kAskTimeout = milliseconds(400);
 /// A connection that fails faster was refused: nothing listens there.
@@ -152,8 +153,10 @@
     case pool::ElectionStep::None:
       break;
   }
-  if (Local() && m_leader->Scheduler().HasUnsaved() && !m_renewFirst &&
-      m_election.MayOrder(now) && now >= m_nextWrite) {
+  const bool unsaved = Local() && (m_leader->Scheduler().HasUnsaved() ||
+                                   m_leader->Expiry().HasProgressKeys());
+  if (unsaved && !m_renewFirst && m_election.MayOrder(now) &&
+      now >= m_nextWrite) {
     WriteRows();
   }
 }
@@ -186,14 +189,15 @@
 }
 
 void
-Leadership::AddRows(table::Commit& aCommit,
-                    std::vector<pool::PoolScheduler::SaveOrder>& aRows)
+Leadership::AddRows(table::Commit& aCommit, RowBatch& aRows)
 {
   if (!Local()) {
     return;
   }
-  aRows = m_leader->Scheduler().TakeUnsaved(kRowsPerWrite);
-  for (const auto& row : aRows) {
+  aRows.m_saves = m_leader->Scheduler().TakeUnsaved(kRowsPerWrite);
+  aRows.m_expired = m_leader->Expiry().TakeProgressKeys(kExpiredPerWrite);
+  aCommit.m_deletes = aRows.m_expired;
+  for (const auto& row : aRows.m_saves) {
     aCommit.m_puts.push_back(
       { pool::ProgressKey(row.m_job), pool::EncodeProgress(row.m_progress) });
   }
@@ -205,7 +209,7 @@
   table::Commit commit;
   commit.m_checks = { { pool::LeaderKey(), aOrder.m_expected } };
   commit.m_puts = { { pool::LeaderKey(), pool::EncodeLeader(aOrder.m_row) } };
-  std::vector<pool::PoolScheduler::SaveOrder> rows;
+  RowBatch rows;
   if (aOrder.m_step == pool::ElectionStep::Renew) {
     AddRows(commit, rows);
   }
@@ -223,7 +227,7 @@
 {
   table::Commit commit;
   commit.m_checks = { { pool::LeaderKey(), m_election.Version() } };
-  std::vector<pool::PoolScheduler::SaveOrder> rows;
+  RowBatch rows;
   AddRows(commit, rows);
   m_writing = true;
   m_context.m_store.Submit(
@@ -236,7 +240,7 @@
 
 void
 Leadership::OnWritten(const pool::ElectionOrder& aOrder,
-                      const std::vector<pool::PoolScheduler::SaveOrder>& aRows,
+                      const RowBatch& aRows,
                       const table::CommitResult& aResult)
 {
   m_writing = false;
@@ -245,7 +249,10 @@
   m_nextWrite = now + (committed ? kWritePause : kFailedWritePause);
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "leader" });
   if (m_leader) {
-    for (const auto& row : aRows) {
+    if (!committed) {
+      m_leader->Expiry().PutBack(aRows.m_expired);
+    }
+    for (const auto& row : aRows.m_saves) {
       if (!committed) {
         m_leader->Scheduler().OnNotSaved(row);
         continue;
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -37,11 +37,18 @@
   bool IsWriting() const { return m_writing; }
 
 private:
+  /// What a transaction of the leader carries besides its own row.
+  struct RowBatch
+  {
+    std::vector<pool::PoolScheduler::SaveOrder> m_saves;
+    std::vector<std::string> m_expired; ///< keys that it deletes
+  };
+
   void Advance();
   void ReadRow();
   void Write(const pool::ElectionOrder& aOrder);
   void OnWritten(const pool::ElectionOrder& aOrder,
-                 const std::vector<pool::PoolScheduler::SaveOrder>& aRows,
+                 const RowBatch& aRows,
                  const table::CommitResult& aResult);
   void WriteRows();
   void UpdateRole();
@@ -49,8 +56,7 @@
   /// Asks the previous leader until it is known to have stopped.
   void AskPrevious();
   void OnStatus(Time aAsked, const net::HttpOutcome& aOutcome);
-  void AddRows(table::Commit& aCommit,
-               std::vector<pool::PoolScheduler::SaveOrder>& aRows);
+  void AddRows(table::Commit& aCommit, RowBatch& aRows);
 
   LeaderContext m_context;
   std::uint64_t m_incarnation;
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -30,6 +30,9 @@
 /// and the longest lease on a slow clock.
 constexpr Duration kPreviousOrders = seconds(5);
 constexpr Duration kPreviousLeases = milliseconds(5200);
+constexpr Duration kExpiryPeriod = seconds(2);
+/// Ended jobs are kept longer than they must be shown, by this factor.
+constexpr double kRetentionMargin = 1.5;
 /// Jobs of an unknown age are not older than this.
 constexpr std::int64_t kMaxAgeMs = 600'000;
 
@@ -65,6 +68,7 @@
                 ToWorkerIds(aPreviousWorkers),
                 net::Loop::Now() + kPreviousOrders + kPreviousLeases)
   , m_advice(aContext.m_settings.m_vm)
+  , m_expiry(std::make_shared<JobExpiry>(aContext.m_store))
   , m_planTimer(aContext.m_loop, kPlanPeriod, [this] { Plan(); })
   , m_previousWorkers(aPreviousWorkers)
 {
@@ -224,9 +228,25 @@
   m_hooks.m_onUnsaved();
   m_links->Update();
   WatchJobs();
+  if (!m_expiring) {
+    m_expiring = true;
+    ExpireJobs();
+  }
   m_planTimer.CallSoon();
 }
 
+void
+PoolLeader::ExpireJobs()
+{
+  const Duration kept =
+    Scale(m_context.m_settings.m_statusRetention, kRetentionMargin);
+  m_expiry->Expire(m_scheduler.ForgetEnded(net::Loop::Now() - kept));
+  if (m_expiry->HasProgressKeys()) {
+    m_hooks.m_onUnsaved();
+  }
+  After(kExpiryPeriod, [this] { ExpireJobs(); });
+}
+
 void
 PoolLeader::AddLoadedJobs()
 {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -5,6 +5,7 @@
 #include "edge/AdviceDesk.h"
 #include "edge/AdvicePlan.h"
 #include "edge/EdgeSettings.h"
+#include "edge/JobExpiry.h"
 #include "edge/PeerProtocol.h"
 #include "edge/StoreHealth.h"
 #include "edge/WorkerDirectory.h"
@@ -75,6 +76,7 @@
   void HeardPeer(const VmId& aVm, const net::Address& aAddress);
 
   pool::PoolScheduler& Scheduler() { return m_scheduler; }
+  JobExpiry& Expiry() { return *m_expiry; }
   /// Workers that the row of the leader has to name.
   std::vector<std::string> WorkersToRecord() const;
   void OnRecorded(const std::vector<std::string>& aWorkers);
@@ -101,6 +103,7 @@
   void WatchWorkers();
   void TakeWorkerRow(const platform::ChangedRow& aChange);
   void UpdateWorkers();
+  void ExpireJobs();
   void Plan();
   void LookUp(const JobId& aJob);
   void Ask(const pool::AskAdvice& aQuestion);
@@ -117,11 +120,13 @@
   pool::PoolScheduler m_scheduler;
   std::shared_ptr<WorkerLinks> m_links;
   AdvicePlan m_advice;
+  std::shared_ptr<JobExpiry> m_expiry;
   net::PacedTimer m_planTimer;
   std::vector<std::string> m_previousWorkers;
 
   int m_partsToLoad = 0;
   bool m_loaded = false;
+  bool m_expiring = false; ///< ended jobs are looked for
   Time m_loadedAt{};
   std::map<JobId, std::string> m_loadedJobs;
   std::set<JobId> m_loadedCancellations;
--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -132,6 +132,12 @@
     aReply(net::JsonResponse(kOk, Starts()));
     return;
   }
+  if (aRequest.m_path == "/rows") {
+    const Json rows = { { "jobs", m_store.RowsOf("jobs") },
+                        { "progress", m_store.RowsOf("progress") } };
+    aReply(net::JsonResponse(kOk, rows.dump()));
+    return;
+  }
   const std::string wait = aRequest.Query("wait_ms");
   WaitForChange(aRequest,
                 aReply,
--- a/standins/PlatformStore.cpp
+++ b/standins/PlatformStore.cpp
@@ -62,6 +62,15 @@
   m_rows[{ aTable, "", aName }] = { Base64(aValue), ++m_version, false };
 }
 
+std::size_t
+PlatformStore::RowsOf(const std::string& aTable) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_rows, [&](const auto& aItem) {
+      return std::get<0>(aItem.first) == aTable && !aItem.second.m_deleted;
+    }));
+}
+
 std::optional<net::HttpResponse>
 PlatformStore::Handle(const net::HttpRequest& aRequest)
 {
@@ -69,7 +78,6 @@
     return net::JsonResponse(kUnavailable, "{}");
   }
   if (aRequest.m_path == "/api/rows-tx") {
-    ++m_transactions;
     const net::HttpResponse answer = Apply(Json::parse(aRequest.m_body));
     if (m_mode == StoreMode::LosesAnswer) {
       return std::nullopt;
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -37,7 +37,8 @@
   void Put(const std::string& aTable,
            const std::string& aName,
            const std::string& aValue);
-  std::uint64_t Transactions() const { return m_transactions; }
+  /// Rows of a table that are not deleted.
+  std::size_t RowsOf(const std::string& aTable) const;
 
 private:
   struct Row
@@ -58,7 +59,6 @@
   std::map<Key, Row> m_rows;
   std::uint64_t m_version = 1;
   std::uint64_t m_oldestChange = 0;
-  std::uint64_t m_transactions = 0;
   StoreMode m_mode = StoreMode::Works;
 };
 
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -44,7 +44,7 @@
 /// the next port and workers at those after it. POST /control on the store's
 /// address writes the desired state from its body; store=works|busy|
 /// loses-answers|compact sets what the store does. GET /starts tells how often
-/// tasks were started.
+/// tasks were started, GET /rows how many rows jobs and progress have.
 int
 RunPlatform(net::Loop& aLoop, const net::Address& aListen, int aWorkers);
 
--- /dev/null
+++ b/tests/correctness/EdgeJobExpiry.cpp
@@ -0,0 +1,41 @@
+/// Guards against transactions over several parts and against rows that are
+/// left behind when ended jobs are deleted.
+#include "edge/JobExpiry.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace lacewing::edge {
+
+namespace {
+
+TEST(EdgeJobExpiry, EachTransactionLiesInOnePartAndAllRowsAreDeleted)
+{
+  constexpr std::size_t kMost = 10;
+  std::vector<JobId> jobs;
+  std::set<std::string> expected;
+  for (int number = 0; number < 500; ++number) {
+    jobs.emplace_back("job" + std::to_string(number));
+    for (const auto place : { pool::JobPlace::First, pool::JobPlace::Second }) {
+      expected.insert(pool::JobKey(jobs.back(), place));
+      expected.insert(pool::CancelKey(jobs.back(), place));
+    }
+  }
+  std::set<std::string> deleted;
+  for (const ExpiryBatch& batch : PlanExpiry(jobs, kMost)) {
+    EXPECT_LE(batch.m_commit.m_deletes.size(), kMost);
+    std::set<std::string> parts;
+    for (const std::string& key : batch.m_commit.m_deletes) {
+      parts.insert(platform::SplitKey(key).m_part);
+      deleted.insert(key);
+    }
+    EXPECT_EQ(parts.size(), 1U);
+    EXPECT_EQ(batch.m_jobs.size() * 2, batch.m_commit.m_deletes.size());
+  }
+  EXPECT_EQ(deleted, expected);
+}
+
+} // namespace
+
+} // namespace lacewing::edge
--- a/tests/process/platform_store_faults.sh
+++ b/tests/process/platform_store_faults.sh
@@ -40,7 +40,14 @@
 [ "$(call 1 GET "/urgent/$(job_id 1)" -H 'Authorization: Bearer other')" = 401 ] || fail "a wrong key was taken"
 [ "$(call 1 GET "/nowhere/$(job_id 1)")" = 404 ] || fail "a path without a queue was taken"
 [ "$(call 1 POST "/urgent/$(job_id 6)" -d '{')" = 400 ] || fail "a broken job was taken"
-[ "$(call 1 GET /urgent/)" = 200 ] || fail "no count of waiting jobs"
+# A daemon that has not heard from the leader yet may refuse the count with 503 for a moment.
+tries=0
+until [ "$(call 1 GET /urgent/)" = 200 ]; do
+  tries=$((tries + 1))
+  [ $tries -lt 100 ] || fail "no count of waiting jobs: $(cat "$CELL/answer")"
+  sleep 0.05
+done
+[ "$(jq .waiting "$CELL/answer")" = 0 ] || fail "wrong count: $(cat "$CELL/answer")"
 
 # A withdrawn key stops working everywhere.
 curl -sf -X POST -d "$(config 2 | sed 's/key-1/key-2/')" "http://$(store_address)/control" >/dev/null
