--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -269,7 +269,7 @@
 CallerFront::PassOn(const Call& aCall,
                     const char* aPath,
                     std::string aBody,
-                    std::function<void(bool aInDoubt)> aFailed)
+                    const std::function<void(bool aInDoubt)>& aFailed)
 {
   const auto address = m_leadership.LeaderAddress();
   if (aCall.m_forPeer || !address || *address == m_context.m_settings.m_peers) {
@@ -283,8 +283,7 @@
     *address,
     request,
     TimeLeft(aCall),
-    [this, aCall, aFailed = std::move(aFailed)](
-      const net::HttpOutcome& aOutcome) {
+    [this, aCall, aFailed](const net::HttpOutcome& aOutcome) {
       const int status =
         aOutcome.m_response ? aOutcome.m_response->m_status : 0;
       if (status == kOk || status == kGone) {
@@ -390,23 +389,25 @@
 void
 CallerFront::PassOnCancel(const Call& aCall)
 {
-  const auto again = [this, aCall] {
-    AskAgain(aCall, [this, aCall] { Cancel(aCall); });
+  const std::function<void(bool)> failed = [this, aCall](bool) {
+    AskAgain(aCall, &CallerFront::Cancel);
   };
-  if (TimeLeft(aCall) < kLeastAttempt ||
-      !PassOn(aCall, kStoreCancelPath, "{}", [again](bool) { again(); })) {
-    again();
+  const bool hasTime = TimeLeft(aCall) >= kLeastAttempt;
+  if (!hasTime || !PassOn(aCall, kStoreCancelPath, "{}", failed)) {
+    AskAgain(aCall, &CallerFront::Cancel);
   }
 }
 
 void
-CallerFront::AskAgain(const Call& aCall, std::function<void()> aAgain)
+CallerFront::AskAgain(const Call& aCall,
+                      void (CallerFront::*aAgain)(const Call&))
 {
   if (TimeLeft(aCall) < kLeastAttempt) {
     Refuse(aCall, kUnavailable, "store_unreachable");
     return;
   }
-  m_context.m_loop.After(kRetryPause, std::move(aAgain));
+  m_context.m_loop.After(kRetryPause,
+                         [this, aCall, aAgain] { (this->*aAgain)(aCall); });
 }
 
 void
@@ -485,7 +486,7 @@
              std::min(kStoreTimeout, TimeLeft(aCall)),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
-                 AskAgain(aCall, [this, aCall] { ShowState(aCall); });
+                 AskAgain(aCall, &CallerFront::ShowState);
                  return;
                }
                if (!aFound.m_job ||
@@ -505,7 +506,7 @@
     std::min(kStoreTimeout, TimeLeft(aCall)),
     [this, aCall](const platform::PageResult& aProgress) {
       if (!aProgress.m_read.m_ok) {
-        AskAgain(aCall, [this, aCall] { ShowState(aCall); });
+        AskAgain(aCall, &CallerFront::ShowState);
         return;
       }
       pool::JobState state = pool::JobState::Pending;
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -51,7 +51,7 @@
   bool PassOn(const Call& aCall,
               const char* aPath,
               std::string aBody,
-              std::function<void(bool aInDoubt)> aFailed);
+              const std::function<void(bool aInDoubt)>& aFailed);
   void StoreLater(const Call& aCall,
                   const pool::Job& aJob,
                   pool::JobPlace aPlace,
@@ -62,7 +62,7 @@
   void PassOnCancel(const Call& aCall);
   void StoreCancellation(const Call& aCall, pool::JobPlace aPlace);
   /// Tries again while the caller waits, and refuses then.
-  void AskAgain(const Call& aCall, std::function<void()> aAgain);
+  void AskAgain(const Call& aCall, void (CallerFront::*aAgain)(const Call&));
   void ShowState(const Call& aCall);
   void ShowStoredState(const Call& aCall);
   void ShowStoredProgress(const Call& aCall);
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -119,8 +119,8 @@
 void
 PoolLeader::Scan(const std::string& aPrefix,
                  const std::string& aAfter,
-                 OnPage aOnPage,
-                 Guarded aOnDone)
+                 const OnPage& aOnPage,
+                 const Guarded& aOnDone)
 {
   m_context.m_store.ReadPage(
     aPrefix,
@@ -460,6 +460,7 @@
 PoolLeader::OnRecorded(const std::vector<std::string>& aWorkers)
 {
   std::vector<pool::WorkerId> workers;
+  workers.reserve(aWorkers.size());
   for (const std::string& name : aWorkers) {
     workers.emplace_back(name);
   }
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -91,8 +91,8 @@
   /// again until it has them.
   void Scan(const std::string& aPrefix,
             const std::string& aAfter,
-            OnPage aOnPage,
-            Guarded aOnDone);
+            const OnPage& aOnPage,
+            const Guarded& aOnDone);
   void LoadJobs();
   void LoadProgress();
   void LoadWorkers();
--- a/tests/fakes/PoolWorld.h
+++ b/tests/fakes/PoolWorld.h
@@ -112,6 +112,10 @@
   {
     return std::uniform_real_distribution<>(0, 1)(m_random) < aProbability;
   }
+  std::uint32_t Pick(std::uint32_t aMin, std::uint32_t aMax)
+  {
+    return std::uniform_int_distribution<std::uint32_t>(aMin, aMax)(m_random);
+  }
   Duration Between(int aMin, int aMax)
   {
     return milliseconds(std::uniform_int_distribution<>(aMin, aMax)(m_random));
@@ -169,17 +173,18 @@
     }
     const std::string name = "job" + std::to_string(m_jobs.size());
     std::vector<pool::StepSpec> steps;
-    steps.push_back(PoolStep(1 + m_random() % 4, 500 + m_random() % 2500));
+    steps.push_back(PoolStep(Pick(1, 4), Pick(500, 2999)));
     steps.back().m_gang = Chance(0.3);
     if (Chance(0.4)) {
-      steps.push_back(PoolStep(1 + m_random() % 3, 1000));
+      steps.push_back(PoolStep(Pick(1, 3), 1000));
       steps.back().m_after = { 0 };
     }
     const pool::Job job = PoolJob(
       name, Chance(0.5) ? kUrgentQueue : kPatientQueue, std::move(steps));
     m_jobs[job.m_id] = job;
     if (Chance(0.8)) {
-      const auto leader = m_leaders[m_random() % m_leaders.size()];
+      const auto leader =
+        m_leaders[Pick(0, static_cast<std::uint32_t>(m_leaders.size()) - 1)];
       At(m_now + Between(1, 30), [this, leader, job] {
         leader->m_scheduler->AddJob(m_now, job, {}, {}, false);
       });
@@ -194,7 +199,8 @@
     }
     if (m_options.m_silentWorkers && Chance(0.004)) {
       auto it = m_workers.begin();
-      std::advance(it, m_random() % m_workers.size());
+      std::advance(it,
+                   Pick(0, static_cast<std::uint32_t>(m_workers.size()) - 1));
       it->second.m_silentUntil = m_now + Between(300, 8000);
     }
   }
