Free open requests with their HTTP client

Requests that are open when the client is destroyed were held by evhttp through plain pointers only.

Change: the client owns its open requests.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -87,10 +87,18 @@
   HttpDone m_done;
   std::string m_peer;
   Loop* m_loop = nullptr;
+  std::weak_ptr<Exchanges> m_exchanges;
   evbuffer* m_output = nullptr;
   evbuffer_cb_entry* m_watch = nullptr;
   bool m_bytesWritten = false;
 
+  ~Exchange()
+  {
+    if (m_watch != nullptr) {
+      evbuffer_remove_cb_entry(m_output, m_watch);
+    }
+  }
+
   static void OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
   {
     // evhttp fills the output buffer only after the connection is established,
@@ -107,8 +115,12 @@
 
   static void OnResponse(evhttp_request* aRequest, void* aSelf)
   {
-    std::unique_ptr<Exchange> self(static_cast<Exchange*>(aSelf));
+    auto* raw = static_cast<Exchange*>(aSelf);
+    const auto exchanges = raw->m_exchanges.lock();
+    const std::unique_ptr<Exchange> self =
+      std::move(exchanges->extract(raw).mapped());
     evbuffer_remove_cb_entry(self->m_output, self->m_watch);
+    self->m_watch = nullptr;
     HttpOutcome outcome;
     const int status =
       aRequest == nullptr ? 0 : evhttp_request_get_response_code(aRequest);
@@ -136,6 +148,7 @@
 
 HttpClient::HttpClient(Loop& aLoop)
   : m_loop(aLoop)
+  , m_exchanges(std::make_shared<Exchanges>())
 {
 }
 
@@ -173,6 +186,7 @@
   exchange->m_done = std::move(aDone);
   exchange->m_peer = aTo.ToString();
   exchange->m_loop = &m_loop;
+  exchange->m_exchanges = m_exchanges;
 
   evhttp_connection* handle = exchange->m_connection->m_handle;
   const timeval timeout = ToTimeval(aTimeout);
@@ -194,13 +208,17 @@
   evbuffer_add(evhttp_request_get_output_buffer(request),
                aRequest.m_body.data(),
                aRequest.m_body.size());
-  Exchange* owned = exchange.release();
+  Exchange* owned = exchange.get();
+  m_exchanges->emplace(owned, std::move(exchange));
   const std::string path = aRequest.m_path;
   if (evhttp_make_request(
         handle, request, CommandOf(aRequest.m_method), path.c_str()) != 0) {
     // evhttp has freed the request without a callback.
-    m_loop.After(Duration::zero(),
-                 [owned] { Exchange::OnResponse(nullptr, owned); });
+    m_loop.After(Duration::zero(), [owned, weak = std::weak_ptr(m_exchanges)] {
+      if (const auto exchanges = weak.lock(); exchanges != nullptr) {
+        Exchange::OnResponse(nullptr, owned);
+      }
+    });
   }
 }
 
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -29,6 +29,7 @@
 {
 public:
   explicit HttpClient(Loop& aLoop);
+  /// Requests that are open are not called back.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -49,8 +50,12 @@
 
   std::shared_ptr<Connection> Acquire(const Address& aTo);
 
+  using Exchanges = std::map<Exchange*, std::unique_ptr<Exchange>>;
+
   Loop& m_loop;
   std::map<Address, std::vector<std::shared_ptr<Connection>>> m_pool;
+  /// Open ones; evhttp holds plain pointers to them.
+  std::shared_ptr<Exchanges> m_exchanges;
 };
 
 } // namespace lacewing::net
