Adopt a run as soon as its job is known; make the order of steps deterministic

Change: the id orders steps; a job that becomes known takes over its runs at once, with a test that failed before. The longest lease comes from the settings, with a test; an unused field and two wrong comments are gone.

--- a/src/edge/AdvicePlan.h
+++ b/src/edge/AdvicePlan.h
@@ -20,8 +20,7 @@
   /// A daemon has been heard from.
   void Heard(Time aNow, const VmId& aVm, const net::Address& aAddress);
   /// The daemon that would have the answer first, and its address; the question
-  /// counts as its own from then on. Nothing of another region's distance is
-  /// known; a daemon that is busy with a long question is avoided by its queue.
+  /// counts as its own from then on.
   struct Choice
   {
     VmId m_vm;
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -73,6 +73,7 @@
   , m_previousWorkers(aPreviousWorkers)
 {
   m_scheduler.SetConfig(net::Loop::Now(), aConfig);
+  m_scheduler.SetLongestLease(aContext.m_settings.m_leaseMax);
 }
 
 void
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -68,6 +68,7 @@
   if (job->IsOver()) {
     job->m_endedAt = aNow;
     m_jobs.emplace(aJob.m_id, std::move(job));
+    IdentifyRuns(aNow, aJob.m_id);
     return;
   }
   const bool mayBeKnownToPrevious =
@@ -92,6 +93,7 @@
   }
   m_open.insert(aJob.m_id);
   m_jobs.emplace(aJob.m_id, std::move(job));
+  IdentifyRuns(aNow, aJob.m_id);
 }
 
 bool
@@ -162,7 +164,7 @@
     worker.m_adopted = true;
     if (!aInventory.m_running.empty()) {
       worker.m_deadlineMs = std::max(
-        worker.m_deadlineMs, worker.m_clockMs + ToMilliseconds(kLongestLease));
+        worker.m_deadlineMs, worker.m_clockMs + ToMilliseconds(m_longestLease));
     }
   }
   m_unheard.erase(aWorker);
@@ -349,9 +351,9 @@
     // its tasks can start elsewhere.
     return 0;
   }
-  const std::int64_t deadline = worker.m_clockMs +
-                                ToMilliseconds(aNow - worker.m_lastAnswer) +
-                                ToMilliseconds(kLeaseLength);
+  const std::int64_t deadline =
+    worker.m_clockMs + ToMilliseconds(aNow - worker.m_lastAnswer) +
+    ToMilliseconds(std::min(kLeaseLength, m_longestLease));
   worker.m_deadlineMs = std::max(worker.m_deadlineMs, deadline);
   return deadline;
 }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -127,6 +127,8 @@
   void OnNoSuchJob(Time aNow, const JobId& aJob);
   /// The stored jobs are loaded; workers are asked for their lists.
   void OnLoaded(Time aNow);
+  /// Longest lease that the workers take; none is asked for beyond it.
+  void SetLongestLease(Duration aLease) { m_longestLease = aLease; }
   /// All leases of the previous leader have run out by this time.
   void SetBarrier(Time aBarrier);
 
@@ -273,6 +275,8 @@
                     WorkerRecord& aWorker);
   void TakeRunning(Time aNow, WorkerRecord& aWorker, const ListedRun& aRun);
   void Identify(Time aNow, WorkerRecord& aWorker, const ListedRun& aRun);
+  /// Takes over the runs of a job that has become known.
+  void IdentifyRuns(Time aNow, const JobId& aJob);
   void CheckMissing(Time aNow,
                     WorkerRecord& aWorker,
                     const Inventory& aInventory);
@@ -300,6 +304,7 @@
   std::map<TeamId, std::pair<double, Time>> m_shareLeft; ///< jobs owed, by team
   std::set<JobId> m_dirty;
   std::set<JobId> m_lookups;
+  Duration m_longestLease = kDefaultLongestLease;
   Time m_loadedAt = Time::max();
   Time m_began{};
   std::vector<StopTask> m_stops; ///< decided since the last plan
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -236,6 +236,22 @@
   ++job->Step(aRun.m_task.m_step).m_placed;
 }
 
+void
+PoolScheduler::IdentifyRuns(Time aNow, const JobId& aJob)
+{
+  for (auto& [id, worker] : m_workers) {
+    std::vector<ListedRun> unknown;
+    for (const auto& [task, placement] : worker.m_placements) {
+      if (placement.m_unknown && task.m_job == aJob) {
+        unknown.push_back({ task, placement.m_run, {}, placement.m_percent });
+      }
+    }
+    for (const ListedRun& run : unknown) {
+      Identify(aNow, worker, run);
+    }
+  }
+}
+
 void
 PoolScheduler::OnNoSuchJob(Time aNow, const JobId& aJob)
 {
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -191,11 +191,13 @@
     }
   }
   std::ranges::sort(result, {}, [](const Candidate& aOne) {
-    return std::tuple(aOne.m_tier,
-                      !aOne.m_interactive,
-                      aOne.m_latestStart,
-                      aOne.m_job,
-                      aOne.m_step);
+    // The id makes the order the same in every process.
+    return std::tuple<Tier, bool, Time, const JobId&, std::uint32_t>(
+      aOne.m_tier,
+      !aOne.m_interactive,
+      aOne.m_latestStart,
+      aOne.m_job->Spec().m_id,
+      aOne.m_step);
   });
   return result;
 }
@@ -252,7 +254,6 @@
   }
   if (!question.m_workers.empty()) {
     step.m_adviceOpen = true;
-    step.m_adviceAt = aNow;
     ++m_openQuestions;
     aActions.m_questions.push_back(std::move(question));
   }
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -52,7 +52,6 @@
   std::map<WorkerId, Ticket> m_tickets; ///< of workers that may run the step
   std::set<WorkerId> m_asked;           ///< workers the service has decided on
   bool m_adviceOpen = false;            ///< a question is on its way
-  Time m_adviceAt{};                    ///< when the last question was asked
 
   std::size_t Waiting() const { return m_tasks.size() - m_done - m_placed; }
 };
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -141,8 +141,8 @@
 inline constexpr Duration kLeaseLength = milliseconds(4800);
 
 /// Longest lease that a worker takes, and so that a previous leader can have
-/// given it.
-inline constexpr Duration kLongestLease = milliseconds(6000);
+/// given it, unless the settings name another.
+inline constexpr Duration kDefaultLongestLease = milliseconds(6000);
 
 /// Part by which a worker's clock may be slow.
 inline constexpr double kWorkerClockError = 0.02;
--- a/tests/correctness/PoolLeaderChange.cpp
+++ b/tests/correctness/PoolLeaderChange.cpp
@@ -77,6 +77,20 @@
   EXPECT_EQ(bench.m_scheduler.FindJob(JobId("late"))->Step(0).m_placed, 1U);
 }
 
+/// The task of a run whose job was looked up was started elsewhere before the
+/// worker had listed the run once more.
+TEST(PoolLeaderChange, RunIsAdoptedAsSoonAsItsJobIsKnown)
+{
+  PoolBench bench = Successor();
+  bench.Answer(kW1, { RunOf(PreviousStart("late")) }, {});
+  bench.Answer(kW2, {}, {});
+  ASSERT_EQ(bench.Plan().m_lookups.size(), 1U);
+  bench.m_scheduler.AddJob(
+    bench.m_now, PoolJob("late", kPatientQueue, { PoolStep(1) }), {}, {}, true);
+  EXPECT_TRUE(bench.Plan().m_starts.empty());
+  EXPECT_EQ(bench.m_scheduler.FindJob(JobId("late"))->Step(0).m_placed, 1U);
+}
+
 TEST(PoolLeaderChange, RunWithoutAStoredJobIsStopped)
 {
   PoolBench bench = Successor();
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -41,6 +41,17 @@
             0);
 }
 
+/// The workers' longest lease comes from the settings; a longer one would be
+/// shortened there and believed here.
+TEST(PoolLostOrders, LeaseIsNotLongerThanWorkersTake)
+{
+  PoolBench bench({ PoolWorker("w1") });
+  bench.m_scheduler.SetLongestLease(seconds(2));
+  bench.AnswerAll();
+  EXPECT_EQ(bench.m_scheduler.NextDeadline(bench.m_now, pool::WorkerId("w1")),
+            1 + 2000);
+}
+
 TEST(PoolLostOrders, StartWithoutAnAnswerKeepsItsRoomAndItsTask)
 {
   PoolBench bench({ PoolWorker("w1"), PoolWorker("w2") });
--- a/tests/fakes/PoolSamples.h
+++ b/tests/fakes/PoolSamples.h
@@ -105,7 +105,7 @@
     m_scheduler.OnLoaded(kStart);
   }
 
-  /// All workers answer with empty lists, but for what `m_running` names.
+  /// All workers answer with empty lists.
   void AnswerAll()
   {
     for (const pool::WorkerInfo& worker : m_workers) {
