Judge a leader by answers of its own process; learn of a new leader from peers

Change: an answer counts only if the process that was asked is still the one known to lead; a restarted leader does not inherit the end of its former process. A status names the leader that the daemon knows; a successor tells its predecessor who it is; a daemon in doubt asks the seeds of its settings. What is heard never allows a claim without reading the row.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -45,6 +45,16 @@
          (device() & 0xFFFFU);
 }
 
+/// 0 if the parameter is missing or no number.
+std::uint64_t
+NumberIn(const net::HttpRequest& aRequest, const char* aParameter)
+{
+  const std::string text = aRequest.Query(aParameter);
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
 net::HttpServerLimits
 CallerLimits()
 {
@@ -194,10 +204,12 @@
 EdgeDaemon::HandleStatus(const net::HttpRequest& aRequest,
                          const net::HttpReply& aReply)
 {
-  if (const std::string term = aRequest.Query("term"); !term.empty()) {
-    std::uint64_t value = 0;
-    std::from_chars(term.data(), term.data() + term.size(), value);
-    m_leadership.OnLaterTerm(value);
+  if (const std::string leader = aRequest.Query("leader"); !leader.empty()) {
+    m_leadership.OnLaterLeader({ leader,
+                                 aRequest.Query("leader_address"),
+                                 NumberIn(aRequest, "incarnation"),
+                                 NumberIn(aRequest, "term"),
+                                 {} });
   }
   const LeaderStatus status = m_leadership.OwnStatus();
   const auto leader = m_leadership.Local();
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lacewing::edge {
 
@@ -18,6 +19,7 @@
   net::Address m_callers;   ///< listens for callers
   net::Address m_readiness; ///< listens for the balancer's probe
   net::Address m_peers;     ///< listens for other entry daemons and metrics
+  std::vector<net::Address> m_seeds; ///< of some daemons; may be out of date
   net::Address m_store;
   std::optional<net::Address> m_policyService;
   Duration m_stopGrace{};       ///< from the signal to stop until the kill
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -26,6 +26,26 @@
 /// near the store comes first.
 constexpr int kClaimDelayReads = 3;
 
+/// Nothing if there was no answer or it cannot be read.
+std::optional<LeaderStatus>
+StatusOf(const net::HttpOutcome& aOutcome)
+{
+  if (!aOutcome.m_response) {
+    return std::nullopt;
+  }
+  return TryDecode<LeaderStatus>(
+    [&] { return DecodeStatus(aOutcome.m_response->m_body); });
+}
+
+/// Asks a predecessor and tells it who leads now.
+std::string
+SuccessorPath(const pool::LeaderRow& aLeader)
+{
+  return std::string(kStatusPath) + "?term=" + std::to_string(aLeader.m_term) +
+         "&leader=" + aLeader.m_vm + "&leader_address=" + aLeader.m_address +
+         "&incarnation=" + std::to_string(aLeader.m_incarnation);
+}
+
 } // namespace
 
 Leadership::Leadership(const LeaderContext& aContext,
@@ -46,7 +66,10 @@
 Leadership::Start()
 {
   m_timer.CallSoon();
-  m_context.m_loop.Every(kAskPeriod, [this] { AskLeader(); });
+  m_context.m_loop.Every(kAskPeriod, [this] {
+    AskLeader();
+    AskSeed();
+  });
 }
 
 void
@@ -93,16 +116,35 @@
   if (m_leader) {
     status.m_waitingJobs = m_leader->WaitingJobs();
   }
+  const pool::LeaderRow& leader = m_election.Leader();
+  status.m_leader = {
+    leader.m_vm, leader.m_address, leader.m_incarnation, leader.m_term, {}
+  };
   return status;
 }
 
 void
-Leadership::OnLaterTerm(std::uint64_t aTerm)
+Leadership::OnLaterLeader(const pool::LeaderRow& aLeader)
 {
-  if (aTerm > m_election.Term()) {
+  if (aLeader.m_term > m_election.Term()) {
     m_election.OnFenced(net::Loop::Now());
     UpdateRole();
   }
+  HearOf(aLeader, "successor");
+}
+
+void
+Leadership::HearOf(const pool::LeaderRow& aLeader, const char* aSource)
+{
+  if (!m_election.OnHearsay(net::Loop::Now(), aLeader)) {
+    return;
+  }
+  m_context.m_log.Write(settings::LogLevel::Info,
+                        "leader_heard_of",
+                        { { "leader", aLeader.m_vm },
+                          { "term", static_cast<std::int64_t>(aLeader.m_term) },
+                          { "source", aSource } });
+  m_timer.CallSoon();
 }
 
 void
@@ -349,9 +391,7 @@
   const Time asked = net::Loop::Now();
   m_context.m_http.Send(
     *address,
-    MakeRequest("GET",
-                std::string(kStatusPath) +
-                  "?term=" + std::to_string(m_election.Term())),
+    MakeRequest("GET", SuccessorPath(m_election.Leader())),
     kAskTimeout,
     [this, asked, leader = std::weak_ptr<PoolLeader>(m_leader)](
       const net::HttpOutcome& aOutcome) {
@@ -359,10 +399,7 @@
       if (!present || present != m_leader) {
         return;
       }
-      const auto status = aOutcome.m_response ? TryDecode<LeaderStatus>([&] {
-        return DecodeStatus(aOutcome.m_response->m_body);
-      })
-                                              : std::nullopt;
+      const auto status = StatusOf(aOutcome);
       const bool refused = !aOutcome.m_response &&
                            aOutcome.m_error.m_verdict == Verdict::NotRun &&
                            net::Loop::Now() < asked + kRefusedWithin;
@@ -390,25 +427,54 @@
     std::string(kStatusPath) + "?vm=" + m_context.m_settings.m_vm.Value() +
     "&address=" + m_context.m_settings.m_peers.ToString();
   const Time asked = net::Loop::Now();
-  m_context.m_http.Send(*address,
-                        MakeRequest("GET", path),
+  const std::uint64_t incarnation = m_election.Leader().m_incarnation;
+  m_context.m_http.Send(
+    *address,
+    MakeRequest("GET", path),
+    kAskTimeout,
+    [this, asked, incarnation](const net::HttpOutcome& aOutcome) {
+      m_asking = false;
+      OnStatus(asked, incarnation, aOutcome);
+    });
+}
+
+void
+Leadership::AskSeed()
+{
+  const auto& seeds = m_context.m_settings.m_seeds;
+  const bool inDoubt = m_election.CurrentRole() != pool::Role::Leader &&
+                       m_election.Contact() != pool::LeaderContact::Leads;
+  if (!inDoubt || seeds.empty()) {
+    return;
+  }
+  const net::Address& seed = seeds[m_nextSeed++ % seeds.size()];
+  if (seed == m_context.m_settings.m_peers) {
+    return;
+  }
+  m_context.m_http.Send(seed,
+                        MakeRequest("GET", kStatusPath),
                         kAskTimeout,
-                        [this, asked](const net::HttpOutcome& aOutcome) {
-                          m_asking = false;
-                          OnStatus(asked, aOutcome);
+                        [this](const net::HttpOutcome& aOutcome) {
+                          if (const auto status = StatusOf(aOutcome)) {
+                            HearOf(status->m_leader, "seed");
+                          }
                         });
 }
 
 void
-Leadership::OnStatus(Time aAsked, const net::HttpOutcome& aOutcome)
+Leadership::OnStatus(Time aAsked,
+                     std::uint64_t aIncarnation,
+                     const net::HttpOutcome& aOutcome)
 {
   using pool::LeaderContact;
   const Time now = net::Loop::Now();
+  if (aIncarnation != m_election.Leader().m_incarnation) {
+    return; // another process leads by now
+  }
   LeaderContact contact = LeaderContact::Unreachable;
+  const auto status = StatusOf(aOutcome);
   if (aOutcome.m_response) {
-    const auto status = TryDecode<LeaderStatus>(
-      [&] { return DecodeStatus(aOutcome.m_response->m_body); });
-    if (status && status->m_incarnation != m_election.Leader().m_incarnation) {
+    if (status && status->m_incarnation != aIncarnation) {
       contact = LeaderContact::Ended;
     } else if (!status || !status->m_leads ||
                status->m_term < m_election.Term()) {
@@ -430,7 +496,10 @@
     "dependency",
     { { "leader", m_election.Leader().m_vm },
       { "term", static_cast<std::int64_t>(m_election.Term()) } });
-  m_election.OnContact(now, contact);
+  m_election.OnContact(now, aIncarnation, contact);
+  if (status) {
+    HearOf(status->m_leader, "former leader");
+  }
   if (contact != LeaderContact::Leads) {
     m_timer.CallSoon();
   }
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -20,8 +20,8 @@
   void SetConfig(const pool::PoolConfig& aConfig);
   /// Time of a read of the store; a daemon that is near claims first.
   void SetStoreDelay(Duration aReadTime);
-  /// Another daemon leads with this term.
-  void OnLaterTerm(std::uint64_t aTerm);
+  /// Another daemon leads with a later term.
+  void OnLaterLeader(const pool::LeaderRow& aLeader);
   /// Hands the leadership over; no orders after this.
   void Resign();
 
@@ -55,7 +55,13 @@
   void AskLeader();
   /// Asks the previous leader until it is known to have stopped.
   void AskPrevious();
-  void OnStatus(Time aAsked, const net::HttpOutcome& aOutcome);
+  void OnStatus(Time aAsked,
+                std::uint64_t aIncarnation,
+                const net::HttpOutcome& aOutcome);
+  /// While the leader is in doubt and the store may be out of reach, other
+  /// daemons may know a later one.
+  void AskSeed();
+  void HearOf(const pool::LeaderRow& aLeader, const char* aSource);
   void AddRows(table::Commit& aCommit, RowBatch& aRows);
 
   LeaderContext m_context;
@@ -73,6 +79,7 @@
   LeaderStatus m_lastStatus;
   Time m_lastStatusAt{};
   bool m_asking = false;
+  std::size_t m_nextSeed = 0;
 };
 
 } // namespace lacewing::edge
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -9,6 +9,26 @@
 
 using Json = nlohmann::json;
 
+Json
+ToJson(const pool::LeaderRow& aLeader)
+{
+  return { { "vm", aLeader.m_vm },
+           { "address", aLeader.m_address },
+           { "incarnation", aLeader.m_incarnation },
+           { "term", aLeader.m_term } };
+}
+
+pool::LeaderRow
+LeaderFrom(const Json& aJson)
+{
+  pool::LeaderRow leader;
+  leader.m_vm = TypedField<std::string>(aJson, "vm");
+  leader.m_address = TypedField<std::string>(aJson, "address");
+  leader.m_incarnation = NumberField<std::uint64_t>(aJson, "incarnation");
+  leader.m_term = NumberField<std::uint64_t>(aJson, "term");
+  return leader;
+}
+
 } // namespace
 
 std::string
@@ -23,7 +43,8 @@
     { "term", aStatus.m_term },
     { "incarnation", aStatus.m_incarnation },
     { "store_works", aStatus.m_storeWorks },
-    { "waiting", std::move(waiting) }
+    { "waiting", std::move(waiting) },
+    { "leader", ToJson(aStatus.m_leader) }
   }.dump();
 }
 
@@ -72,6 +93,7 @@
     for (const auto& [queue, count] : ObjectField(json, "waiting").items()) {
       status.m_waitingJobs[pool::QueueId(queue)] = count.get<std::size_t>();
     }
+    status.m_leader = LeaderFrom(ObjectField(json, "leader"));
     return status;
   });
 }
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -114,9 +114,11 @@
   m_version = aVersion;
   if (changed) {
     m_changedAt = aNow;
-    const bool otherLeader = aRow.value_or(LeaderRow{}).m_vm != m_row.m_vm;
-    m_row = aRow.value_or(LeaderRow{});
-    if (otherLeader) {
+    const LeaderRow row = aRow.value_or(LeaderRow{});
+    const bool otherProcess =
+      row.m_vm != m_row.m_vm || row.m_incarnation != m_row.m_incarnation;
+    m_row = row;
+    if (otherProcess) {
       m_contact = LeaderContact::Leads;
     }
   }
@@ -166,9 +168,11 @@
 }
 
 void
-LeaderElection::OnContact(Time aNow, LeaderContact aContact)
+LeaderElection::OnContact(Time aNow,
+                          std::uint64_t aIncarnation,
+                          LeaderContact aContact)
 {
-  if (m_role == Role::Leader) {
+  if (m_role == Role::Leader || aIncarnation != m_row.m_incarnation) {
     return;
   }
   if (aContact != LeaderContact::Leads && m_contact == LeaderContact::Leads) {
@@ -180,6 +184,22 @@
   m_contact = aContact;
 }
 
+bool
+LeaderElection::OnHearsay(Time aNow, const LeaderRow& aLeader)
+{
+  if (!m_known || m_role == Role::Leader || aLeader.m_vm.empty() ||
+      aLeader.m_term <= m_row.m_term || IsSelf(aLeader)) {
+    return false;
+  }
+  m_row = aLeader;
+  m_row.m_workers.clear();
+  m_contact = LeaderContact::Leads;
+  m_changedAt = aNow;
+  // A claim needs the version of the row and the workers that it names.
+  m_reread = true;
+  return true;
+}
+
 void
 LeaderElection::OnFenced(Time)
 {
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -80,7 +80,11 @@
   void OnConflict(Time aNow);
   /// The write may or may not have taken effect, or was refused.
   void OnWriteFailed(Time aNow);
-  void OnContact(Time aNow, LeaderContact aContact);
+  /// How asking the process of that incarnation ended. It counts only if that
+  /// process is still the one known to lead.
+  void OnContact(Time aNow, std::uint64_t aIncarnation, LeaderContact aContact);
+  /// Another daemon names the leader. True if this was news.
+  bool OnHearsay(Time aNow, const LeaderRow& aLeader);
   /// A worker has refused an order with this leader's token.
   void OnFenced(Time aNow);
   /// Gives up leading; the next steps write a row without a leader.
@@ -92,8 +96,10 @@
   Role CurrentRole() const { return m_role; }
   /// True while this daemon may give orders.
   bool MayOrder(Time aNow) const;
-  /// The leader, as far as known; empty if nobody leads.
+  /// The leader, as far as known; empty if nobody leads. One known from
+  /// hearsay names no workers.
   const LeaderRow& Leader() const { return m_row; }
+  LeaderContact Contact() const { return m_contact; }
   RowVersion Version() const { return m_version; }
   std::uint64_t Term() const { return m_row.m_term; }
   Time LastRenewal() const { return m_lastRenewal; }
--- a/tests/correctness/EdgePeerProtocol.cpp
+++ b/tests/correctness/EdgePeerProtocol.cpp
@@ -18,6 +18,7 @@
   status.m_incarnation = 123'456'789'012;
   status.m_storeWorks = false;
   status.m_waitingJobs[pool::QueueId("q")] = 3;
+  status.m_leader = { "vm-2", "127.0.0.1:9", 5, 8, {} };
   const auto decoded =
     TryDecode<LeaderStatus>([&] { return DecodeStatus(EncodeStatus(status)); });
   ASSERT_TRUE(decoded.has_value());
@@ -26,6 +27,7 @@
   EXPECT_EQ(decoded->m_incarnation, status.m_incarnation);
   EXPECT_EQ(decoded->m_storeWorks, status.m_storeWorks);
   EXPECT_EQ(decoded->m_waitingJobs, status.m_waitingJobs);
+  EXPECT_EQ(decoded->m_leader, status.m_leader);
 }
 
 TEST(EdgePeerProtocol, QuestionAndPermissionsComeBackWhole)
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 constexpr Time kStart{ seconds(1000) };
+/// Of all processes whose rows are made by `Self`.
+constexpr std::uint64_t kIncarnation = 7;
 
 LeaderRow
 Self(const std::string& aVm)
 {
-  return { aVm, "127.0.0.1:1", 7, 0, {} };
+  return { aVm, "127.0.0.1:1", kIncarnation, 0, {} };
 }
 
 LeaderRow
@@ -53,7 +55,7 @@
   LeaderElection election = Follower(kStart);
   for (int tick = 0; tick < 100; ++tick) {
     const Time now = kStart + milliseconds(100) * tick;
-    election.OnContact(now, LeaderContact::Leads);
+    election.OnContact(now, kIncarnation, LeaderContact::Leads);
     EXPECT_EQ(election.OnTick(now).m_step, ElectionStep::None);
   }
 }
@@ -61,7 +63,7 @@
 TEST(PoolElection, StoppedProcessOfTheLeaderIsReplacedAfterOneRead)
 {
   LeaderElection election = Follower(kStart);
-  election.OnContact(kStart, LeaderContact::Ended);
+  election.OnContact(kStart, kIncarnation, LeaderContact::Ended);
   EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
   election.OnRow(kStart, RowOf("b", 4), 40);
   const ElectionOrder order = election.OnTick(kStart);
@@ -74,7 +76,7 @@
   LeaderElection election = Follower(kStart);
   for (int tick = 0; tick < 40; ++tick) {
     const Time now = kStart + milliseconds(100) * tick;
-    election.OnContact(now, LeaderContact::Unreachable);
+    election.OnContact(now, kIncarnation, LeaderContact::Unreachable);
     const ElectionOrder order = election.OnTick(now);
     EXPECT_NE(order.m_step, ElectionStep::Claim);
     if (order.m_step == ElectionStep::ReadRow) {
@@ -91,7 +93,7 @@
   Time now = kStart;
   ElectionOrder order;
   while (order.m_step != ElectionStep::Claim && now < kStart + seconds(5)) {
-    election.OnContact(now, LeaderContact::Unreachable);
+    election.OnContact(now, kIncarnation, LeaderContact::Unreachable);
     order = election.OnTick(now);
     if (order.m_step == ElectionStep::ReadRow) {
       election.OnRow(now, RowOf("b", 4), 40);
@@ -204,7 +206,7 @@
 TEST(PoolElection, LeaderWhoseClaimIsNotAnsweredYetIsNotReplacedAtOnce)
 {
   LeaderElection election = Follower(kStart);
-  election.OnContact(kStart, LeaderContact::Unsettled);
+  election.OnContact(kStart, kIncarnation, LeaderContact::Unsettled);
   EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
   election.OnRow(kStart, RowOf("b", 4), 40);
   EXPECT_NE(election.OnTick(kStart + milliseconds(100)).m_step,
@@ -220,7 +222,7 @@
   election.SetReadTime(milliseconds(250));
   for (int tick = 0; tick < 80; ++tick) {
     const Time now = kStart + milliseconds(50) * tick;
-    election.OnContact(now, LeaderContact::StoreFailed);
+    election.OnContact(now, kIncarnation, LeaderContact::StoreFailed);
     const ElectionOrder order = election.OnTick(now);
     EXPECT_NE(order.m_step, ElectionStep::Claim) << tick;
     if (order.m_step == ElectionStep::ReadRow) {
@@ -230,6 +232,75 @@
   }
 }
 
+/// A daemon that was cut off from the store asked the former leader while it
+/// read the row of the new one. It took the answer for that of the new leader,
+/// whose process seemed to have ended, and replaced a sound leader at once.
+TEST(PoolElection, AnswerOfTheFormerLeaderSaysNothingAboutTheNewOne)
+{
+  LeaderElection election = Follower(kStart);
+  election.OnContact(kStart, kIncarnation, LeaderContact::Unsettled);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  LeaderRow successor = RowOf("c", 5);
+  successor.m_incarnation = 9;
+  election.OnRow(kStart, successor, 50);
+  election.OnContact(kStart, kIncarnation, LeaderContact::Ended);
+  for (int tick = 0; tick < 40; ++tick) {
+    const Time now = kStart + milliseconds(25) * tick;
+    EXPECT_EQ(election.OnTick(now).m_step, ElectionStep::None) << tick;
+  }
+}
+
+/// The leader's VM restarted and its new process leads. That the former process
+/// has ended says nothing about this one.
+TEST(PoolElection, RestartedLeaderIsNotReplacedForTheEndOfItsFormerProcess)
+{
+  LeaderElection election = Follower(kStart);
+  election.OnContact(kStart, kIncarnation, LeaderContact::Ended);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  LeaderRow restarted = RowOf("b", 5);
+  restarted.m_incarnation = 9;
+  election.OnRow(kStart, restarted, 50);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::None);
+}
+
+/// Load pattern: the store refuses some VMs for seconds. Their fronts could
+/// not learn of a new leader and refused every job that they could have passed
+/// on to it.
+TEST(PoolElection, FollowerWithoutTheStoreLearnsTheLeaderFromItsPeers)
+{
+  LeaderElection election = Follower(kStart);
+  LeaderRow successor = RowOf("c", 5);
+  successor.m_incarnation = 9;
+  EXPECT_TRUE(election.OnHearsay(kStart, successor));
+  EXPECT_EQ(election.Leader().m_vm, "c");
+  EXPECT_EQ(election.Term(), 5U);
+}
+
+/// Hearsay may be older than what was read.
+TEST(PoolElection, HearsayOfAnEarlierTermIsIgnored)
+{
+  LeaderElection election = Follower(kStart);
+  EXPECT_FALSE(election.OnHearsay(kStart, RowOf("c", 4)));
+  EXPECT_EQ(election.Leader().m_vm, "b");
+}
+
+/// What a peer says names no workers and no version. A claim needs the row.
+TEST(PoolElection, LeaderKnownFromHearsayIsNotReplacedWithoutReadingItsRow)
+{
+  LeaderElection election = Follower(kStart);
+  LeaderRow successor = RowOf("c", 5);
+  successor.m_incarnation = 9;
+  election.OnHearsay(kStart, successor);
+  election.OnContact(kStart, 9, LeaderContact::Ended);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  election.OnReadFailed(kStart);
+  for (int tick = 1; tick < 40; ++tick) {
+    const Time now = kStart + milliseconds(200) * tick;
+    EXPECT_EQ(election.OnTick(now).m_step, ElectionStep::ReadRow) << tick;
+    election.OnReadFailed(now);
+  }
+}
+
 } // namespace
 
 } // namespace lacewing::pool
