Ask about workers with room all over the pool; look up tickets by number

A question to the policy service names at most 100 workers, and every question named the first 100 by id, so that 100 to 200 of 350 workers were used. Waiting jobs made it worse: each plan looked up every ticket of every waiting step by text (0.14 to 0.24 of this machine's core for the decisions alone), and long questions of patient steps held all open questions.

Change: a question names workers with room first, permitted ones before those the service has not decided on, each job beginning elsewhere and gangs with the emptiest. A step whose permitted workers have no room may ask about others. Interactive steps have open questions of their own; their number follows the VMs that ask. Workers have numbers, tickets are found by these, and a plan lists the usable workers once. The questions' code has its own file.

--- a/src/edge/AdvicePlan.h
+++ b/src/edge/AdvicePlan.h
@@ -32,6 +32,9 @@
   /// The question has been answered, or did not come back.
   void Ended(Time aNow, const Choice& aChoice, bool aAnswered);
 
+  /// Daemons that can be asked, this one among them.
+  int Askers() const { return static_cast<int>(m_members.size()); }
+
 private:
   struct Member
   {
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -478,6 +478,7 @@
     m_planTimer.CallBy(net::Loop::Now() + kIdlePlanPeriod);
     return;
   }
+  m_scheduler.SetAskers(m_advice.Askers());
   const pool::Actions actions = m_scheduler.Plan(net::Loop::Now());
   for (const pool::StopTask& stop : actions.m_stops) {
     m_links->Stop(stop);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -91,7 +91,7 @@
     job->m_beyondShare = left < 1;
     left = std::max(0.0, left - 1);
   }
-  m_open.insert(aJob.m_id);
+  m_open.emplace(aJob.m_id, job.get());
   m_jobs.emplace(aJob.m_id, std::move(job));
   IdentifyRuns(aNow, aJob.m_id);
 }
@@ -120,11 +120,13 @@
     worker.m_listed = false;
   }
   for (const WorkerInfo& info : aWorkers) {
-    WorkerRecord& worker = m_workers[info.m_id];
-    const bool newLife = info.m_born > worker.m_info.m_born;
-    if (newLife) {
-      DropAllPlacements(worker);
-      worker = WorkerRecord();
+    const auto [it, fresh] = m_workers.try_emplace(info.m_id);
+    WorkerRecord& worker = it->second;
+    if (fresh) {
+      worker.m_slot = m_nextSlot++;
+    }
+    if (info.m_born > worker.m_info.m_born) {
+      BeginLife(worker, info.m_born);
     }
     const std::int64_t born = std::max(info.m_born, worker.m_info.m_born);
     worker.m_info = info;
@@ -136,6 +138,19 @@
   });
 }
 
+void
+PoolScheduler::BeginLife(WorkerRecord& aWorker, std::int64_t aBorn)
+{
+  DropAllPlacements(aWorker);
+  WorkerRecord life;
+  life.m_info = std::move(aWorker.m_info);
+  life.m_info.m_born = aBorn;
+  life.m_slot = aWorker.m_slot;
+  life.m_listed = aWorker.m_listed;
+  life.m_recorded = aWorker.m_recorded;
+  aWorker = std::move(life);
+}
+
 void
 PoolScheduler::OnInventory(Time aNow,
                            const WorkerId& aWorker,
@@ -147,15 +162,7 @@
   }
   WorkerRecord& worker = it->second;
   if (aInventory.m_born > worker.m_info.m_born) {
-    DropAllPlacements(worker);
-    WorkerInfo info = worker.m_info;
-    info.m_born = aInventory.m_born;
-    const bool listed = worker.m_listed;
-    const bool recorded = worker.m_recorded;
-    worker = WorkerRecord();
-    worker.m_info = std::move(info);
-    worker.m_listed = listed;
-    worker.m_recorded = recorded;
+    BeginLife(worker, aInventory.m_born);
   }
   worker.m_lastAnswer = aNow;
   worker.m_clockMs = std::max(worker.m_clockMs, aInventory.m_clockMs);
@@ -208,8 +215,10 @@
       break;
     case StartOutcome::TicketInvalid:
       if (TrackedJob* job = Find(aStart.m_task.m_job)) {
-        job->Step(aStart.m_task.m_step).m_tickets[aStart.m_worker].m_until =
-          aNow;
+        StepRecord& step = job->Step(aStart.m_task.m_step);
+        if (Ticket* ticket = step.FindTicket(worker.m_slot)) {
+          ticket->m_until = aNow;
+        }
       }
       break;
     case StartOutcome::TooLate:
@@ -242,38 +251,6 @@
   }
 }
 
-void
-PoolScheduler::OnAdvice(Time aNow,
-                        const AskAdvice& aQuestion,
-                        const std::vector<Permission>& aGood)
-{
-  --m_openQuestions;
-  TrackedJob* job = Find(aQuestion.m_job);
-  if (job == nullptr || job->IsOver()) {
-    return;
-  }
-  StepRecord& step = job->Step(aQuestion.m_step);
-  step.m_adviceOpen = false;
-  step.m_asked.insert(aQuestion.m_workers.begin(), aQuestion.m_workers.end());
-  const auto rule = m_rules.find(job->Spec().m_queue);
-  const Duration validity = rule != m_rules.end() && rule->second.m_advice
-                              ? rule->second.m_advice->m_validity
-                              : Duration{};
-  for (const Permission& permission : aGood) {
-    step.m_tickets[permission.m_worker] = { permission.m_ticket,
-                                            aNow + validity };
-  }
-}
-
-void
-PoolScheduler::OnNoAdvice(Time, const AskAdvice& aQuestion)
-{
-  --m_openQuestions;
-  if (TrackedJob* job = Find(aQuestion.m_job); job != nullptr) {
-    job->Step(aQuestion.m_step).m_adviceOpen = false;
-  }
-}
-
 std::vector<WorkerId>
 PoolScheduler::UsableWorkers() const
 {
@@ -407,8 +384,8 @@
 PoolScheduler::WaitingJobs() const
 {
   std::map<QueueId, std::size_t> result;
-  for (const JobId& id : m_open) {
-    const TrackedJob& job = *m_jobs.at(id);
+  for (const auto& [id, open] : m_open) {
+    const TrackedJob& job = *open;
     if (!job.HasBegun()) {
       ++result[job.Spec().m_queue];
     }
@@ -426,8 +403,8 @@
     counts.m_running += worker.m_placements.size();
     counts.m_usedMillicores += worker.m_used.m_millicores;
   }
-  for (const JobId& id : m_open) {
-    const TrackedJob& job = *m_jobs.at(id);
+  for (const auto& [id, open] : m_open) {
+    const TrackedJob& job = *open;
     for (std::uint32_t step = 0; step < job.Steps(); ++step) {
       counts.m_waitingTasks += job.IsReady(step) ? job.Step(step).Waiting() : 0;
     }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -59,6 +59,7 @@
   JobId m_job;
   std::uint32_t m_step = 0;
   std::vector<WorkerId> m_workers;
+  bool m_interactive = false;
 };
 
 struct Actions
@@ -129,6 +130,8 @@
   void OnLoaded(Time aNow);
   /// Longest lease that the workers take; none is asked for beyond it.
   void SetLongestLease(Duration aLease) { m_longestLease = aLease; }
+  /// How many VMs can ask the policy service at the same time.
+  void SetAskers(int aAskers) { m_askers = aAskers; }
   /// All leases of the previous leader have run out by this time.
   void SetBarrier(Time aBarrier);
 
@@ -214,11 +217,21 @@
   };
 
   std::vector<Candidate> ReadySteps(Time aNow);
+  /// Notes the workers that can be given tasks in this plan.
+  void ListUsable(Time aNow);
   bool EnsureAdvice(Time aNow,
                     const Candidate& aCandidate,
                     bool aRefresh,
                     Actions& aActions);
+  /// Workers to ask the policy service about; empty if there is none.
+  std::vector<WorkerId> ChooseToAsk(const Candidate& aCandidate) const;
+  /// True if a worker that was not asked about could take a task now.
+  bool HasUndecidedRoom(const Candidate& aCandidate) const;
+  void CloseQuestion(const AskAdvice& aQuestion);
   std::vector<WorkerRecord*> Eligible(Time aNow, const Candidate& aCandidate);
+  /// True if the worker may run tasks of the step at any time.
+  static bool IsSuitable(const Candidate& aCandidate,
+                         const WorkerRecord& aWorker);
   /// The class that counts for the step: patient work avoids only very slow
   /// workers.
   SpeedClass SpeedFor(const Candidate& aCandidate,
@@ -235,9 +248,7 @@
                     const std::set<WorkerId>& aReserved,
                     Actions& aActions);
   bool PlaceGang(Time aNow, const Candidate& aCandidate, Actions& aActions);
-  void ReserveFor(Time aNow,
-                  const Candidate& aCandidate,
-                  std::set<WorkerId>& aReserved);
+  void ReserveFor(const Candidate& aCandidate, std::set<WorkerId>& aReserved);
   bool HasQuota(const TeamId& aTeam, const Resources& aExtra) const;
   void Start(Time aNow,
              const Candidate& aCandidate,
@@ -280,6 +291,8 @@
   void CheckMissing(Time aNow,
                     WorkerRecord& aWorker,
                     const Inventory& aInventory);
+  /// Forgets what is known of the worker's former life.
+  void BeginLife(WorkerRecord& aWorker, std::int64_t aBorn);
   void AddPlacement(WorkerRecord& aWorker,
                     const TaskRef& aTask,
                     const Placement& aPlacement);
@@ -297,7 +310,7 @@
   /// Rules of all queues ever seen; jobs of a removed queue still run.
   std::map<QueueId, QueueRule> m_rules;
   std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
-  std::set<JobId> m_open; ///< jobs that are not over
+  std::map<JobId, TrackedJob*> m_open; ///< jobs that are not over
   std::map<WorkerId, WorkerRecord> m_workers;
   std::map<TeamId, Resources> m_teamUse;
   std::map<TeamId, Resources> m_unseenUse; ///< upper bound, by team
@@ -309,7 +322,12 @@
   Time m_began{};
   std::vector<StopTask> m_stops; ///< decided since the last plan
   Pace m_pace;                   ///< of all workers
-  int m_openQuestions = 0;       ///< to the policy service
+  int m_openQuestions = 0;       ///< to the policy service, of patient steps
+  int m_openUrgentQuestions = 0; ///< of interactive steps
+  int m_askers = 1;              ///< VMs that ask the policy service
+  WorkerSlot m_nextSlot = 0;
+  std::vector<WorkerRecord*> m_usable;       ///< in this plan
+  std::vector<WorkerRecord*> m_usableBySlot; ///< null for the others
   Time m_nextStuckCheck{};
 };
 
--- /dev/null
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -0,0 +1,189 @@
+// Questions to the policy service: when one is asked and about which workers.
+#include "pool/PoolScheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lacewing::pool {
+
+namespace {
+
+/// Tickets of the steps that are served next are renewed this long before they
+/// run out, on top of the time that the policy service takes.
+constexpr Duration kTicketRenewal = milliseconds(300);
+/// Questions on their way for each VM that asks: the service answers them one
+/// after another, so that more would only wait. Interactive steps have their
+/// own, since long questions of patient ones would keep theirs waiting.
+constexpr int kOpenPerAsker = 3;
+constexpr int kLeastOpen = 24;
+/// Workers in a question: the service takes at most this many.
+constexpr std::size_t kMostWorkers = 100;
+/// A question names at least this many, so that a step can choose among fast
+/// and slow ones.
+constexpr std::size_t kFewWorkers = 48;
+/// Times as many workers as a step would fill, since the policy permits only
+/// some and others use them too.
+constexpr std::size_t kChoices = 6;
+
+} // namespace
+
+bool
+PoolScheduler::EnsureAdvice(Time aNow,
+                            const Candidate& aCandidate,
+                            bool aRefresh,
+                            Actions& aActions)
+{
+  const auto& rule = aCandidate.m_queue->m_advice;
+  if (!rule) {
+    return true;
+  }
+  StepRecord& step = aCandidate.Record();
+  // Tickets of workers that can't be used now say nothing about the others.
+  Time earliest = Time::max();
+  bool valid = false;
+  int usable = 0;
+  for (const Ticket& ticket : step.m_tickets) {
+    if (m_usableBySlot[ticket.m_worker] == nullptr) {
+      continue;
+    }
+    ++usable;
+    earliest = std::min(earliest, ticket.m_until);
+    valid = valid || ticket.m_until > aNow + kTicketMargin;
+  }
+  int& open =
+    aCandidate.m_interactive ? m_openUrgentQuestions : m_openQuestions;
+  if (step.m_adviceOpen ||
+      open >= std::max(kLeastOpen, m_askers * kOpenPerAsker)) {
+    return valid;
+  }
+  const Duration cost = rule->m_decide + rule->m_each * usable + kTicketRenewal;
+  const bool fresh = usable > 0 && earliest > aNow + cost;
+  const bool isDue = !fresh && (aRefresh || step.m_tickets.empty());
+  if (!isDue && !(step.m_lacksRoom && HasUndecidedRoom(aCandidate))) {
+    return valid;
+  }
+  AskAdvice question{ aCandidate.m_job->Spec().m_id,
+                      aCandidate.m_step,
+                      ChooseToAsk(aCandidate),
+                      aCandidate.m_interactive };
+  if (!question.m_workers.empty()) {
+    step.m_adviceOpen = true;
+    ++open;
+    aActions.m_questions.push_back(std::move(question));
+  }
+  return valid;
+}
+
+bool
+PoolScheduler::HasUndecidedRoom(const Candidate& aCandidate) const
+{
+  const StepRecord& step = aCandidate.Record();
+  return std::ranges::any_of(m_usable, [&](const WorkerRecord* aWorker) {
+    return !step.WasAsked(aWorker->m_slot) &&
+           aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
+           IsSuitable(aCandidate, *aWorker);
+  });
+}
+
+std::vector<WorkerId>
+PoolScheduler::ChooseToAsk(const Candidate& aCandidate) const
+{
+  StepRecord& step = aCandidate.Record();
+  const StepSpec& spec = aCandidate.Spec();
+  struct Option
+  {
+    const WorkerRecord* m_worker;
+    bool m_full;
+    bool m_undecided;
+    std::int64_t m_order;
+  };
+  std::vector<Option> options;
+  // Each job begins elsewhere, so that they do not all ask about the same
+  // workers. A gang needs room for all its members, so that it asks about the
+  // emptiest.
+  const auto begin = static_cast<std::int64_t>(
+    std::hash<JobId>()(aCandidate.m_job->Spec().m_id) %
+    std::max<std::size_t>(1, m_nextSlot));
+  std::int64_t emptyRoom = 1;
+  for (const WorkerRecord* worker : m_usable) {
+    const bool undecided = !step.WasAsked(worker->m_slot);
+    const bool permitted =
+      !undecided && step.FindTicket(worker->m_slot) != nullptr;
+    if ((!undecided && !permitted) || !IsSuitable(aCandidate, *worker)) {
+      continue;
+    }
+    const std::int64_t turn =
+      (static_cast<std::int64_t>(worker->m_slot) - begin + m_nextSlot) %
+      m_nextSlot;
+    const std::int64_t order =
+      spec.m_gang ? -worker->Free().m_millicores : turn;
+    const bool full = !spec.m_each.FitsIn(worker->Free());
+    options.push_back({ worker, full, undecided, order });
+    emptyRoom = std::max<std::int64_t>(
+      emptyRoom, TimesIn(spec.m_each, worker->m_info.m_capacity));
+  }
+  std::ranges::sort(options, {}, [](const Option& aOption) {
+    return std::tuple(aOption.m_full, aOption.m_undecided, aOption.m_order);
+  });
+  const std::size_t filled = (step.Waiting() + emptyRoom - 1) / emptyRoom;
+  const std::size_t most =
+    std::clamp(filled * kChoices, kFewWorkers, kMostWorkers);
+  std::vector<WorkerId> result;
+  for (const Option& option : options) {
+    if (result.size() >= most) {
+      break;
+    }
+    result.push_back(option.m_worker->m_info.m_id);
+  }
+  return result;
+}
+
+void
+PoolScheduler::OnAdvice(Time aNow,
+                        const AskAdvice& aQuestion,
+                        const std::vector<Permission>& aGood)
+{
+  CloseQuestion(aQuestion);
+  TrackedJob* job = Find(aQuestion.m_job);
+  if (job == nullptr || job->IsOver()) {
+    return;
+  }
+  StepRecord& step = job->Step(aQuestion.m_step);
+  for (const WorkerId& id : aQuestion.m_workers) {
+    if (const auto it = m_workers.find(id); it != m_workers.end()) {
+      step.SetAsked(it->second.m_slot);
+    }
+  }
+  const auto rule = m_rules.find(job->Spec().m_queue);
+  const Duration validity = rule != m_rules.end() && rule->second.m_advice
+                              ? rule->second.m_advice->m_validity
+                              : Duration{};
+  for (const Permission& permission : aGood) {
+    const auto it = m_workers.find(permission.m_worker);
+    if (it == m_workers.end()) {
+      continue;
+    }
+    Ticket* ticket = step.FindTicket(it->second.m_slot);
+    if (ticket == nullptr) {
+      ticket = &step.m_tickets.emplace_back();
+    }
+    *ticket = { it->second.m_slot, permission.m_ticket, aNow + validity };
+  }
+}
+
+void
+PoolScheduler::OnNoAdvice(Time, const AskAdvice& aQuestion)
+{
+  CloseQuestion(aQuestion);
+}
+
+void
+PoolScheduler::CloseQuestion(const AskAdvice& aQuestion)
+{
+  --(aQuestion.m_interactive ? m_openUrgentQuestions : m_openQuestions);
+  if (TrackedJob* job = Find(aQuestion.m_job); job != nullptr) {
+    job->Step(aQuestion.m_step).m_adviceOpen = false;
+  }
+}
+
+} // namespace lacewing::pool
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -8,16 +8,8 @@
 
 namespace {
 
-/// A ticket has to hold at least this long, for the way to the worker.
-constexpr Duration kTicketMargin = milliseconds(200);
-/// Tickets of the steps that are served next are renewed this long before they
-/// run out, on top of the time that the policy service takes.
-constexpr Duration kTicketRenewal = milliseconds(300);
 /// Steps at the head of the order whose tickets are kept fresh.
 constexpr int kFreshSteps = 10;
-/// Questions to the policy service at a time. It serves one call after another
-/// for each calling VM, so that more would only wait.
-constexpr int kMaxOpenQuestions = 24;
 /// Gangs at the head of the order for which room is kept free of long tasks.
 constexpr int kReservingGangs = 2;
 /// The start numbers of one leadership of a task.
@@ -34,19 +26,6 @@
 /// Pause of a worker on which a task was stuck.
 constexpr Duration kStuckAvoidance = seconds(4);
 
-std::uint32_t
-TimesIn(const Resources& aEach, const Resources& aRoom)
-{
-  constexpr std::int64_t kMany = 1'000'000;
-  const auto times = [](std::int64_t aPart, std::int64_t aWhole) {
-    return aPart <= 0 ? kMany : std::max<std::int64_t>(0, aWhole / aPart);
-  };
-  return static_cast<std::uint32_t>(
-    std::min({ times(aEach.m_millicores, aRoom.m_millicores),
-               times(aEach.m_memoryMib, aRoom.m_memoryMib),
-               times(aEach.m_accelerators, aRoom.m_accelerators) }));
-}
-
 Resources
 Times(const Resources& aEach, std::int64_t aCount)
 {
@@ -71,6 +50,7 @@
   PassBarrier(aNow);
   EstimateUnseenUse();
   StopStuck(aNow);
+  ListUsable(aNow);
   actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
   m_lookups.clear();
   if (InFirstRound(aNow)) {
@@ -89,9 +69,11 @@
       PlaceSingles(aNow, candidate, reserved, actions);
       continue;
     }
-    if (!PlaceGang(aNow, candidate, actions) &&
-        candidate.m_tier == Tier::InTime && reserving < kReservingGangs) {
-      ReserveFor(aNow, candidate, reserved);
+    const bool placed = PlaceGang(aNow, candidate, actions);
+    candidate.Record().m_lacksRoom = !placed;
+    if (!placed && candidate.m_tier == Tier::InTime &&
+        reserving < kReservingGangs) {
+      ReserveFor(candidate, reserved);
       ++reserving;
     }
   }
@@ -120,8 +102,8 @@
     return;
   }
   m_barrierPassed = true;
-  for (const JobId& id : m_open) {
-    TrackedJob& job = *m_jobs.at(id);
+  for (const auto& [id, open] : m_open) {
+    TrackedJob& job = *open;
     for (std::uint32_t step = 0; step < job.Steps(); ++step) {
       for (TaskRecord& task : job.Step(step).m_tasks) {
         task.m_mayRunUnseen = false;
@@ -143,8 +125,8 @@
       room += it->second.m_info.m_capacity;
     }
   }
-  for (const JobId& id : m_open) {
-    const TrackedJob& job = *m_jobs.at(id);
+  for (const auto& [id, open] : m_open) {
+    const TrackedJob& job = *open;
     for (std::uint32_t step = 0; step < job.Steps(); ++step) {
       const auto count = std::ranges::count_if(
         job.Step(step).m_tasks, [](const TaskRecord& aTask) {
@@ -166,8 +148,8 @@
 PoolScheduler::ReadySteps(Time aNow)
 {
   std::vector<Candidate> result;
-  for (const JobId& id : m_open) {
-    TrackedJob& job = *m_jobs.at(id);
+  for (const auto& [id, open] : m_open) {
+    TrackedJob& job = *open;
     const auto rule = m_rules.find(job.Spec().m_queue);
     if (rule == m_rules.end()) {
       continue;
@@ -202,87 +184,50 @@
   return result;
 }
 
-bool
-PoolScheduler::EnsureAdvice(Time aNow,
-                            const Candidate& aCandidate,
-                            bool aRefresh,
-                            Actions& aActions)
+void
+PoolScheduler::ListUsable(Time aNow)
 {
-  const auto& rule = aCandidate.m_queue->m_advice;
-  if (!rule) {
-    return true;
-  }
-  StepRecord& step = aCandidate.Record();
-  const StepSpec& spec = aCandidate.Spec();
-  // Tickets of workers that can't be used now say nothing about the others.
-  Time earliest = Time::max();
-  bool valid = false;
-  int usable = 0;
-  for (const auto& [id, ticket] : step.m_tickets) {
-    const auto worker = m_workers.find(id);
-    if (worker == m_workers.end() || !worker->second.CanTake(aNow)) {
-      continue;
-    }
-    ++usable;
-    earliest = std::min(earliest, ticket.m_until);
-    valid = valid || ticket.m_until > aNow + kTicketMargin;
-  }
-  const Duration cost = rule->m_decide + rule->m_each * usable + kTicketRenewal;
-  const bool fresh = usable > 0 && earliest > aNow + cost;
-  const bool mayAsk = !step.m_adviceOpen &&
-                      m_openQuestions < kMaxOpenQuestions && !fresh &&
-                      (aRefresh || step.m_tickets.empty());
-  if (!mayAsk) {
-    return valid;
-  }
-  AskAdvice question{ aCandidate.m_job->Spec().m_id, aCandidate.m_step, {} };
-  for (const auto& [id, worker] : m_workers) {
-    const bool suitable =
-      worker.CanTake(aNow) &&
-      worker.m_info.m_service == aCandidate.m_queue->m_service &&
-      spec.m_each.FitsIn(worker.m_info.m_capacity) &&
-      (spec.m_requiredLabel.empty() ||
-       worker.m_info.HasLabel(spec.m_requiredLabel));
-    const bool undecided = !step.m_asked.contains(id);
-    if (suitable && (undecided || step.m_tickets.contains(id))) {
-      question.m_workers.push_back(id);
+  m_usable.clear();
+  m_usableBySlot.assign(m_nextSlot, nullptr);
+  for (auto& [id, worker] : m_workers) {
+    if (worker.CanTake(aNow)) {
+      m_usable.push_back(&worker);
+      m_usableBySlot[worker.m_slot] = &worker;
     }
   }
-  constexpr std::size_t kMostWorkers = 100;
-  if (question.m_workers.size() > kMostWorkers) {
-    question.m_workers.resize(kMostWorkers);
-  }
-  if (!question.m_workers.empty()) {
-    step.m_adviceOpen = true;
-    ++m_openQuestions;
-    aActions.m_questions.push_back(std::move(question));
-  }
-  return valid;
+}
+
+bool
+PoolScheduler::IsSuitable(const Candidate& aCandidate,
+                          const WorkerRecord& aWorker)
+{
+  const StepSpec& spec = aCandidate.Spec();
+  return spec.m_each.FitsIn(aWorker.m_info.m_capacity) &&
+         aWorker.m_info.m_service == aCandidate.m_queue->m_service &&
+         (spec.m_requiredLabel.empty() ||
+          aWorker.m_info.HasLabel(spec.m_requiredLabel));
 }
 
 std::vector<WorkerRecord*>
 PoolScheduler::Eligible(Time aNow, const Candidate& aCandidate)
 {
   const StepSpec& spec = aCandidate.Spec();
-  const StepRecord& step = aCandidate.Record();
-  const bool needsTicket = aCandidate.m_queue->m_advice.has_value();
   std::vector<WorkerRecord*> result;
-  for (auto& [id, worker] : m_workers) {
-    if (!worker.CanTake(aNow) ||
-        worker.m_info.m_service != aCandidate.m_queue->m_service ||
-        !spec.m_each.FitsIn(worker.Free()) ||
-        (!spec.m_requiredLabel.empty() &&
-         !worker.m_info.HasLabel(spec.m_requiredLabel))) {
-      continue;
-    }
-    if (needsTicket) {
-      const auto ticket = step.m_tickets.find(id);
-      if (ticket == step.m_tickets.end() ||
-          ticket->second.m_until <= aNow + kTicketMargin) {
-        continue;
-      }
+  if (!aCandidate.m_queue->m_advice) {
+    std::ranges::copy_if(
+      m_usable, std::back_inserter(result), [&](const WorkerRecord* aWorker) {
+        return spec.m_each.FitsIn(aWorker->Free()) &&
+               IsSuitable(aCandidate, *aWorker);
+      });
+    return result;
+  }
+  // Only suitable workers were asked about.
+  for (const Ticket& ticket : aCandidate.Record().m_tickets) {
+    WorkerRecord* worker = m_usableBySlot[ticket.m_worker];
+    if (worker != nullptr && ticket.m_until > aNow + kTicketMargin &&
+        spec.m_each.FitsIn(worker->Free())) {
+      result.push_back(worker);
     }
-    result.push_back(&worker);
   }
   return result;
 }
@@ -344,8 +289,12 @@
                             Actions& aActions)
 {
   const StepSpec& spec = aCandidate.Spec();
-  std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
+  if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
+    return;
+  }
+  const std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
   auto& tasks = aCandidate.Record().m_tasks;
+  aCandidate.Record().m_lacksRoom = false;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const TaskRecord& task = tasks[index];
     if (task.m_state != TaskState::Waiting || task.m_mayRunUnseen) {
@@ -376,6 +325,7 @@
       }
     }
     if (best == nullptr) {
+      aCandidate.Record().m_lacksRoom = true;
       return;
     }
     Start(aNow, aCandidate, index, NextRun(task), *best, aActions);
@@ -443,20 +393,18 @@
 }
 
 void
-PoolScheduler::ReserveFor(Time aNow,
-                          const Candidate& aCandidate,
+PoolScheduler::ReserveFor(const Candidate& aCandidate,
                           std::set<WorkerId>& aReserved)
 {
   const StepSpec& spec = aCandidate.Spec();
-  const StepRecord& step = aCandidate.Record();
+  StepRecord& step = aCandidate.Record();
   std::vector<const WorkerRecord*> suitable;
-  for (const auto& [id, worker] : m_workers) {
-    const bool allowed =
-      !aCandidate.m_queue->m_advice || step.m_tickets.contains(id);
-    if (allowed && worker.CanTake(aNow) && !aReserved.contains(id) &&
-        worker.m_info.m_service == aCandidate.m_queue->m_service &&
-        spec.m_each.FitsIn(worker.m_info.m_capacity)) {
-      suitable.push_back(&worker);
+  for (const WorkerRecord* worker : m_usable) {
+    const bool allowed = !aCandidate.m_queue->m_advice ||
+                         step.FindTicket(worker->m_slot) != nullptr;
+    if (allowed && IsSuitable(aCandidate, *worker) &&
+        !aReserved.contains(worker->m_info.m_id)) {
+      suitable.push_back(worker);
     }
   }
   std::ranges::sort(suitable, std::greater{}, [](const WorkerRecord* aWorker) {
@@ -503,9 +451,8 @@
   AddPlacement(aWorker, ref, placement);
   StartTask start{ aWorker.m_info.m_id, ref, aRun, job.m_payload,
                    task.m_checkpoint,   {} };
-  if (const auto ticket = step.m_tickets.find(aWorker.m_info.m_id);
-      ticket != step.m_tickets.end()) {
-    start.m_ticket = ticket->second.m_text;
+  if (const Ticket* ticket = step.FindTicket(aWorker.m_slot)) {
+    start.m_ticket = ticket->m_text;
   }
   aActions.m_starts.push_back(std::move(start));
 }
--- a/src/pool/TrackedJob.cpp
+++ b/src/pool/TrackedJob.cpp
@@ -19,6 +19,22 @@
 
 } // namespace
 
+void
+StepRecord::SetAsked(WorkerSlot aWorker)
+{
+  if (aWorker >= m_asked.size()) {
+    m_asked.resize(aWorker + 1);
+  }
+  m_asked[aWorker] = true;
+}
+
+Ticket*
+StepRecord::FindTicket(WorkerSlot aWorker)
+{
+  const auto it = std::ranges::find(m_tickets, aWorker, &Ticket::m_worker);
+  return it == m_tickets.end() ? nullptr : &*it;
+}
+
 TrackedJob::TrackedJob(Job aJob,
                        const QueueRule& aQueue,
                        Time aAccepted,
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -37,9 +37,13 @@
   bool m_mayRunUnseen = false;
 };
 
+/// Number of a worker within one leadership, for tables over all workers.
+using WorkerSlot = std::uint32_t;
+
 /// Permission of the policy service to run a step on a worker.
 struct Ticket
 {
+  WorkerSlot m_worker = 0;
   std::string m_text;
   Time m_until{};
 };
@@ -49,11 +53,19 @@
   std::vector<TaskRecord> m_tasks;
   std::size_t m_done = 0;
   std::size_t m_placed = 0;
-  std::map<WorkerId, Ticket> m_tickets; ///< of workers that may run the step
-  std::set<WorkerId> m_asked;           ///< workers the service has decided on
-  bool m_adviceOpen = false;            ///< a question is on its way
+  std::vector<Ticket> m_tickets; ///< of workers that may run the step
+  std::vector<bool> m_asked;     ///< workers the service has decided on
+  bool m_adviceOpen = false;     ///< a question is on its way
+  bool m_lacksRoom = false;      ///< its permitted workers had none at last
 
   std::size_t Waiting() const { return m_tasks.size() - m_done - m_placed; }
+  bool WasAsked(WorkerSlot aWorker) const
+  {
+    return aWorker < m_asked.size() && m_asked[aWorker];
+  }
+  void SetAsked(WorkerSlot aWorker);
+  /// Null if the worker is not permitted.
+  Ticket* FindTicket(WorkerSlot aWorker);
 };
 
 /// An end of a run that a worker keeps listing until it is stored.
--- a/src/pool/WorkerBook.cpp
+++ b/src/pool/WorkerBook.cpp
@@ -38,6 +38,19 @@
   return relative < kFastBelow ? SpeedClass::Fast : SpeedClass::Usual;
 }
 
+std::uint32_t
+TimesIn(const Resources& aEach, const Resources& aRoom)
+{
+  constexpr std::int64_t kMany = 1'000'000;
+  const auto times = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aPart <= 0 ? kMany : std::max<std::int64_t>(0, aWhole / aPart);
+  };
+  return static_cast<std::uint32_t>(
+    std::min({ times(aEach.m_millicores, aRoom.m_millicores),
+               times(aEach.m_memoryMib, aRoom.m_memoryMib),
+               times(aEach.m_accelerators, aRoom.m_accelerators) }));
+}
+
 bool
 WorkerInfo::HasLabel(const std::string& aLabel) const
 {
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -109,6 +109,7 @@
 struct WorkerRecord
 {
   WorkerInfo m_info;
+  WorkerSlot m_slot = 0;
   bool m_listed = true;    ///< the store lists it
   bool m_adopted = false;  ///< has answered this leader in this life
   bool m_recorded = false; ///< the stored row of the leader names it
@@ -135,6 +136,14 @@
   bool CanTake(Time aNow) const;
 };
 
+/// How many tasks of that size a room holds.
+std::uint32_t
+TimesIn(const Resources& aEach, const Resources& aRoom);
+
+/// A ticket of the policy service has to hold at least this long, for the way
+/// to the worker.
+inline constexpr Duration kTicketMargin = milliseconds(200);
+
 /// Length of a lease that a worker is given. It has to outlast a change of the
 /// leader, about two seconds; a shorter one frees the tasks of a lost worker
 /// sooner.
--- /dev/null
+++ b/tests/fakes/PoolLoad.h
@@ -0,0 +1,294 @@
+/// A large pool under its daily load and virtual time: hundreds of workers,
+/// interactive jobs among wide gangs and patient batches, and a policy service
+/// that permits some workers only and answers one question after another for
+/// each VM. Measures how long jobs wait, which workers are used, and the
+/// processor time of the decisions.
+#pragma once
+
+#include "fakes/PoolSamples.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing::fakes {
+
+/// One kind of job of the load.
+struct LoadKind
+{
+  pool::QueueId m_queue;
+  int m_priority = 0;
+  double m_perSecond = 1;
+  std::uint32_t m_meanTasks = 1;
+  bool m_gang = false;
+  Resources m_each;
+  Duration m_work{};
+  pool::AdviceRule m_advice;
+  double m_permitted = 1; ///< share of the workers that may run a step
+};
+
+struct PoolLoadOptions
+{
+  int m_workers = 350;
+  Resources m_room{ 32'000, 65'536, 0 };
+  int m_askers = 29; ///< VMs that may ask the policy service
+  Duration m_length = seconds(20);
+  std::vector<LoadKind> m_kinds;
+};
+
+/// The daily load of the grown deployments, as a share of their arrivals.
+inline std::vector<LoadKind>
+GrownLoad(double aShare)
+{
+  return {
+    { kUrgentQueue,
+      0,
+      125 * aShare,
+      3,
+      false,
+      { 5000, 9100, 0 },
+      milliseconds(640),
+      { microseconds(7200), microseconds(100), seconds(2) },
+      0.7 },
+    { kPatientQueue,
+      2,
+      13.5 * aShare,
+      25,
+      false,
+      { 3500, 5000, 0 },
+      milliseconds(2700),
+      { milliseconds(100), microseconds(1400), seconds(2) },
+      0.45 },
+    { kPolicyQueue,
+      1,
+      4.15 * aShare,
+      20,
+      true,
+      { 9000, 17'000, 0 },
+      milliseconds(6200),
+      { milliseconds(540), microseconds(7700), seconds(2) },
+      0.3 },
+  };
+}
+
+class PoolLoad
+{
+public:
+  explicit PoolLoad(PoolLoadOptions aOptions)
+    : m_options(std::move(aOptions))
+    , m_random(1)
+    , m_askersFree(static_cast<std::size_t>(m_options.m_askers), kStart)
+    , m_scheduler(kStart, 1, {}, kStart)
+  {
+    pool::PoolConfig config = PoolSample();
+    config.m_queues.clear();
+    for (const LoadKind& kind : m_options.m_kinds) {
+      pool::QueueRule queue = PoolQueue(kind.m_queue, kind.m_priority, false);
+      queue.m_advice = kind.m_advice;
+      config.m_queues.push_back(queue);
+    }
+    std::vector<pool::WorkerInfo> infos;
+    for (int number = 0; number < m_options.m_workers; ++number) {
+      // Ids of the platform have no order that tells of room or place.
+      const std::size_t name = std::hash<int>()(number) * 0x9E3779B97F4A7C15U;
+      infos.push_back(PoolWorker(std::to_string(name), m_options.m_room));
+      m_workers[infos.back().m_id] = {};
+    }
+    m_scheduler.SetConfig(kStart, config);
+    m_scheduler.SetWorkers(kStart, infos);
+    m_scheduler.SetRecordedWorkers(m_scheduler.UsableWorkers());
+    m_scheduler.SetAskers(m_options.m_askers);
+    m_scheduler.OnLoaded(kStart);
+    for (const auto& item : m_workers) {
+      AnswerOf(item.first);
+    }
+  }
+
+  void Run()
+  {
+    constexpr Duration kStep = milliseconds(8);
+    for (const LoadKind& kind : m_options.m_kinds) {
+      NextArrival(kind, kStart);
+    }
+    while (m_now < kStart + m_options.m_length) {
+      m_now += kStep;
+      while (!m_events.empty() && m_events.begin()->first <= m_now) {
+        const auto function = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        function();
+      }
+      Plan();
+    }
+  }
+
+  std::size_t Arrived(const pool::QueueId& aQueue) const
+  {
+    return m_arrived.contains(aQueue) ? m_arrived.at(aQueue).size() : 0;
+  }
+  /// Time from a job's arrival to its first start below which the share of the
+  /// queue's jobs lies; the length of the run for jobs that never started.
+  Duration WaitOf(const pool::QueueId& aQueue, double aShare) const
+  {
+    std::vector<Duration> waits;
+    for (const auto& [job, at] : m_arrived.at(aQueue)) {
+      const auto started = m_firstStarts.find(job);
+      waits.push_back(started == m_firstStarts.end() ? m_options.m_length
+                                                     : started->second - at);
+    }
+    std::ranges::sort(waits);
+    return waits[static_cast<std::size_t>(
+      aShare * static_cast<double>(waits.size() - 1))];
+  }
+  std::size_t UsedWorkers() const { return m_usedWorkers.size(); }
+  std::size_t Starts() const { return m_starts; }
+  /// Processor time of the decisions; differs from run to run.
+  std::chrono::nanoseconds DecisionTime() const { return m_decisionTime; }
+
+private:
+  struct LoadWorker
+  {
+    std::map<pool::TaskRef, pool::RunNumber> m_running;
+    std::vector<pool::ListedEnd> m_ended;
+    std::uint64_t m_lastEnd = 0;
+  };
+
+  void At(Time aTime, std::function<void()> aFunction)
+  {
+    m_events.emplace(aTime, std::move(aFunction));
+  }
+
+  void NextArrival(const LoadKind& aKind, Time aAfter)
+  {
+    const double gap =
+      std::exponential_distribution<>(aKind.m_perSecond)(m_random);
+    const Time at = aAfter + std::chrono::duration_cast<Duration>(
+                               std::chrono::duration<double>(gap));
+    At(at, [this, &aKind, at] {
+      Arrive(aKind);
+      NextArrival(aKind, at);
+    });
+  }
+
+  void Arrive(const LoadKind& aKind)
+  {
+    const std::uint32_t most = 2 * aKind.m_meanTasks - 1;
+    pool::StepSpec step =
+      PoolStep(std::uniform_int_distribution<std::uint32_t>(1, most)(m_random));
+    step.m_each = aKind.m_each;
+    step.m_gang = aKind.m_gang;
+    step.m_estimate = aKind.m_work;
+    const std::string name = std::to_string(
+      std::hash<std::size_t>()(++m_jobCount) * 0x9E3779B97F4A7C15U);
+    const pool::Job job = PoolJob(name, aKind.m_queue, { step });
+    m_arrived[aKind.m_queue][job.m_id] = m_now;
+    m_kindOf[job.m_id] = &aKind;
+    m_scheduler.AddJob(m_now, job, {}, {}, false);
+  }
+
+  void Plan()
+  {
+    const auto begin = std::chrono::steady_clock::now();
+    const pool::Actions actions = m_scheduler.Plan(m_now);
+    m_decisionTime += std::chrono::steady_clock::now() - begin;
+    for (const auto& start : actions.m_starts) {
+      At(m_now + milliseconds(2), [this, start] { Started(start); });
+    }
+    for (const auto& question : actions.m_questions) {
+      Ask(question);
+    }
+    for (const auto& order : m_scheduler.TakeUnsaved(60)) {
+      At(m_now + milliseconds(10),
+         [this, order] { m_scheduler.OnSaved(m_now, order); });
+    }
+  }
+
+  void Started(const pool::StartTask& aStart)
+  {
+    ++m_starts;
+    m_firstStarts.try_emplace(aStart.m_task.m_job, m_now);
+    m_usedWorkers.insert(aStart.m_worker);
+    m_workers[aStart.m_worker].m_running[aStart.m_task] = aStart.m_run;
+    m_scheduler.OnStartOutcome(m_now, aStart, pool::StartOutcome::Started);
+    At(m_now + m_kindOf.at(aStart.m_task.m_job)->m_work,
+       [this, aStart] { End(aStart); });
+  }
+
+  void End(const pool::StartTask& aStart)
+  {
+    LoadWorker& worker = m_workers[aStart.m_worker];
+    worker.m_running.erase(aStart.m_task);
+    worker.m_ended.push_back(
+      EndOf(aStart, ++worker.m_lastEnd, pool::RunEnd::Done));
+    Answer(aStart.m_worker);
+  }
+
+  /// The worker's list, at least once a second.
+  void AnswerOf(const pool::WorkerId& aWorker)
+  {
+    Answer(aWorker);
+    At(m_now + seconds(1), [this, aWorker] { AnswerOf(aWorker); });
+  }
+
+  void Answer(const pool::WorkerId& aWorker)
+  {
+    LoadWorker& worker = m_workers[aWorker];
+    pool::Inventory list;
+    list.m_born = 1;
+    list.m_clockMs = ToMilliseconds(m_now - kStart) + 1;
+    list.m_ended = worker.m_ended;
+    for (const auto& [task, run] : worker.m_running) {
+      // Progress at each answer, so that no task counts as stuck.
+      list.m_running.push_back(
+        { task, run, {}, static_cast<int>(list.m_clockMs) });
+    }
+    m_scheduler.OnInventory(m_now, aWorker, list);
+    m_scheduler.NextDeadline(m_now, aWorker);
+    std::erase_if(worker.m_ended, [&](const pool::ListedEnd& aEnd) {
+      return aEnd.m_number <= m_scheduler.Workers().at(aWorker).SavedEnds();
+    });
+  }
+
+  void Ask(const pool::AskAdvice& aQuestion)
+  {
+    const LoadKind& kind = *m_kindOf.at(aQuestion.m_job);
+    const auto asker = std::ranges::min_element(m_askersFree);
+    *asker =
+      std::max(*asker, m_now) + kind.m_advice.m_decide +
+      kind.m_advice.m_each * static_cast<int>(aQuestion.m_workers.size());
+    At(*asker, [this, aQuestion, &kind] {
+      std::vector<pool::Permission> good;
+      for (const auto& worker : aQuestion.m_workers) {
+        // Whether a worker may run a step does not change.
+        const std::size_t mix = std::hash<std::string>()(
+          aQuestion.m_job.Value() + "/" + worker.Value());
+        constexpr std::size_t kParts = 1000;
+        if (static_cast<double>(mix % kParts) < kind.m_permitted * kParts) {
+          good.push_back({ worker, "ticket" });
+        }
+      }
+      m_scheduler.OnAdvice(m_now, aQuestion, good);
+    });
+  }
+
+  PoolLoadOptions m_options;
+  std::mt19937_64 m_random;
+  Time m_now = kStart;
+  std::multimap<Time, std::function<void()>> m_events;
+  std::vector<Time> m_askersFree;
+  pool::PoolScheduler m_scheduler;
+  std::map<pool::WorkerId, LoadWorker> m_workers;
+  std::map<pool::QueueId, std::map<JobId, Time>> m_arrived;
+  std::map<JobId, const LoadKind*> m_kindOf;
+  std::map<JobId, Time> m_firstStarts;
+  std::set<pool::WorkerId> m_usedWorkers;
+  std::size_t m_starts = 0;
+  std::uint64_t m_jobCount = 0;
+  std::chrono::nanoseconds m_decisionTime{};
+};
+
+} // namespace lacewing::fakes
