Let VMs with a processor for it lead; count no waiting jobs while loading

Change: the delay before a claim grows as the VM's processor share falls below 0.25 of a core (the share comes from the settings).

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -524,17 +524,13 @@
 void
 CallerFront::ShowWaiting(const Call& aCall)
 {
-  const Time now = net::Loop::Now();
-  const auto leader = m_leadership.Local();
-  const LeaderStatus status =
-    leader ? m_leadership.OwnStatus() : m_leadership.LastStatus();
-  const Time at = leader ? now : m_leadership.LastStatusAt();
-  if (now > at + kWaitingAge) {
+  const Leadership::WaitingCount count = m_leadership.WaitingJobs();
+  if (net::Loop::Now() - kWaitingAge > count.m_at) {
     Refuse(aCall, kUnavailable, "no_leader");
     return;
   }
-  const auto it = status.m_waitingJobs.find(aCall.m_queue);
-  const std::size_t waiting = it == status.m_waitingJobs.end() ? 0 : it->second;
+  const auto it = count.m_jobs.find(aCall.m_queue);
+  const std::size_t waiting = it == count.m_jobs.end() ? 0 : it->second;
   const nlohmann::json body = { { "waiting", waiting } };
   Finish(aCall, kOk, "waiting", body.dump());
 }
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -22,6 +22,7 @@
   std::vector<net::Address> m_seeds; ///< of some daemons; may be out of date
   net::Address m_store;
   std::optional<net::Address> m_policyService;
+  double m_cores = 1;           ///< processor share of this VM, in cores
   Duration m_stopGrace{};       ///< from the signal to stop until the kill
   Duration m_leaseMax{};        ///< longest lease that workers take
   Duration m_statusRetention{}; ///< for which ended jobs are shown
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -3,6 +3,8 @@
 #include "core/TryDecode.h"
 #include "pool/JobRows.h"
 
+#include <algorithm>
+
 namespace lacewing::edge {
 
 namespace {
@@ -22,9 +24,6 @@
 constexpr Duration kRefusedWithin = milliseconds(100);
 /// A leader whose last renewal is older reports that the store fails.
 constexpr Duration kStoreFailedAfter = milliseconds(1300);
-/// A daemon waits this many reads of the store before it claims, so that one
-/// near the store comes first.
-constexpr int kClaimDelayReads = 3;
 
 /// Nothing if there was no answer or it cannot be read.
 std::optional<LeaderStatus>
@@ -84,7 +83,8 @@
 void
 Leadership::SetStoreDelay(Duration aReadTime)
 {
-  m_election.SetClaimDelay(aReadTime * kClaimDelayReads);
+  m_election.SetClaimDelay(
+    pool::ClaimDelay(aReadTime, m_context.m_settings.m_cores));
 }
 
 std::shared_ptr<PoolLeader>
@@ -113,8 +113,8 @@
   status.m_incarnation = m_incarnation;
   status.m_storeWorks =
     net::Loop::Now() < m_election.LastRenewal() + kStoreFailedAfter;
-  if (m_leader) {
-    status.m_waitingJobs = m_leader->WaitingJobs();
+  if (const auto leader = Local()) {
+    status.m_waitingJobs = leader->WaitingJobs();
   }
   const pool::LeaderRow& leader = m_election.Leader();
   status.m_leader = {
@@ -123,6 +123,15 @@
   return status;
 }
 
+Leadership::WaitingCount
+Leadership::WaitingJobs() const
+{
+  if (const auto leader = Local()) {
+    return { leader->WaitingJobs(), net::Loop::Now() };
+  }
+  return m_lastWaiting;
+}
+
 void
 Leadership::OnLaterLeader(const pool::LeaderRow& aLeader)
 {
@@ -174,11 +183,16 @@
   const Time now = net::Loop::Now();
   if (m_leader && m_leader->IsLoaded()) {
     std::vector<std::string> workers = m_leader->WorkersToRecord();
-    if (workers != m_election.Leader().m_workers) {
+    // Both are sorted. A worker that is named needlessly can wait for the next
+    // renewal; one that is missing gets no tasks until then.
+    if (!std::ranges::includes(m_election.Leader().m_workers, workers)) {
       m_election.RenewSoon();
     }
     m_election.SetWorkers(std::move(workers));
-    m_leader->OnRecorded(m_election.Leader().m_workers);
+    // A row of which no answer came may take effect and name others.
+    if (!m_renewFirst) {
+      m_leader->OnRecorded(m_election.Leader().m_workers);
+    }
   }
   const pool::ElectionOrder order = m_election.OnTick(now);
   switch (order.m_step) {
@@ -482,8 +496,9 @@
     } else {
       contact = status->m_storeWorks ? LeaderContact::Leads
                                      : LeaderContact::StoreFailed;
-      m_lastStatus = *status;
-      m_lastStatusAt = now;
+      if (status->m_waitingJobs) {
+        m_lastWaiting = { *status->m_waitingJobs, now };
+      }
     }
   } else if (aOutcome.m_error.m_verdict == Verdict::NotRun &&
              now < aAsked + kRefusedWithin) {
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -29,10 +29,14 @@
   std::shared_ptr<PoolLeader> Local() const;
   /// Address of the leader; nothing if nobody is known to lead.
   std::optional<net::Address> LeaderAddress() const;
-  /// The leader's last status, with its age.
   LeaderStatus OwnStatus() const;
-  const LeaderStatus& LastStatus() const { return m_lastStatus; }
-  Time LastStatusAt() const { return m_lastStatusAt; }
+  /// Waiting jobs by queue as the leader counted them last.
+  struct WaitingCount
+  {
+    std::map<pool::QueueId, std::size_t> m_jobs;
+    Time m_at = Time::min();
+  };
+  WaitingCount WaitingJobs() const;
   /// True while a row of this process is being written.
   bool IsWriting() const { return m_writing; }
 
@@ -76,8 +80,7 @@
   /// before progress is written again.
   bool m_renewFirst = false;
   Time m_nextWrite{};
-  LeaderStatus m_lastStatus;
-  Time m_lastStatusAt{};
+  WaitingCount m_lastWaiting; ///< of another daemon that leads
   bool m_asking = false;
   std::size_t m_nextSeed = 0;
 };
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -34,9 +34,12 @@
 std::string
 EncodeStatus(const LeaderStatus& aStatus)
 {
-  Json waiting = Json::object();
-  for (const auto& [queue, count] : aStatus.m_waitingJobs) {
-    waiting[queue.Value()] = count;
+  Json waiting;
+  if (aStatus.m_waitingJobs) {
+    waiting = Json::object();
+    for (const auto& [queue, count] : *aStatus.m_waitingJobs) {
+      waiting[queue.Value()] = count;
+    }
   }
   return Json{
     { "leads", aStatus.m_leads },
@@ -90,8 +93,11 @@
     status.m_term = NumberField<std::uint64_t>(json, "term");
     status.m_incarnation = NumberField<std::uint64_t>(json, "incarnation");
     status.m_storeWorks = TypedField<bool>(json, "store_works");
-    for (const auto& [queue, count] : ObjectField(json, "waiting").items()) {
-      status.m_waitingJobs[pool::QueueId(queue)] = count.get<std::size_t>();
+    if (!json.at("waiting").is_null()) {
+      auto& waiting = status.m_waitingJobs.emplace();
+      for (const auto& [queue, count] : ObjectField(json, "waiting").items()) {
+        waiting[pool::QueueId(queue)] = count.get<std::size_t>();
+      }
     }
     status.m_leader = LeaderFrom(ObjectField(json, "leader"));
     return status;
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -28,7 +28,8 @@
   std::uint64_t m_term = 0;
   std::uint64_t m_incarnation = 0; ///< of the process that answers
   bool m_storeWorks = true;        ///< its row was renewed lately
-  std::map<pool::QueueId, std::size_t> m_waitingJobs;
+  /// Nothing while the leader has not loaded the jobs yet.
+  std::optional<std::map<pool::QueueId, std::size_t>> m_waitingJobs;
   /// Whom it takes for the leader, without the workers; no VM if nobody.
   pool::LeaderRow m_leader;
 };
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -1,5 +1,7 @@
 #include "pool/LeaderElection.h"
 
+#include <algorithm>
+
 namespace lacewing::pool {
 
 namespace {
@@ -9,9 +11,25 @@
 /// Reads of the row that a renewal may take on top of the silence: it waits for
 /// the transactions before it.
 constexpr int kReadsForRenewal = 6;
+/// A daemon waits this many reads of the store before it claims.
+constexpr int kClaimDelayReads = 3;
+/// Processor share that leading a pool of some hundred workers needs.
+constexpr double kCoresToLead = 0.25;
+/// Wait of a VM with half of that share; long enough for the others to notice
+/// that there is no leader and to claim.
+constexpr Duration kSmallVmDelay = milliseconds(600);
+constexpr double kLeastCores = 0.05;
 
 } // namespace
 
+Duration
+ClaimDelay(Duration aReadTime, double aCores)
+{
+  const double lack =
+    std::max(0.0, kCoresToLead / std::max(aCores, kLeastCores) - 1);
+  return aReadTime * kClaimDelayReads + Scale(kSmallVmDelay, lack);
+}
+
 LeaderElection::LeaderElection(LeaderRow aSelf, ElectionOptions aOptions)
   : m_self(std::move(aSelf))
   , m_options(aOptions)
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -58,6 +58,11 @@
   Unreachable,
 };
 
+/// How long a daemon waits before it claims, so that those come first that are
+/// near the store and have a processor that can lead.
+Duration
+ClaimDelay(Duration aReadTime, double aCores);
+
 class LeaderElection
 {
 public:
--- a/tests/correctness/EdgePeerProtocol.cpp
+++ b/tests/correctness/EdgePeerProtocol.cpp
@@ -17,7 +17,7 @@
   status.m_term = 7;
   status.m_incarnation = 123'456'789'012;
   status.m_storeWorks = false;
-  status.m_waitingJobs[pool::QueueId("q")] = 3;
+  status.m_waitingJobs.emplace()[pool::QueueId("q")] = 3;
   status.m_leader = { "vm-2", "127.0.0.1:9", 5, 8, {} };
   const auto decoded =
     TryDecode<LeaderStatus>([&] { return DecodeStatus(EncodeStatus(status)); });
@@ -30,6 +30,16 @@
   EXPECT_EQ(decoded->m_leader, status.m_leader);
 }
 
+/// A leader that had not loaded the jobs yet said that none waits, and callers
+/// were shown 0 while dozens waited.
+TEST(EdgePeerProtocol, LeaderThatIsStillLoadingCountsNoJobs)
+{
+  const auto decoded = TryDecode<LeaderStatus>(
+    [&] { return DecodeStatus(EncodeStatus(LeaderStatus{})); });
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_FALSE(decoded->m_waitingJobs.has_value());
+}
+
 TEST(EdgePeerProtocol, QuestionAndPermissionsComeBackWhole)
 {
   const pool::AskAdvice question{
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -276,6 +276,18 @@
   EXPECT_EQ(election.Term(), 5U);
 }
 
+/// Load pattern: a large pool on unlike VMs. Small ones that led after a kill
+/// could not load the jobs in time and were replaced one after the other, four
+/// times in twelve seconds.
+TEST(PoolElection, SmallVmLetsLargerOnesClaimFirst)
+{
+  constexpr Duration kNear = milliseconds(6);
+  constexpr Duration kFar = milliseconds(46);
+  EXPECT_GT(ClaimDelay(kNear, 0.12), ClaimDelay(kFar, 0.5) + milliseconds(300));
+  EXPECT_EQ(ClaimDelay(kNear, 0.25), ClaimDelay(kNear, 0.5));
+  EXPECT_LT(ClaimDelay(kNear, 0.25), ClaimDelay(kFar, 0.25));
+}
+
 /// Hearsay may be older than what was read.
 TEST(PoolElection, HearsayOfAnEarlierTermIsIgnored)
 {
