Wait for fewer workers after a change of the leader; bound plans and lists

While the store was slow, each of 350 was asked 25 times a second. - Patient questions held all VMs that ask, so that interactive jobs waited 1 to 2 s for their first answer (1,692 s of the policy service in 58 s on 29 VMs).

Changes: the row names workers that answered in the last 6 s or on which tasks may run; one that the next row leaves out gets no tasks until a later row names it; silent workers are forgotten once their leases have run out. A plan serves 300 steps at the head and 100 others in turn, and is followed by five times its time without one. The pause between lists without news doubles up to 320 ms. Questions of patient steps occupy three quarters of the VMs at most, and only steps at the head ask about further workers. PoolWorld keeps the row of the leader as the daemons do, so that the histories cover the recorded workers.

--- a/bench/pool_figures.cpp
+++ b/bench/pool_figures.cpp
@@ -8,7 +8,7 @@
 main()
 {
   using namespace lacewing;
-  std::printf("%6s %8s %8s %10s %10s %10s %10s %10s\n",
+  std::printf("%6s %8s %8s %10s %10s %10s %10s %10s %10s\n",
               "load",
               "starts/s",
               "workers",
@@ -16,8 +16,9 @@
               "urgent95",
               "gang50",
               "gang95",
+              "advice/s",
               "cpu/s");
-  for (const double share : { 0.1, 0.25, 0.5, 0.75, 1.0 }) {
+  for (const double share : { 0.1, 0.25, 0.5, 0.75, 1.0, 1.25 }) {
     fakes::PoolLoadOptions options;
     options.m_kinds = fakes::GrownLoad(share);
     fakes::PoolLoad load(options);
@@ -27,15 +28,16 @@
     };
     const double length =
       std::chrono::duration<double>(options.m_length).count();
-    std::printf("%6.2f %8.0f %8zu %10.0f %10.0f %10.0f %10.0f %10.4f\n",
-                share,
-                static_cast<double>(load.Starts()) / length,
-                load.UsedWorkers(),
-                wait(fakes::kUrgentQueue, 0.5),
-                wait(fakes::kUrgentQueue, 0.95),
-                wait(fakes::kPolicyQueue, 0.5),
-                wait(fakes::kPolicyQueue, 0.95),
-                std::chrono::duration<double>(load.DecisionTime()).count() /
-                  length);
+    std::printf(
+      "%6.2f %8.0f %8zu %10.0f %10.0f %10.0f %10.0f %10.2f %10.4f\n",
+      share,
+      static_cast<double>(load.Starts()) / length,
+      load.UsedWorkers(),
+      wait(fakes::kUrgentQueue, 0.5),
+      wait(fakes::kUrgentQueue, 0.95),
+      wait(fakes::kPolicyQueue, 0.5),
+      wait(fakes::kPolicyQueue, 0.95),
+      std::chrono::duration<double>(load.AdviceTime()).count() / length,
+      std::chrono::duration<double>(load.DecisionTime()).count() / length);
   }
 }
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kWorkerWatchPeriod = milliseconds(400);
 /// Least time between two plans.
 constexpr Duration kPlanPeriod = milliseconds(8);
+/// A plan is followed by this many times its own time without one, so that
+/// large plans leave the processor to the workers' answers.
+constexpr int kPlanShare = 5;
 /// Plans are made at least this often, for leases and tickets that run out.
 constexpr Duration kIdlePlanPeriod = milliseconds(100);
 /// How long the previous leader may have gone on giving orders without its row,
@@ -448,10 +451,11 @@
 }
 
 std::vector<std::string>
-PoolLeader::WorkersToRecord() const
+PoolLeader::WorkersToRecord()
 {
   std::set<std::string> names;
-  for (const pool::WorkerId& worker : m_scheduler.UsableWorkers()) {
+  for (const pool::WorkerId& worker :
+       m_scheduler.ListWorkersToRecord(net::Loop::Now())) {
     names.insert(worker.Value());
   }
   return { names.begin(), names.end() };
@@ -479,7 +483,15 @@
     return;
   }
   m_scheduler.SetAskers(m_advice.Askers());
-  const pool::Actions actions = m_scheduler.Plan(net::Loop::Now());
+  const Time begin = net::Loop::Now();
+  if (begin < m_nextPlan) {
+    m_planTimer.CallBy(m_nextPlan);
+    return;
+  }
+  const pool::Actions actions = m_scheduler.Plan(begin);
+  const Duration taken = net::Loop::Now() - begin;
+  m_nextPlan = begin + taken * kPlanShare;
+  m_longestPlan = std::max(m_longestPlan, taken);
   for (const pool::StopTask& stop : actions.m_stops) {
     m_links->Stop(stop);
   }
@@ -588,6 +600,7 @@
 void
 PoolLeader::LogState()
 {
+  const Duration longestPlan = std::exchange(m_longestPlan, {});
   const pool::PoolCounts counts = m_scheduler.Counts(net::Loop::Now());
   m_context.m_log.Write(
     settings::LogLevel::Info,
@@ -597,7 +610,8 @@
       { "running", static_cast<std::int64_t>(counts.m_running) },
       { "waiting_tasks", static_cast<std::int64_t>(counts.m_waitingTasks) },
       { "open_jobs", static_cast<std::int64_t>(counts.m_openJobs) },
-      { "used_cores", counts.m_usedMillicores / 1000 } });
+      { "used_cores", counts.m_usedMillicores / 1000 },
+      { "longest_plan_ms", ToMilliseconds(longestPlan) } });
 }
 
 } // namespace lacewing::edge
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -78,7 +78,7 @@
   pool::PoolScheduler& Scheduler() { return m_scheduler; }
   JobExpiry& Expiry() { return *m_expiry; }
   /// Workers that the row of the leader has to name.
-  std::vector<std::string> WorkersToRecord() const;
+  std::vector<std::string> WorkersToRecord();
   void OnRecorded(const std::vector<std::string>& aWorkers);
   void LogState();
 
@@ -122,6 +122,8 @@
   AdvicePlan m_advice;
   std::shared_ptr<JobExpiry> m_expiry;
   net::PacedTimer m_planTimer;
+  Time m_nextPlan{};
+  Duration m_longestPlan{}; ///< since the last state was logged
   std::vector<std::string> m_previousWorkers;
 
   int m_partsToLoad = 0;
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -13,9 +13,6 @@
 /// Pause before an order without an answer is sent again.
 constexpr Duration kRetryPause = milliseconds(150);
 constexpr Duration kHoldRetryPause = milliseconds(200);
-/// While ends are not stored the worker answers at once; this pause gives the
-/// store time to take them.
-constexpr Duration kUnsavedPause = milliseconds(40);
 
 observe::Fields
 OrderFields(const pool::WorkerId& aWorker,
@@ -145,8 +142,7 @@
   }
   LogNewEnds(it->second, *aResult.m_inventory);
   m_scheduler.OnInventory(net::Loop::Now(), aWorker, *aResult.m_inventory);
-  const bool unsaved = !it->second.m_unsavedEnds.empty();
-  HoldAfter(unsaved ? kUnsavedPause : Duration::zero(), aWorker);
+  HoldAfter(it->second.PauseBeforeNextList(), aWorker);
   m_hooks.m_onChange();
 }
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -148,6 +148,7 @@
   life.m_slot = aWorker.m_slot;
   life.m_listed = aWorker.m_listed;
   life.m_recorded = aWorker.m_recorded;
+  life.m_toRecord = aWorker.m_toRecord;
   aWorker = std::move(life);
 }
 
@@ -175,11 +176,14 @@
     }
   }
   m_unheard.erase(aWorker);
+  const std::uint64_t known = worker.m_highestEnd;
   for (const ListedEnd& end : aInventory.m_ended) {
     if (end.m_number > worker.m_highestEnd) {
       TakeEnd(aNow, worker, end);
     }
   }
+  const bool nothingNew = worker.m_highestEnd == known;
+  worker.m_repeatedLists = nothingNew ? worker.m_repeatedLists + 1 : 0;
   for (const ListedRun& run : aInventory.m_running) {
     TakeRunning(aNow, worker, run);
   }
@@ -252,13 +256,23 @@
 }
 
 std::vector<WorkerId>
-PoolScheduler::UsableWorkers() const
+PoolScheduler::ListWorkersToRecord(Time aNow)
 {
   std::vector<WorkerId> result;
-  for (const auto& [id, worker] : m_workers) {
-    result.push_back(id);
+  for (auto& [id, worker] : m_workers) {
+    worker.m_toRecord = !worker.IsGone(aNow) || !worker.m_placements.empty();
+    if (worker.m_toRecord) {
+      result.push_back(id);
+    } else {
+      worker.m_recorded = false;
+    }
+  }
+  for (const WorkerId& id : m_unheard) {
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || !it->second.m_toRecord) {
+      result.push_back(id);
+    }
   }
-  result.insert(result.end(), m_unheard.begin(), m_unheard.end());
   return result;
 }
 
@@ -266,7 +280,9 @@
 PoolScheduler::SetRecordedWorkers(const std::vector<WorkerId>& aWorkers)
 {
   for (const WorkerId& id : aWorkers) {
-    if (const auto it = m_workers.find(id); it != m_workers.end()) {
+    const auto it = m_workers.find(id);
+    // A row without it may be on its way.
+    if (it != m_workers.end() && it->second.m_toRecord) {
       it->second.m_recorded = true;
     }
   }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -154,9 +154,11 @@
                 const std::vector<Permission>& aGood);
   void OnNoAdvice(Time aNow, const AskAdvice& aQuestion);
 
-  /// Workers that the row of the leader names; only these are given tasks, so
-  /// that a successor knows whom to hear.
-  std::vector<WorkerId> UsableWorkers() const;
+  /// Workers that the next row of the leader has to name: those that answer,
+  /// and those on which tasks may run. A successor waits for them. The others
+  /// get no tasks from now on.
+  std::vector<WorkerId> ListWorkersToRecord(Time aNow);
+  /// The stored row names these; they can be given tasks if the next one does.
   void SetRecordedWorkers(const std::vector<WorkerId>& aWorkers);
 
   /// Decides what can be decided now.
@@ -216,7 +218,20 @@
     StepRecord& Record() const { return m_job->Step(m_step); }
   };
 
+  /// Workers kept free of long tasks for gangs at the head of the order.
+  struct Reservation
+  {
+    std::set<WorkerId> m_workers;
+    int m_gangs = 0;
+  };
+
   std::vector<Candidate> ReadySteps(Time aNow);
+  /// Asks what is needed for the step and places what can be placed.
+  void Serve(Time aNow,
+             const Candidate& aCandidate,
+             bool aRefresh,
+             Reservation& aReservation,
+             Actions& aActions);
   /// Notes the workers that can be given tasks in this plan.
   void ListUsable(Time aNow);
   bool EnsureAdvice(Time aNow,
@@ -225,6 +240,8 @@
                     Actions& aActions);
   /// Workers to ask the policy service about; empty if there is none.
   std::vector<WorkerId> ChooseToAsk(const Candidate& aCandidate) const;
+  /// False while as many questions are on their way as can be answered soon.
+  bool MayAsk(const Candidate& aCandidate) const;
   /// True if a worker that was not asked about could take a task now.
   bool HasUndecidedRoom(const Candidate& aCandidate) const;
   void CloseQuestion(const AskAdvice& aQuestion);
@@ -326,6 +343,7 @@
   int m_openUrgentQuestions = 0; ///< of interactive steps
   int m_askers = 1;              ///< VMs that ask the policy service
   WorkerSlot m_nextSlot = 0;
+  std::size_t m_planCursor = 0; ///< where the last plan left off in the tail
   std::vector<WorkerRecord*> m_usable;       ///< in this plan
   std::vector<WorkerRecord*> m_usableBySlot; ///< null for the others
   Time m_nextStuckCheck{};
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -11,11 +11,12 @@
 /// Tickets of the steps that are served next are renewed this long before they
 /// run out, on top of the time that the policy service takes.
 constexpr Duration kTicketRenewal = milliseconds(300);
-/// Questions on their way for each VM that asks: the service answers them one
-/// after another, so that more would only wait. Interactive steps have their
-/// own, since long questions of patient ones would keep theirs waiting.
-constexpr int kOpenPerAsker = 3;
-constexpr int kLeastOpen = 24;
+/// Questions of interactive steps on their way for each VM that asks: the
+/// service answers them one after another, so that more would only wait.
+constexpr int kUrgentPerAsker = 3;
+/// Questions of patient steps take up to a second each. They occupy this part
+/// of the VMs at most, so that interactive ones find a free one at once.
+constexpr double kPatientPart = 0.75;
 /// Workers in a question: the service takes at most this many.
 constexpr std::size_t kMostWorkers = 100;
 /// A question names at least this many, so that a step can choose among fast
@@ -50,16 +51,14 @@
     earliest = std::min(earliest, ticket.m_until);
     valid = valid || ticket.m_until > aNow + kTicketMargin;
   }
-  int& open =
-    aCandidate.m_interactive ? m_openUrgentQuestions : m_openQuestions;
-  if (step.m_adviceOpen ||
-      open >= std::max(kLeastOpen, m_askers * kOpenPerAsker)) {
+  if (step.m_adviceOpen || !MayAsk(aCandidate)) {
     return valid;
   }
   const Duration cost = rule->m_decide + rule->m_each * usable + kTicketRenewal;
   const bool fresh = usable > 0 && earliest > aNow + cost;
   const bool isDue = !fresh && (aRefresh || step.m_tickets.empty());
-  if (!isDue && !(step.m_lacksRoom && HasUndecidedRoom(aCandidate))) {
+  const bool mayWiden = aRefresh && step.m_lacksRoom;
+  if (!isDue && !(mayWiden && HasUndecidedRoom(aCandidate))) {
     return valid;
   }
   AskAdvice question{ aCandidate.m_job->Spec().m_id,
@@ -68,12 +67,22 @@
                       aCandidate.m_interactive };
   if (!question.m_workers.empty()) {
     step.m_adviceOpen = true;
-    ++open;
+    ++(aCandidate.m_interactive ? m_openUrgentQuestions : m_openQuestions);
     aActions.m_questions.push_back(std::move(question));
   }
   return valid;
 }
 
+bool
+PoolScheduler::MayAsk(const Candidate& aCandidate) const
+{
+  if (aCandidate.m_interactive) {
+    return m_openUrgentQuestions < m_askers * kUrgentPerAsker;
+  }
+  const int most = static_cast<int>(m_askers * kPatientPart);
+  return m_openQuestions < std::max(1, most);
+}
+
 bool
 PoolScheduler::HasUndecidedRoom(const Candidate& aCandidate) const
 {
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -9,7 +9,12 @@
 namespace {
 
 /// Steps at the head of the order whose tickets are kept fresh.
-constexpr int kFreshSteps = 10;
+constexpr std::size_t kFreshSteps = 10;
+/// Steps that each plan looks at: those that are served first, and some of the
+/// others in turn. A backlog of thousands must not make plans slower, or it
+/// would grow.
+constexpr std::size_t kHeadSteps = 300;
+constexpr std::size_t kTailSteps = 100;
 /// Gangs at the head of the order for which room is kept free of long tasks.
 constexpr int kReservingGangs = 2;
 /// The start numbers of one leadership of a task.
@@ -57,30 +62,44 @@
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
   }
-  std::set<WorkerId> reserved;
-  int reserving = 0;
-  int rank = 0;
-  for (const Candidate& candidate : ReadySteps(aNow)) {
-    const bool refresh = rank++ < kFreshSteps;
-    if (!EnsureAdvice(aNow, candidate, refresh, actions)) {
-      continue;
-    }
-    if (!candidate.Spec().m_gang) {
-      PlaceSingles(aNow, candidate, reserved, actions);
-      continue;
-    }
-    const bool placed = PlaceGang(aNow, candidate, actions);
-    candidate.Record().m_lacksRoom = !placed;
-    if (!placed && candidate.m_tier == Tier::InTime &&
-        reserving < kReservingGangs) {
-      ReserveFor(candidate, reserved);
-      ++reserving;
-    }
+  const std::vector<Candidate> steps = ReadySteps(aNow);
+  const std::size_t head = std::min(kHeadSteps, steps.size());
+  const std::size_t tail = steps.size() - head;
+  Reservation reservation;
+  for (std::size_t rank = 0; rank < head; ++rank) {
+    Serve(aNow, steps[rank], rank < kFreshSteps, reservation, actions);
+  }
+  for (std::size_t turn = 0; turn < std::min(kTailSteps, tail); ++turn) {
+    m_planCursor = (m_planCursor + 1) % tail;
+    Serve(aNow, steps[head + m_planCursor], false, reservation, actions);
   }
   actions.m_stops = std::exchange(m_stops, {});
   return actions;
 }
 
+void
+PoolScheduler::Serve(Time aNow,
+                     const Candidate& aCandidate,
+                     bool aRefresh,
+                     Reservation& aReservation,
+                     Actions& aActions)
+{
+  if (!EnsureAdvice(aNow, aCandidate, aRefresh, aActions)) {
+    return;
+  }
+  if (!aCandidate.Spec().m_gang) {
+    PlaceSingles(aNow, aCandidate, aReservation.m_workers, aActions);
+    return;
+  }
+  const bool placed = PlaceGang(aNow, aCandidate, aActions);
+  aCandidate.Record().m_lacksRoom = !placed;
+  if (!placed && aCandidate.m_tier == Tier::InTime &&
+      aReservation.m_gangs < kReservingGangs) {
+    ReserveFor(aCandidate, aReservation.m_workers);
+    ++aReservation.m_gangs;
+  }
+}
+
 bool
 PoolScheduler::InFirstRound(Time aNow) const
 {
@@ -102,6 +121,7 @@
     return;
   }
   m_barrierPassed = true;
+  m_unheard.clear();
   for (const auto& [id, open] : m_open) {
     TrackedJob& job = *open;
     for (std::uint32_t step = 0; step < job.Steps(); ++step) {
--- a/src/pool/WorkerBook.cpp
+++ b/src/pool/WorkerBook.cpp
@@ -15,6 +15,11 @@
 constexpr double kFastBelow = 0.93;
 constexpr double kSlowAbove = 1.12;
 constexpr double kVerySlowAbove = 1.8;
+/// Time in which the store takes an end as a rule.
+constexpr Duration kSavePause = milliseconds(40);
+/// The pause doubles with each list that brings nothing new, up to 320 ms, so
+/// that a slow store does not turn into thousands of lists a second.
+constexpr int kMaxPauseDoublings = 3;
 
 } // namespace
 
@@ -63,6 +68,15 @@
   return m_unsavedEnds.empty() ? m_highestEnd : *m_unsavedEnds.begin() - 1;
 }
 
+Duration
+WorkerRecord::PauseBeforeNextList() const
+{
+  if (m_unsavedEnds.empty()) {
+    return Duration::zero();
+  }
+  return kSavePause * (1 << std::min(m_repeatedLists, kMaxPauseDoublings));
+}
+
 Time
 WorkerRecord::LeaseEnd() const
 {
@@ -78,10 +92,16 @@
     m_placements, [](const auto& aItem) { return aItem.second.m_unknown; });
 }
 
+bool
+WorkerRecord::IsGone(Time aNow) const
+{
+  return !m_adopted || aNow > m_lastAnswer + kGoneAfter;
+}
+
 bool
 WorkerRecord::CanTake(Time aNow) const
 {
-  return m_listed && m_adopted && m_recorded && !m_info.m_draining &&
+  return m_listed && m_recorded && m_adopted && !m_info.m_draining &&
          aNow < m_lastAnswer + kSilentAfter && aNow >= m_avoidUntil &&
          !HasUnknownRuns();
 }
--- a/src/pool/WorkerBook.h
+++ b/src/pool/WorkerBook.h
@@ -113,6 +113,7 @@
   bool m_listed = true;    ///< the store lists it
   bool m_adopted = false;  ///< has answered this leader in this life
   bool m_recorded = false; ///< the stored row of the leader names it
+  bool m_toRecord = false; ///< the next row names it
   Time m_lastAnswer{};
   std::int64_t m_clockMs = 0;    ///< its clock when it answered last
   std::int64_t m_deadlineMs = 0; ///< latest lease end sent, on its clock
@@ -123,15 +124,21 @@
   Time m_avoidUntil{};
   std::uint64_t m_highestEnd = 0;
   std::set<std::uint64_t> m_unsavedEnds;
+  int m_repeatedLists = 0; ///< answers in a row with only known, unsaved ends
 
   /// True if a run is there whose needs are not known.
   bool HasUnknownRuns() const;
   Resources Free() const { return m_info.m_capacity - m_used; }
   /// Ends up to this one are stored, so that the worker may forget them.
   std::uint64_t SavedEnds() const;
+  /// Pause before it is asked again. While ends are not stored it answers at
+  /// once, with the same ends.
+  Duration PauseBeforeNextList() const;
   /// Latest time, on this process's clock, at which anything that was started
   /// there can still run without a new lease.
   Time LeaseEnd() const;
+  /// True if it has not answered this leader for long, or never.
+  bool IsGone(Time aNow) const;
   /// True if it can be given new tasks.
   bool CanTake(Time aNow) const;
 };
@@ -156,6 +163,11 @@
 /// Part by which a worker's clock may be slow.
 inline constexpr double kWorkerClockError = 0.02;
 
+/// Without an answer for this long a worker is not named in the leader's row.
+/// Long, so that an overloaded leader does not write its row for workers whose
+/// answers it has not read yet.
+inline constexpr Duration kGoneAfter = seconds(6);
+
 /// Without an answer for this long a worker gets no new tasks. Answers come at
 /// least once a second.
 inline constexpr Duration kSilentAfter = milliseconds(1600);
--- /dev/null
+++ b/tests/correctness/PoolBacklog.cpp
@@ -0,0 +1,60 @@
+/// Guards against work that is never looked at behind a long backlog. Load
+/// pattern: a team that sends many times its share leaves thousands of waiting
+/// jobs, none of which fits, before one that does.
+#include "fakes/PoolSamples.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::fakes {
+
+namespace {
+
+/// The worker has room for small tasks beside a long one.
+PoolBench
+BusyWorker()
+{
+  // All jobs are within the team's share.
+  constexpr double kWeight = 1e6;
+  PoolBench bench({ PoolWorker("w1") }, PoolSample({}, kWeight));
+  bench.AnswerAll();
+  bench.Add(PoolJob("long", kUrgentQueue, { PoolStep(1, 6000) }));
+  bench.Confirm(bench.Plan().m_starts);
+  return bench;
+}
+
+TEST(PoolBacklog, StepBehindThousandsThatDoNotFitIsStartedInItsTurn)
+{
+  PoolBench bench = BusyWorker();
+  constexpr int kBacklog = 3000;
+  for (int number = 0; number < kBacklog; ++number) {
+    bench.Add(PoolJob(
+      "big" + std::to_string(number), kPatientQueue, { PoolStep(1, 5000) }));
+  }
+  bench.m_now += milliseconds(1);
+  bench.Add(PoolJob("small", kPatientQueue, { PoolStep(1, 1000) }));
+  constexpr int kMostPlans = 40; // a third of a second
+  int plans = 0;
+  std::size_t started = 0;
+  while (started == 0 && plans < kMostPlans) {
+    started += bench.Plan().m_starts.size();
+    ++plans;
+  }
+  EXPECT_EQ(started, 1U);
+}
+
+TEST(PoolBacklog, InteractiveJobGoesFirst)
+{
+  PoolBench bench = BusyWorker();
+  for (int number = 0; number < 1000; ++number) {
+    bench.Add(PoolJob(
+      "big" + std::to_string(number), kPatientQueue, { PoolStep(1, 5000) }));
+  }
+  bench.Add(PoolJob("quote", kUrgentQueue, { PoolStep(1, 1000) }));
+  const auto starts = bench.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts.front().m_task.m_job, JobId("quote"));
+}
+
+} // namespace
+
+} // namespace lacewing::fakes
--- a/tests/fakes/PoolLoad.h
+++ b/tests/fakes/PoolLoad.h
@@ -101,7 +101,6 @@
     }
     m_scheduler.SetConfig(kStart, config);
     m_scheduler.SetWorkers(kStart, infos);
-    m_scheduler.SetRecordedWorkers(m_scheduler.UsableWorkers());
     m_scheduler.SetAskers(m_options.m_askers);
     m_scheduler.OnLoaded(kStart);
     for (const auto& item : m_workers) {
@@ -146,6 +145,8 @@
   }
   std::size_t UsedWorkers() const { return m_usedWorkers.size(); }
   std::size_t Starts() const { return m_starts; }
+  /// Time of the policy service, over all VMs that ask.
+  Duration AdviceTime() const { return m_adviceTime; }
   /// Processor time of the decisions; differs from run to run.
   std::chrono::nanoseconds DecisionTime() const { return m_decisionTime; }
 
@@ -192,6 +193,7 @@
 
   void Plan()
   {
+    m_scheduler.SetRecordedWorkers(m_scheduler.ListWorkersToRecord(m_now));
     const auto begin = std::chrono::steady_clock::now();
     const pool::Actions actions = m_scheduler.Plan(m_now);
     m_decisionTime += std::chrono::steady_clock::now() - begin;
@@ -257,9 +259,11 @@
   {
     const LoadKind& kind = *m_kindOf.at(aQuestion.m_job);
     const auto asker = std::ranges::min_element(m_askersFree);
-    *asker =
-      std::max(*asker, m_now) + kind.m_advice.m_decide +
+    const Duration cost =
+      kind.m_advice.m_decide +
       kind.m_advice.m_each * static_cast<int>(aQuestion.m_workers.size());
+    m_adviceTime += cost;
+    *asker = std::max(*asker, m_now) + cost;
     At(*asker, [this, aQuestion, &kind] {
       std::vector<pool::Permission> good;
       for (const auto& worker : aQuestion.m_workers) {
@@ -288,6 +292,7 @@
   std::set<pool::WorkerId> m_usedWorkers;
   std::size_t m_starts = 0;
   std::uint64_t m_jobCount = 0;
+  Duration m_adviceTime{};
   std::chrono::nanoseconds m_decisionTime{};
 };
 
--- a/tests/fakes/PoolSamples.h
+++ b/tests/fakes/PoolSamples.h
@@ -101,7 +101,6 @@
   {
     m_scheduler.SetConfig(kStart, aConfig);
     m_scheduler.SetWorkers(kStart, m_workers);
-    m_scheduler.SetRecordedWorkers(m_scheduler.UsableWorkers());
     m_scheduler.OnLoaded(kStart);
   }
 
@@ -130,7 +129,17 @@
     m_scheduler.AddJob(m_now, aJob, {}, {}, false);
   }
 
-  pool::Actions Plan() { return m_scheduler.Plan(m_now); }
+  pool::Actions Plan()
+  {
+    Record();
+    return m_scheduler.Plan(m_now);
+  }
+
+  /// Stores the row of the leader; it takes no time here.
+  void Record()
+  {
+    m_scheduler.SetRecordedWorkers(m_scheduler.ListWorkersToRecord(m_now));
+  }
 
   void Confirm(const std::vector<pool::StartTask>& aStarts)
   {
--- a/tests/fakes/PoolWorld.h
+++ b/tests/fakes/PoolWorld.h
@@ -111,6 +111,7 @@
     std::uint64_t m_term = 0;
     std::unique_ptr<pool::PoolScheduler> m_scheduler;
     Time m_stopsAt = Time::max(); ///< of a deposed leader
+    bool m_recording = false;     ///< its row is being written
     Time m_nextSave{};
     Time m_nextWatch{};
     std::map<pool::WorkerId, Time> m_nextHold;
@@ -156,17 +157,13 @@
     leader->m_term = m_term;
     std::set<pool::WorkerId> previous;
     if (m_term > 1 && m_options.m_waitForPreviousWorkers) {
-      for (const auto& info : m_infos) {
-        previous.insert(info.m_id);
-      }
+      previous = { m_rowWorkers.begin(), m_rowWorkers.end() };
     }
     // A deposed leader stops within 0.8 s here; its leases follow.
     leader->m_scheduler = std::make_unique<pool::PoolScheduler>(
       m_now, m_term, previous, m_now + seconds(7));
     leader->m_scheduler->SetConfig(m_now, PoolSample(kTeamLimit));
     leader->m_scheduler->SetWorkers(m_now, m_infos);
-    leader->m_scheduler->SetRecordedWorkers(
-      leader->m_scheduler->UsableWorkers());
     for (const auto& [id, job] : m_jobs) {
       leader->m_scheduler->AddJob(m_now, job, {}, m_progress[id], true);
     }
@@ -248,6 +245,7 @@
   {
     pool::PoolScheduler& scheduler = *aLeader.m_scheduler;
     const auto shared = SharedOf(aLeader);
+    Record(shared);
     const pool::Actions actions = scheduler.Plan(m_now);
     for (const auto& stop : actions.m_stops) {
       SendStop(shared, stop);
@@ -291,6 +289,29 @@
     return m_now < m_workers.at(aWorker).m_silentUntil;
   }
 
+  /// Writes the row of the leader if it has to name other workers.
+  void Record(const std::shared_ptr<SimLeader>& aLeader)
+  {
+    if (aLeader->m_recording) {
+      return;
+    }
+    const auto workers = aLeader->m_scheduler->ListWorkersToRecord(m_now);
+    if (aLeader->m_term == m_term) {
+      aLeader->m_scheduler->SetRecordedWorkers(m_rowWorkers);
+    }
+    if (workers == m_rowWorkers) {
+      return;
+    }
+    aLeader->m_recording = true;
+    At(m_now + milliseconds(10), [this, aLeader, workers] {
+      if (aLeader->m_term != m_term) {
+        return; // fenced by the store
+      }
+      m_rowWorkers = workers;
+      At(m_now + milliseconds(5), [aLeader] { aLeader->m_recording = false; });
+    });
+  }
+
   void Save(const std::shared_ptr<SimLeader>& aLeader)
   {
     for (const auto& order : aLeader->m_scheduler->TakeUnsaved(60)) {
@@ -544,6 +565,7 @@
   std::vector<std::string> m_starts;
   std::set<TaskRef> m_everDone;
   std::set<TaskRef> m_done; ///< ends that a leader has confirmed
+  std::vector<pool::WorkerId> m_rowWorkers; ///< that the stored row names
   std::vector<std::string> m_violations;
 };
 
