Log how the leader learns of jobs and what a load has read

The logs could not tell whether a job was missing after a load, brought back by a message or added without its progress, nor whether an end belonged to a job that the leader does not know. New: the line job_added with its source and the number of tasks with stored progress; the versions and open reads in leader_loaded; the field job in the lines of ends.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -345,7 +345,7 @@
 CallerFront::Accept(const Call& aCall, const pool::Job& aJob)
 {
   if (const auto leader = m_leadership.Local()) {
-    leader->AddJob(aJob);
+    leader->AddJob(aJob, JobSource::Front);
   } else {
     NotifyLeader(kJobsPath, aJob.m_id, pool::EncodeJob(aJob));
   }
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -173,7 +173,11 @@
     }
   };
   for (int part = 0; part < pool::kJobParts; ++part) {
-    Scan(pool::JobPartPrefix(part), {}, applyPage, [this] { OnPartLoaded(); });
+    ++m_openScans;
+    Scan(pool::JobPartPrefix(part), {}, applyPage, [this] {
+      --m_openScans;
+      OnPartLoaded();
+    });
   }
 }
 
@@ -185,7 +189,11 @@
       m_loadedProgress[pool::ParseJobRowKey(key).m_job] = row.m_value;
     }
   };
-  Scan(pool::ProgressPrefix(), {}, applyPage, [this] { OnPartLoaded(); });
+  ++m_openScans;
+  Scan(pool::ProgressPrefix(), {}, applyPage, [this] {
+    --m_openScans;
+    OnPartLoaded();
+  });
 }
 
 void
@@ -201,7 +209,9 @@
       ApplyWorkerRow({ key, row, false });
     }
   };
+  ++m_openScans;
   Scan(platform::kWorkerPrefix, {}, applyPage, [this] {
+    --m_openScans;
     UpdateWorkers();
     WatchWorkers();
     if (!m_loaded) {
@@ -225,7 +235,11 @@
     "leader_loaded",
     { { "term", static_cast<std::int64_t>(m_term) },
       { "jobs", static_cast<std::int64_t>(m_loadedJobs.size()) },
+      { "progress_rows", static_cast<std::int64_t>(m_loadedProgress.size()) },
+      { "jobs_version", static_cast<std::int64_t>(m_jobsAfter) },
       { "workers", static_cast<std::int64_t>(m_directory.size()) },
+      { "workers_version", static_cast<std::int64_t>(m_workersAfter) },
+      { "open_reads", static_cast<std::int64_t>(m_openScans) },
       { "previous_workers",
         static_cast<std::int64_t>(m_previousWorkers.size()) } });
   m_loadedJobs.clear();
@@ -279,7 +293,7 @@
                             { { "request", id.Value() } });
       continue;
     }
-    Add(*job, *progress, true);
+    Add(*job, *progress, m_loaded ? JobSource::Reload : JobSource::Load);
   }
   for (const JobId& id : m_loadedCancellations) {
     m_scheduler.CancelJob(net::Loop::Now(), id);
@@ -289,21 +303,36 @@
 void
 PoolLeader::Add(const pool::Job& aJob,
                 const pool::JobProgress& aProgress,
-                bool aLoaded)
+                JobSource aSource)
 {
+  if (m_scheduler.FindJob(aJob.m_id) != nullptr) {
+    return;
+  }
+  m_context.m_log.Write(
+    settings::LogLevel::Info,
+    "job_added",
+    { { "request", aJob.m_id.Value() },
+      { "term", static_cast<std::int64_t>(m_term) },
+      { "source", std::string(NameOf(aSource)) },
+      { "state", std::string(NameOf(aProgress.m_state)) },
+      { "stored_tasks",
+        static_cast<std::int64_t>(aProgress.m_tasks.size()) } });
+  const bool loaded = aSource == JobSource::Load ||
+                      aSource == JobSource::Reload ||
+                      aSource == JobSource::LookUp;
   const std::int64_t age = std::clamp<std::int64_t>(
     UnixMilliseconds() - aJob.m_acceptedUnixMs, 0, kMaxAgeMs);
   m_scheduler.AddJob(
-    net::Loop::Now(), aJob, milliseconds(age), aProgress, aLoaded);
+    net::Loop::Now(), aJob, milliseconds(age), aProgress, loaded);
 }
 
 void
-PoolLeader::AddJob(const pool::Job& aJob)
+PoolLeader::AddJob(const pool::Job& aJob, JobSource aSource)
 {
   if (!m_loaded || m_scheduler.FindJob(aJob.m_id) != nullptr) {
     return; // known, or found by the load or the watch
   }
-  Add(aJob, {}, false);
+  Add(aJob, {}, aSource);
   m_planTimer.CallSoon();
 }
 
@@ -370,7 +399,7 @@
   }
   if (const auto job = TryDecode<pool::Job>(
         [&] { return pool::DecodeJob(key.m_job, aValue); })) {
-    AddJob(*job);
+    AddJob(*job, JobSource::Watch);
   }
 }
 
@@ -525,7 +554,7 @@
                  return; // looked up again when the worker reports the run
                }
                if (aFound.m_job) {
-                 self->Add(*aFound.m_job, {}, true);
+                 self->Add(*aFound.m_job, {}, JobSource::LookUp);
                } else {
                  self->m_scheduler.OnJobNotFound(net::Loop::Now(), aJob);
                }
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -45,6 +45,16 @@
   std::function<void()> m_onUnsaved;
 };
 
+/// How the leader came to know a job.
+enum class JobSource : std::uint8_t
+{
+  Load,   ///< the load at the begin of the leadership
+  Reload, ///< a load after the history of changes was truncated
+  Watch,  ///< the watch of the job table
+  Front,  ///< the message of a daemon that has accepted it
+  LookUp, ///< a worker runs one of its tasks
+};
+
 class PoolLeader : public std::enable_shared_from_this<PoolLeader>
 {
 public:
@@ -64,7 +74,7 @@
   bool IsLoaded() const { return m_loaded; }
 
   void SetConfig(const pool::PoolConfig& aConfig);
-  void AddJob(const pool::Job& aJob);
+  void AddJob(const pool::Job& aJob, JobSource aSource);
   void CancelJob(const JobId& aJob);
   /// Empty for an unknown job.
   std::optional<JobView> ViewOf(const JobId& aJob) const;
@@ -114,7 +124,7 @@
     const std::optional<std::vector<pool::Permission>>& aPermissions);
   void Add(const pool::Job& aJob,
            const pool::JobProgress& aProgress,
-           bool aLoaded);
+           JobSource aSource);
   void After(Duration aDelay, Guarded aFunction);
 
   LeaderContext m_context;
@@ -130,6 +140,7 @@
   std::vector<std::string> m_previousWorkers;
 
   int m_partsToLoad = 0;
+  int m_openScans = 0; ///< reads of whole tables or parts that have not ended
   bool m_loaded = false;
   bool m_expiryStarted = false; ///< the periodic expiry of ended jobs runs
   Time m_loadedAt{};
@@ -148,3 +159,16 @@
 UnixMilliseconds();
 
 } // namespace lacewing::edge
+
+template<>
+struct lacewing::EnumNames<lacewing::edge::JobSource>
+{
+  using Source = lacewing::edge::JobSource;
+  static constexpr std::array kTable = {
+    std::pair{ Source::Load, std::string_view("load") },
+    std::pair{ Source::Reload, std::string_view("reload") },
+    std::pair{ Source::Watch, std::string_view("watch") },
+    std::pair{ Source::Front, std::string_view("front") },
+    std::pair{ Source::LookUp, std::string_view("look_up") },
+  };
+};
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -28,6 +28,16 @@
            { "outcome", std::string(aOutcome) } };
 }
 
+/// What the leader knows about the job of a reported end.
+std::string
+KnowledgeOf(const pool::TrackedJob* aJob)
+{
+  if (aJob == nullptr) {
+    return "unknown";
+  }
+  return aJob->IsOver() ? "over" : "open";
+}
+
 } // namespace
 
 WorkerLinks::WorkerLinks(net::Loop& aLoop,
@@ -155,11 +165,11 @@
 {
   for (const pool::ReportedEnd& end : aInventory.m_ended) {
     if (end.m_number > aWorker.m_highestEnd) {
-      m_log.Write(
-        settings::LogLevel::Info,
-        "end",
-        CommandFields(
-          aWorker.m_info.m_id, end.m_task, end.m_run, NameOf(end.m_how)));
+      observe::Fields fields = CommandFields(
+        aWorker.m_info.m_id, end.m_task, end.m_run, NameOf(end.m_how));
+      fields.emplace_back("job",
+                          KnowledgeOf(m_scheduler.FindJob(end.m_task.m_job)));
+      m_log.Write(settings::LogLevel::Info, "end", fields);
     }
   }
 }
