Begin to lead only when all rows of the load are read

What callers saw: a task that was done ran again (TWICE); in the users' record 36 s later, under the next leader.

Cause: the leader counted down the reads that its load needs. The watch of the workers starts during the load; when the store answers it with a truncated history, the workers are read again, and the end of that read counted too. The load ended with another read open: with the progress open, completed jobs were added as new ones; with a part of the job table open, its jobs were unknown until the part was read, and were then added without progress, since the progress had been discarded by then.

Evidence: EdgeJobLoad.WorkersReadAgainDoNotEndTheLoadBeforeTheProgressIsRead failed before (begins to lead with open_reads 1, job shown as pending) and passes now.

Change: JobLoader reads jobs and progress and calls back once; its reads cannot be counted for one another. A later read of the job table uses JobTableScan and has no part in the load. The reading of pages moves from PoolLeader to TableScan.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration kReadTimeout = milliseconds(1000);
-constexpr Duration kRetryPause = milliseconds(100);
+constexpr RowVersion kAnyVersion = 0;
 /// Daemons send new jobs to the leader at once; the watch of the job table
 /// finds jobs whose message was lost.
 constexpr Duration kJobWatchPeriod = milliseconds(1000);
@@ -93,10 +93,7 @@
                                           m_scheduler,
                                           m_term,
                                           std::move(hooks));
-  constexpr int kOtherReads = 2;
-  m_partsToLoad = pool::kJobParts + kOtherReads;
   LoadJobs();
-  LoadProgress();
   LoadWorkers();
 }
 
@@ -104,6 +101,9 @@
 PoolLeader::Close()
 {
   m_closed = true;
+  m_jobLoader.reset();
+  m_jobReload.reset();
+  m_workerScan.reset();
   if (m_links) {
     m_links->Close();
   }
@@ -121,79 +121,55 @@
 }
 
 void
-PoolLeader::Scan(const std::string& aPrefix,
-                 const std::string& aAfter,
-                 const OnPage& aOnPage,
-                 const Guarded& aOnDone)
-{
-  m_context.m_store.ReadPage(
-    aPrefix,
-    aAfter,
-    kReadTimeout,
-    [weak = weak_from_this(), aPrefix, aAfter, aOnPage, aOnDone](
-      const platform::PageResult& aPage) {
-      const auto self = weak.lock();
-      if (!self || self->m_closed) {
-        return;
-      }
-      if (!aPage.m_read.m_ok) {
-        self->After(kRetryPause,
-                    [self = self.get(), aPrefix, aAfter, aOnPage, aOnDone] {
-                      self->Scan(aPrefix, aAfter, aOnPage, aOnDone);
-                    });
-        return;
-      }
-      aOnPage(aPage, aAfter.empty());
-      if (aPage.m_read.m_more && !aPage.m_read.m_rows.empty()) {
-        self->Scan(
-          aPrefix, aPage.m_read.m_rows.rbegin()->first, aOnPage, aOnDone);
-      } else {
-        aOnDone();
-      }
-    });
+PoolLeader::LoadJobs()
+{
+  m_jobLoader = std::make_unique<JobLoader>(
+    m_context.m_loop,
+    m_context.m_store,
+    m_context.m_log,
+    kAnyVersion,
+    [this](const LoadedJobs& aLoaded) { OnJobsLoaded(aLoaded); });
+  m_jobLoader->Start();
 }
 
 void
-PoolLeader::LoadJobs()
+PoolLeader::OnJobsLoaded(const LoadedJobs& aLoaded)
 {
-  m_jobsAfter = 0;
-  const auto applyPage = [this](const platform::PageResult& aPage, bool) {
-    // The watch starts at the oldest page's version and reads later changes
-    // again.
-    if (m_jobsAfter == 0 || aPage.m_version < m_jobsAfter) {
-      m_jobsAfter = aPage.m_version;
-    }
-    for (const auto& [key, row] : aPage.m_read.m_rows) {
-      const pool::JobRowKey parsed = pool::ParseJobRowKey(key);
-      if (parsed.m_cancellation) {
-        m_loadedCancellations.insert(parsed.m_job);
-      } else {
-        m_loadedJobs[parsed.m_job] = row.m_value;
-      }
-    }
-  };
-  for (int part = 0; part < pool::kJobParts; ++part) {
-    ++m_openScans;
-    Scan(pool::JobPartPrefix(part), {}, applyPage, [this] {
-      --m_openScans;
-      OnPartLoaded();
-    });
+  for (const StoredJob& job : aLoaded.m_jobs) {
+    Add(job, JobSource::Load);
   }
+  for (const JobId& id : aLoaded.m_cancelled) {
+    m_scheduler.CancelJob(net::Loop::Now(), id);
+  }
+  m_jobsAfter = aLoaded.m_readFrom;
+  m_context.m_log.Write(
+    settings::LogLevel::Info,
+    "jobs_loaded",
+    { { "term", static_cast<std::int64_t>(m_term) },
+      { "jobs", static_cast<std::int64_t>(aLoaded.m_jobs.size()) },
+      { "progress_rows", static_cast<std::int64_t>(aLoaded.m_progressRows) },
+      { "read_from", static_cast<std::int64_t>(aLoaded.m_readFrom) } });
+  m_jobsRead = true;
+  BeginIfRead();
+  // The loader is the caller of this function.
+  After(Duration::zero(), [this] { m_jobLoader.reset(); });
 }
 
 void
-PoolLeader::LoadProgress()
-{
-  const auto applyPage = [this](const platform::PageResult& aPage, bool) {
-    for (const auto& [key, row] : aPage.m_read.m_rows) {
-      m_loadedProgress[pool::ParseJobRowKey(key).m_job] = row.m_value;
-    }
-  };
-  ++m_openScans;
-  Scan(pool::ProgressPrefix(), {}, applyPage, [this] {
-    --m_openScans;
-    OnPartLoaded();
-  });
+PoolLeader::ReloadJobs()
+{
+  m_jobReload = std::make_unique<JobTableScan>(
+    m_context.m_loop,
+    m_context.m_store,
+    kAnyVersion,
+    [this](const std::string& aKey, const table::Row& aRow) {
+      ApplyJobRow(aKey, aRow, JobSource::Reload);
+    },
+    [this](RowVersion aReadFrom) {
+      m_jobsAfter = aReadFrom;
+      WatchJobs();
+    });
+  m_jobReload->Start();
 }
 
 void
@@ -209,24 +185,32 @@
       ApplyWorkerRow({ key, row, false });
     }
   };
-  ++m_openScans;
-  Scan(platform::kWorkerPrefix, {}, applyPage, [this] {
-    --m_openScans;
-    UpdateWorkers();
-    WatchWorkers();
-    if (!m_loaded) {
-      OnPartLoaded();
-    }
-  });
+  m_workerScan = std::make_shared<TableScan>(m_context.m_loop,
+                                             m_context.m_store,
+                                             platform::kWorkerPrefix,
+                                             kAnyVersion,
+                                             applyPage,
+                                             [this] { OnWorkersRead(); });
+  m_workerScan->Start();
+}
+
+void
+PoolLeader::OnWorkersRead()
+{
+  UpdateWorkers();
+  WatchWorkers();
+  if (!m_workersRead) {
+    m_workersRead = true;
+    BeginIfRead();
+  }
 }
 
 void
-PoolLeader::OnPartLoaded()
+PoolLeader::BeginIfRead()
 {
-  if (--m_partsToLoad > 0) {
+  if (!m_jobsRead || !m_workersRead) {
     return;
   }
-  AddLoadedJobs();
   m_loaded = true;
   m_loadedAt = net::Loop::Now();
   m_scheduler.OnLoaded(m_loadedAt);
@@ -234,24 +218,14 @@
     settings::LogLevel::Info,
     "leader_loaded",
     { { "term", static_cast<std::int64_t>(m_term) },
-      { "jobs", static_cast<std::int64_t>(m_loadedJobs.size()) },
-      { "progress_rows", static_cast<std::int64_t>(m_loadedProgress.size()) },
-      { "jobs_version", static_cast<std::int64_t>(m_jobsAfter) },
       { "workers", static_cast<std::int64_t>(m_directory.size()) },
       { "workers_version", static_cast<std::int64_t>(m_workersAfter) },
-      { "open_reads", static_cast<std::int64_t>(m_openScans) },
       { "previous_workers",
         static_cast<std::int64_t>(m_previousWorkers.size()) } });
-  m_loadedJobs.clear();
-  m_loadedProgress.clear();
-  m_loadedCancellations.clear();
   m_hooks.m_onUnsaved();
   m_links->Update();
   WatchJobs();
-  if (!m_expiryStarted) {
-    m_expiryStarted = true;
-    ExpireJobs();
-  }
+  ExpireJobs();
   m_planTimer.CallSoon();
 }
 
@@ -268,62 +242,28 @@
 }
 
 void
-PoolLeader::AddLoadedJobs()
-{
-  for (const auto& item : m_loadedJobs) {
-    const JobId& id = item.first;
-    const auto job =
-      TryDecode<pool::Job>([&] { return pool::DecodeJob(id, item.second); });
-    if (!job) {
-      m_context.m_log.Write(settings::LogLevel::Error,
-                            "job_row_unreadable",
-                            { { "request", id.Value() } });
-      continue;
-    }
-    std::optional<pool::JobProgress> progress = pool::JobProgress();
-    if (const auto it = m_loadedProgress.find(id);
-        it != m_loadedProgress.end()) {
-      progress = TryDecode<pool::JobProgress>(
-        [&] { return pool::DecodeProgress(it->second); });
-    }
-    if (!progress) {
-      // Without its progress a job could run finished tasks again.
-      m_context.m_log.Write(settings::LogLevel::Error,
-                            "progress_row_unreadable",
-                            { { "request", id.Value() } });
-      continue;
-    }
-    Add(*job, *progress, m_loaded ? JobSource::Reload : JobSource::Load);
-  }
-  for (const JobId& id : m_loadedCancellations) {
-    m_scheduler.CancelJob(net::Loop::Now(), id);
-  }
-}
-
-void
-PoolLeader::Add(const pool::Job& aJob,
-                const pool::JobProgress& aProgress,
-                JobSource aSource)
+PoolLeader::Add(const StoredJob& aJob, JobSource aSource)
 {
-  if (m_scheduler.FindJob(aJob.m_id) != nullptr) {
+  const JobId& id = aJob.m_job.m_id;
+  if (m_scheduler.FindJob(id) != nullptr) {
     return;
   }
   m_context.m_log.Write(
     settings::LogLevel::Info,
     "job_added",
-    { { "request", aJob.m_id.Value() },
+    { { "request", id.Value() },
       { "term", static_cast<std::int64_t>(m_term) },
       { "source", std::string(NameOf(aSource)) },
-      { "state", std::string(NameOf(aProgress.m_state)) },
+      { "row_version", static_cast<std::int64_t>(aJob.m_version) },
+      { "state", std::string(NameOf(aJob.m_progress.m_state)) },
       { "stored_tasks",
-        static_cast<std::int64_t>(aProgress.m_tasks.size()) } });
-  const bool loaded = aSource == JobSource::Load ||
-                      aSource == JobSource::Reload ||
-                      aSource == JobSource::LookUp;
+        static_cast<std::int64_t>(aJob.m_progress.m_tasks.size()) } });
   const std::int64_t age = std::clamp<std::int64_t>(
-    UnixMilliseconds() - aJob.m_acceptedUnixMs, 0, kMaxAgeMs);
+    UnixMilliseconds() - aJob.m_job.m_acceptedUnixMs, 0, kMaxAgeMs);
+  const bool isNew = aSource == JobSource::Watch || aSource == JobSource::Front;
   m_scheduler.AddJob(
-    net::Loop::Now(), aJob, milliseconds(age), aProgress, loaded);
+    net::Loop::Now(), aJob.m_job, milliseconds(age), aJob.m_progress, !isNew);
+  m_planTimer.CallSoon();
 }
 
 void
@@ -332,8 +272,7 @@
   if (!m_loaded || m_scheduler.FindJob(aJob.m_id) != nullptr) {
     return; // known, or found by the load or the watch
   }
-  Add(aJob, {}, aSource);
-  m_planTimer.CallSoon();
+  Add({ aJob, {}, 0 }, aSource);
 }
 
 void
@@ -370,14 +309,13 @@
       }
       for (const platform::ChangedRow& change : aChanges.m_rows) {
         if (!change.m_deleted) {
-          self->ApplyJobRow(change.m_key, change.m_row.m_value);
+          self->ApplyJobRow(change.m_key, change.m_row, JobSource::Watch);
         }
       }
       self->m_jobsAfter = std::max(self->m_jobsAfter, aChanges.m_version);
       if (aChanges.m_historyTruncated) {
-        self->m_partsToLoad = pool::kJobParts;
-        self->LoadJobs();
-        return; // the watch restarts when the load ends
+        self->ReloadJobs();
+        return; // the watch restarts when the reload ends
       }
       const bool first =
         net::Loop::Now() < self->m_loadedAt + kFrequentWatchTime;
@@ -387,7 +325,9 @@
 }
 
 void
-PoolLeader::ApplyJobRow(const std::string& aKey, const std::string& aValue)
+PoolLeader::ApplyJobRow(const std::string& aKey,
+                        const table::Row& aRow,
+                        JobSource aSource)
 {
   const pool::JobRowKey key = pool::ParseJobRowKey(aKey);
   if (key.m_cancellation) {
@@ -398,8 +338,8 @@
     return;
   }
   if (const auto job = TryDecode<pool::Job>(
-        [&] { return pool::DecodeJob(key.m_job, aValue); })) {
-    AddJob(*job, JobSource::Watch);
+        [&] { return pool::DecodeJob(key.m_job, aRow.m_value); })) {
+    AddJob(*job, aSource);
   }
 }
 
@@ -554,7 +494,7 @@
                  return; // looked up again when the worker reports the run
                }
                if (aFound.m_job) {
-                 self->Add(*aFound.m_job, {}, JobSource::LookUp);
+                 self->Add({ *aFound.m_job, {}, 0 }, JobSource::LookUp);
                } else {
                  self->m_scheduler.OnJobNotFound(net::Loop::Now(), aJob);
                }
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -6,6 +6,7 @@
 #include "edge/AdviceClient.h"
 #include "edge/EdgeSettings.h"
 #include "edge/JobExpiry.h"
+#include "edge/JobLoader.h"
 #include "edge/PeerProtocol.h"
 #include "edge/StoreHealth.h"
 #include "edge/WorkerDirectory.h"
@@ -97,21 +98,18 @@
   /// Runs only while this object exists and is not closed.
   using Guarded = std::function<void()>;
 
-  using OnPage = std::function<void(const platform::PageResult&, bool aFirst)>;
-
-  /// Reads all rows with a "table/part/" prefix after a key, page by page;
-  /// retries failed reads until all are read.
-  void Scan(const std::string& aPrefix,
-            const std::string& aAfter,
-            const OnPage& aOnPage,
-            const Guarded& aOnDone);
   void LoadJobs();
-  void LoadProgress();
+  void OnJobsLoaded(const LoadedJobs& aLoaded);
+  /// Reads the job table again, since its history of changes was truncated.
+  void ReloadJobs();
   void LoadWorkers();
-  void OnPartLoaded();
-  void AddLoadedJobs();
+  void OnWorkersRead();
+  /// Begins to schedule once the jobs and the workers have been read.
+  void BeginIfRead();
   void WatchJobs();
-  void ApplyJobRow(const std::string& aKey, const std::string& aValue);
+  void ApplyJobRow(const std::string& aKey,
+                   const table::Row& aRow,
+                   JobSource aSource);
   void WatchWorkers();
   void ApplyWorkerRow(const platform::ChangedRow& aChange);
   void UpdateWorkers();
@@ -122,9 +120,7 @@
   void OnAdvice(
     const pool::AdviceRequest& aRequest,
     const std::optional<std::vector<pool::Permission>>& aPermissions);
-  void Add(const pool::Job& aJob,
-           const pool::JobProgress& aProgress,
-           JobSource aSource);
+  void Add(const StoredJob& aJob, JobSource aSource);
   void After(Duration aDelay, Guarded aFunction);
 
   LeaderContext m_context;
@@ -139,14 +135,13 @@
   Duration m_longestPlan{}; ///< since the last state was logged
   std::vector<std::string> m_previousWorkers;
 
-  int m_partsToLoad = 0;
-  int m_openScans = 0; ///< reads of whole tables or parts that have not ended
+  std::unique_ptr<JobLoader> m_jobLoader;
+  std::unique_ptr<JobTableScan> m_jobReload;
+  std::shared_ptr<TableScan> m_workerScan;
+  bool m_jobsRead = false;    ///< by the load
+  bool m_workersRead = false; ///< at least once
   bool m_loaded = false;
-  bool m_expiryStarted = false; ///< the periodic expiry of ended jobs runs
   Time m_loadedAt{};
-  std::map<JobId, std::string> m_loadedJobs;
-  std::set<JobId> m_loadedCancellations;
-  std::map<JobId, std::string> m_loadedProgress;
   RowVersion m_jobsAfter = 0;
   RowVersion m_workersAfter = 0;
 
