Take in a job that is not known only with its stored progress

What callers saw: a task that was done ran again (TWICE).

Cause: four ways by which a job came to a leader after the load added it without its progress: the message of a front (also for a repeated submission that met an existing row), the watch of the job table, the read of the table after a truncated history, and the look-up of a job that runs on a worker. Nothing ensured that such a job had none. Besides, the load took rows of any age: a read older than the claim could miss what the predecessor stored.

Change: PoolLeader::AddJob is the one entrance. A job is new only if its row is younger than the claim of the leadership, since no earlier leader can store progress after the claim and the load has read all older rows; fronts and the watch pass the version of the row. Any other job is read with its progress, and read again until the store answers. All these reads count only at the version of the claim or a later one.

Evidence: EdgeJobEntrance.* and EdgeJobLoad.ReadsOlderThanTheClaimAreRepeated. With the entrance changed back to adding jobs without progress, and with the check of the version removed, RepeatedSubmissionBringsTheJobWithItsProgress, UnansweredReadOfAJobIsRepeated and ReadsOlderThanTheClaimAreRepeated fail.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kRetryDelay = milliseconds(60);
 /// No further attempt is made if less time than this is left.
 constexpr Duration kMinAttemptTime = milliseconds(50);
+/// Callers may be shown what any read of the store returns.
+constexpr RowVersion kAnyVersion = 0;
 constexpr Duration kLeaderTimeout = milliseconds(500);
 /// Greatest age of the leader's count of waiting jobs that is still reported.
 constexpr Duration kMaxWaitingCountAge = milliseconds(1800);
@@ -256,7 +258,7 @@
                              // call or an earlier one.
                              if (aResult.m_state == CommitState::Committed ||
                                  aResult.m_state == CommitState::Conflict) {
-                               Accept(aCall, aJob);
+                               Accept(aCall, aJob, aResult);
                                return;
                              }
                              // The part of the store with the other location
@@ -342,18 +344,23 @@
 }
 
 void
-CallerFront::Accept(const Call& aCall, const pool::Job& aJob)
+CallerFront::Accept(const Call& aCall,
+                    const pool::Job& aJob,
+                    const table::CommitResult& aStored)
 {
+  // A conflict shows that a row exists, but not its version.
+  const RowVersion version =
+    aStored.m_state == table::CommitState::Committed ? aStored.m_version : 0;
   if (const auto leader = m_leadership.Local()) {
-    leader->AddJob(aJob, JobSource::Front);
+    leader->AddJob(aJob, version, JobSource::Front);
   } else {
-    NotifyLeader(kJobsPath, aJob.m_id, pool::EncodeJob(aJob));
+    NotifyLeader(JobPath(aJob.m_id, version), aJob.m_id, pool::EncodeJob(aJob));
   }
   Finish(aCall, kOk, "accepted");
 }
 
 void
-CallerFront::NotifyLeader(const char* aPath,
+CallerFront::NotifyLeader(const std::string& aPath,
                           const JobId& aJob,
                           std::string aBody)
 {
@@ -363,8 +370,7 @@
   }
   m_context.m_http.Send(
     *address,
-    MakeRequest(
-      "POST", std::string(aPath) + "/" + aJob.Value(), std::move(aBody)),
+    MakeRequest("POST", aPath, std::move(aBody)),
     kLeaderTimeout,
     [this, aJob](const net::HttpOutcome& aOutcome) {
       if (!aOutcome.m_response || aOutcome.m_response->m_status != kOk) {
@@ -381,6 +387,7 @@
   // The row shows whether the job exists and where its cancellation belongs.
   FindJobRow(m_context.m_store,
              aCall.m_job,
+             kAnyVersion,
              std::min(kStoreTimeout, TimeLeft(aCall)),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
@@ -430,7 +437,9 @@
         if (const auto leader = m_leadership.Local()) {
           leader->CancelJob(aCall.m_job);
         } else {
-          NotifyLeader(kCancelPath, aCall.m_job, "{}");
+          NotifyLeader(std::string(kCancelPath) + "/" + aCall.m_job.Value(),
+                       aCall.m_job,
+                       "{}");
         }
         Finish(aCall, kOk, "cancelled");
         return;
@@ -490,6 +499,7 @@
 {
   FindJobRow(m_context.m_store,
              aCall.m_job,
+             kAnyVersion,
              std::min(kStoreTimeout, TimeLeft(aCall)),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -58,8 +58,12 @@
                   const pool::Job& aJob,
                   pool::JobLocation aLocation,
                   bool aInDoubt);
-  void Accept(const Call& aCall, const pool::Job& aJob);
-  void NotifyLeader(const char* aPath, const JobId& aJob, std::string aBody);
+  void Accept(const Call& aCall,
+              const pool::Job& aJob,
+              const table::CommitResult& aStored);
+  void NotifyLeader(const std::string& aPath,
+                    const JobId& aJob,
+                    std::string aBody);
   void Cancel(const Call& aCall);
   void ForwardCancel(const Call& aCall);
   void StoreCancellation(const Call& aCall, pool::JobLocation aLocation);
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -244,7 +244,8 @@
     const auto job = TryDecode<pool::Job>(
       [&] { return pool::DecodeJob(id, aRequest.m_body); });
     if (job) {
-      leader->AddJob(*job, JobSource::Front);
+      leader->AddJob(
+        *job, NumericQuery(aRequest, kRowVersionQuery), JobSource::Front);
     }
     aReply(net::JsonResponse(job ? kOk : kNotFound, "{}"));
     return;
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -389,8 +389,8 @@
   hooks.m_onUnsaved = [this] { m_timer.CallSoon(); };
   m_leader = std::make_shared<PoolLeader>(m_context,
                                           std::move(hooks),
-                                          m_election.Term(),
-                                          m_election.Leader().m_workers,
+                                          m_election.Leader(),
+                                          m_election.Version(),
                                           m_config);
   m_leader->Start();
   if (m_previousLeader.m_vm.empty() ||
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -146,6 +146,13 @@
   });
 }
 
+std::string
+JobPath(const JobId& aJob, RowVersion aRowVersion)
+{
+  return std::string(kJobsPath) + "/" + aJob.Value() + "?" + kRowVersionQuery +
+         "=" + std::to_string(aRowVersion);
+}
+
 net::HttpRequest
 MakeRequest(std::string aMethod, std::string aPath, std::string aBody)
 {
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -61,6 +61,12 @@
 Result<std::vector<pool::Permission>>
 DecodePermissions(const std::string& aBody);
 
+/// Path of the message that a job has been accepted. The version is that of the
+/// row that the sender has written; 0 if the row was there before.
+std::string
+JobPath(const JobId& aJob, RowVersion aRowVersion);
+inline constexpr const char* kRowVersionQuery = "row_version";
+
 /// Makes a request with a JSON body, or without a body if it is empty.
 net::HttpRequest
 MakeRequest(std::string aMethod, std::string aPath, std::string aBody = {});
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -1,7 +1,6 @@
 #include "edge/PoolLeader.h"
 
 #include "core/TryDecode.h"
-#include "edge/JobFinder.h"
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
 
@@ -12,7 +11,7 @@
 namespace {
 
 constexpr Duration kReadTimeout = milliseconds(1000);
-constexpr RowVersion kAnyVersion = 0;
+constexpr Duration kRetryPause = milliseconds(100);
 /// Daemons send new jobs to the leader at once; the watch of the job table
 /// finds jobs whose message was lost.
 constexpr Duration kJobWatchPeriod = milliseconds(1000);
@@ -60,20 +59,21 @@
 
 PoolLeader::PoolLeader(const LeaderContext& aContext,
                        LeaderHooks aHooks,
-                       std::uint64_t aTerm,
-                       const std::vector<std::string>& aPreviousWorkers,
+                       const pool::LeaderRow& aClaim,
+                       RowVersion aClaimVersion,
                        const pool::PoolConfig& aConfig)
   : m_context(aContext)
   , m_hooks(std::move(aHooks))
-  , m_term(aTerm)
+  , m_term(aClaim.m_term)
+  , m_claimVersion(aClaimVersion)
   , m_scheduler(net::Loop::Now(),
-                aTerm,
-                ToWorkerIds(aPreviousWorkers),
+                aClaim.m_term,
+                ToWorkerIds(aClaim.m_workers),
                 net::Loop::Now() + kPreviousCommandTime + kPreviousLeaseTime)
   , m_advice(aContext.m_settings.m_vm)
   , m_expiry(std::make_shared<JobExpiry>(aContext.m_store))
   , m_planTimer(aContext.m_loop, kPlanPeriod, [this] { Plan(); })
-  , m_previousWorkers(aPreviousWorkers)
+  , m_previousWorkers(aClaim.m_workers)
 {
   m_scheduler.SetConfig(net::Loop::Now(), aConfig);
   m_scheduler.SetLongestLease(aContext.m_settings.m_leaseMax);
@@ -127,7 +127,7 @@
     m_context.m_loop,
     m_context.m_store,
     m_context.m_log,
-    kAnyVersion,
+    m_claimVersion,
     [this](const LoadedJobs& aLoaded) { OnJobsLoaded(aLoaded); });
   m_jobLoader->Start();
 }
@@ -148,6 +148,7 @@
     { { "term", static_cast<std::int64_t>(m_term) },
       { "jobs", static_cast<std::int64_t>(aLoaded.m_jobs.size()) },
       { "progress_rows", static_cast<std::int64_t>(aLoaded.m_progressRows) },
+      { "claim_version", static_cast<std::int64_t>(m_claimVersion) },
       { "read_from", static_cast<std::int64_t>(aLoaded.m_readFrom) } });
   m_jobsRead = true;
   BeginIfRead();
@@ -161,7 +162,7 @@
   m_jobReload = std::make_unique<JobTableScan>(
     m_context.m_loop,
     m_context.m_store,
-    kAnyVersion,
+    m_claimVersion,
     [this](const std::string& aKey, const table::Row& aRow) {
       ApplyJobRow(aKey, aRow, JobSource::Reload);
     },
@@ -188,7 +189,7 @@
   m_workerScan = std::make_shared<TableScan>(m_context.m_loop,
                                              m_context.m_store,
                                              platform::kWorkerPrefix,
-                                             kAnyVersion,
+                                             m_claimVersion,
                                              applyPage,
                                              [this] { OnWorkersRead(); });
   m_workerScan->Start();
@@ -260,19 +261,31 @@
         static_cast<std::int64_t>(aJob.m_progress.m_tasks.size()) } });
   const std::int64_t age = std::clamp<std::int64_t>(
     UnixMilliseconds() - aJob.m_job.m_acceptedUnixMs, 0, kMaxAgeMs);
-  const bool isNew = aSource == JobSource::Watch || aSource == JobSource::Front;
-  m_scheduler.AddJob(
-    net::Loop::Now(), aJob.m_job, milliseconds(age), aJob.m_progress, !isNew);
+  const bool isNew = aJob.m_version > m_claimVersion;
+  m_scheduler.AddJob(net::Loop::Now(),
+                     aJob.m_job,
+                     milliseconds(age),
+                     aJob.m_progress,
+                     !isNew || aSource == JobSource::LookUp);
   m_planTimer.CallSoon();
 }
 
 void
-PoolLeader::AddJob(const pool::Job& aJob, JobSource aSource)
+PoolLeader::AddJob(const pool::Job& aJob,
+                   RowVersion aRowVersion,
+                   JobSource aSource)
 {
   if (!m_loaded || m_scheduler.FindJob(aJob.m_id) != nullptr) {
     return; // known, or found by the load or the watch
   }
-  Add({ aJob, {}, 0 }, aSource);
+  // Earlier leaders cannot store progress after the claim, and the load has
+  // read all jobs whose rows are older. So only a job with a younger row is
+  // known to have no progress.
+  if (aRowVersion > m_claimVersion && !m_lookUps.contains(aJob.m_id)) {
+    Add({ aJob, {}, aRowVersion }, aSource);
+  } else {
+    LookUp(aJob.m_id, aSource);
+  }
 }
 
 void
@@ -339,7 +352,7 @@
   }
   if (const auto job = TryDecode<pool::Job>(
         [&] { return pool::DecodeJob(key.m_job, aRow.m_value); })) {
-    AddJob(*job, aSource);
+    AddJob(*job, aRow.m_version, aSource);
   }
 }
 
@@ -474,7 +487,7 @@
     Ask(request);
   }
   for (const JobId& job : actions.m_lookups) {
-    LookUp(job);
+    LookUp(job, JobSource::LookUp);
   }
   if (m_scheduler.HasUnsaved()) {
     m_hooks.m_onUnsaved();
@@ -483,23 +496,38 @@
 }
 
 void
-PoolLeader::LookUp(const JobId& aJob)
-{
-  FindJobRow(m_context.m_store,
-             aJob,
-             kReadTimeout,
-             [weak = weak_from_this(), aJob](const FoundJob& aFound) {
-               const auto self = weak.lock();
-               if (!self || self->m_closed || !aFound.m_known) {
-                 return; // looked up again when the worker reports the run
-               }
-               if (aFound.m_job) {
-                 self->Add({ *aFound.m_job, {}, 0 }, JobSource::LookUp);
-               } else {
-                 self->m_scheduler.OnJobNotFound(net::Loop::Now(), aJob);
-               }
-               self->m_planTimer.CallSoon();
-             });
+PoolLeader::LookUp(const JobId& aJob, JobSource aSource)
+{
+  if (!m_lookUps.insert(aJob).second) {
+    return;
+  }
+  LookUpJob(m_context.m_store,
+            aJob,
+            m_claimVersion,
+            kReadTimeout,
+            [weak = weak_from_this(), aJob, aSource](const JobLookUp& aResult) {
+              if (const auto self = weak.lock(); self && !self->m_closed) {
+                self->OnLookedUp(aJob, aSource, aResult);
+              }
+            });
+}
+
+void
+PoolLeader::OnLookedUp(const JobId& aJob,
+                       JobSource aSource,
+                       const JobLookUp& aResult)
+{
+  m_lookUps.erase(aJob);
+  if (!aResult.m_known) {
+    After(kRetryPause, [this, aJob, aSource] { LookUp(aJob, aSource); });
+    return;
+  }
+  if (aResult.m_job) {
+    Add(*aResult.m_job, aSource);
+  } else {
+    m_scheduler.OnJobNotFound(net::Loop::Now(), aJob);
+  }
+  m_planTimer.CallSoon();
 }
 
 void
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -6,6 +6,7 @@
 #include "edge/AdviceClient.h"
 #include "edge/EdgeSettings.h"
 #include "edge/JobExpiry.h"
+#include "edge/JobFinder.h"
 #include "edge/JobLoader.h"
 #include "edge/PeerProtocol.h"
 #include "edge/StoreHealth.h"
@@ -59,11 +60,12 @@
 class PoolLeader : public std::enable_shared_from_this<PoolLeader>
 {
 public:
-  /// `aPreviousWorkers` are the workers recorded in the leader's row.
+  /// `aClaim` is the leader's row as this leadership began, and `aClaimVersion`
+  /// its version.
   PoolLeader(const LeaderContext& aContext,
              LeaderHooks aHooks,
-             std::uint64_t aTerm,
-             const std::vector<std::string>& aPreviousWorkers,
+             const pool::LeaderRow& aClaim,
+             RowVersion aClaimVersion,
              const pool::PoolConfig& aConfig);
 
   void Start();
@@ -75,7 +77,9 @@
   bool IsLoaded() const { return m_loaded; }
 
   void SetConfig(const pool::PoolConfig& aConfig);
-  void AddJob(const pool::Job& aJob, JobSource aSource);
+  /// Adds an accepted job unless it is known. `aRowVersion` is the version of
+  /// its row; 0 if that is not known.
+  void AddJob(const pool::Job& aJob, RowVersion aRowVersion, JobSource aSource);
   void CancelJob(const JobId& aJob);
   /// Empty for an unknown job.
   std::optional<JobView> ViewOf(const JobId& aJob) const;
@@ -115,7 +119,12 @@
   void UpdateWorkers();
   void ExpireJobs();
   void Plan();
-  void LookUp(const JobId& aJob);
+  /// Reads an unknown job and its progress, until it is found or is known not
+  /// to exist.
+  void LookUp(const JobId& aJob, JobSource aSource);
+  void OnLookedUp(const JobId& aJob,
+                  JobSource aSource,
+                  const JobLookUp& aResult);
   void Ask(const pool::AdviceRequest& aRequest);
   void OnAdvice(
     const pool::AdviceRequest& aRequest,
@@ -126,6 +135,7 @@
   LeaderContext m_context;
   LeaderHooks m_hooks;
   std::uint64_t m_term;
+  RowVersion m_claimVersion;
   pool::PoolScheduler m_scheduler;
   std::shared_ptr<WorkerLinks> m_links;
   AdviceBalancer m_advice;
@@ -142,6 +152,7 @@
   bool m_workersRead = false; ///< at least once
   bool m_loaded = false;
   Time m_loadedAt{};
+  std::set<JobId> m_lookUps; ///< jobs that are being looked up
   RowVersion m_jobsAfter = 0;
   RowVersion m_workersAfter = 0;
 
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -31,6 +31,8 @@
   /// Executes a request and returns the response; empty if the store drops it.
   std::optional<net::HttpResponse> Handle(const net::HttpRequest& aRequest);
   void SetMode(StoreMode aMode) { m_mode = aMode; }
+  /// Version of the last write.
+  std::uint64_t Version() const { return m_version; }
   /// Drops the history of changes before the current version.
   void Compact() { m_oldestChange = m_version; }
   /// Writes a row, as an operator or a worker would.
--- a/tests/correctness/EdgeJobLoad.cpp
+++ b/tests/correctness/EdgeJobLoad.cpp
@@ -43,6 +43,90 @@
   EXPECT_EQ(view->m_state, pool::JobState::Completed);
 }
 
+/// A store that answered with an older state than that of the claim would hide
+/// progress that the previous leader has stored.
+TEST(EdgeJobLoad, ReadsOlderThanTheClaimAreRepeated)
+{
+  LeaderCell cell;
+  const pool::Job job = PoolJob("job", kPatientQueue, { PoolStep(1) });
+  cell.PutJob(job);
+  cell.PutProgress(job.m_id, Completed());
+  cell.ServeOldReads(true);
+  cell.Lead();
+  ASSERT_TRUE(cell.RunUntil(
+    [&] { return cell.Requests("rows-get?table=progress") >= 2; }));
+  EXPECT_FALSE(cell.Leader().IsLoaded());
+  cell.ServeOldReads(false);
+  ASSERT_TRUE(cell.RunUntil([&] { return cell.Leader().IsLoaded(); }));
+  const auto view = cell.Leader().ViewOf(job.m_id);
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->m_state, pool::JobState::Completed);
+}
+
+/// A repeated submission, the watch, and a read after a truncated history added
+/// a job that the leader did not know without its progress: done tasks ran
+/// again.
+class EdgeJobEntrance : public testing::Test
+{
+protected:
+  EdgeJobEntrance()
+  {
+    m_cell.Lead();
+    m_led = m_cell.RunUntil([this] { return m_cell.Leader().IsLoaded(); });
+  }
+
+  bool IsShown(const JobId& aJob)
+  {
+    return m_cell.RunUntil(
+      [&] { return m_cell.Leader().ViewOf(aJob).has_value(); });
+  }
+
+  LeaderCell m_cell;
+  bool m_led = false;
+  const pool::Job m_job = PoolJob("job", kPatientQueue, { PoolStep(1) });
+};
+
+TEST_F(EdgeJobEntrance, RepeatedSubmissionBringsTheJobWithItsProgress)
+{
+  ASSERT_TRUE(m_led);
+  m_cell.Hold("rows-feed?table=jobs");
+  m_cell.PutProgress(m_job.m_id, Completed());
+  m_cell.PutJob(m_job, pool::JobLocation::Second);
+  m_cell.Leader().AddJob(m_job, 0, edge::JobSource::Front);
+  EXPECT_FALSE(m_cell.Leader().ViewOf(m_job.m_id));
+  ASSERT_TRUE(IsShown(m_job.m_id));
+  EXPECT_EQ(m_cell.Leader().ViewOf(m_job.m_id)->m_state,
+            pool::JobState::Completed);
+}
+
+TEST_F(EdgeJobEntrance, UnansweredReadOfAJobIsRepeated)
+{
+  ASSERT_TRUE(m_led);
+  m_cell.PutProgress(m_job.m_id, Completed());
+  m_cell.PutJob(m_job);
+  m_cell.Hold("table=progress");
+  m_cell.Leader().AddJob(m_job, 0, edge::JobSource::Front);
+  const std::size_t before = m_cell.Requests("rows-get?table=progress");
+  ASSERT_TRUE(m_cell.RunUntil(
+    [&] { return m_cell.Requests("rows-get?table=progress") >= before + 2; }));
+  m_cell.Release();
+  ASSERT_TRUE(IsShown(m_job.m_id));
+  EXPECT_EQ(m_cell.Leader().ViewOf(m_job.m_id)->m_state,
+            pool::JobState::Completed);
+}
+
+/// No earlier leader can have stored progress of a job that is younger than the
+/// claim, so a new job does not wait for the store.
+TEST_F(EdgeJobEntrance, NewJobIsKnownWithoutARead)
+{
+  ASSERT_TRUE(m_led);
+  m_cell.PutJob(m_job);
+  m_cell.Leader().AddJob(m_job, m_cell.Version(), edge::JobSource::Front);
+  const auto view = m_cell.Leader().ViewOf(m_job.m_id);
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->m_state, pool::JobState::Pending);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/fakes/LeaderCell.h
+++ b/tests/fakes/LeaderCell.h
@@ -69,6 +69,12 @@
     m_rows.Compact();
   }
 
+  /// While set, the store answers reads as of a version before the claim.
+  void ServeOldReads(bool aOld) { m_servesOldReads = aOld; }
+
+  /// Version of the store's last write.
+  RowVersion Version() const { return m_rows.Version(); }
+
   /// Requests whose path contains the text get no response until `Release`.
   void Hold(std::string aText) { m_held = std::move(aText); }
   void Release()
@@ -95,11 +101,10 @@
     hooks.m_onFenced = [] {};
     hooks.m_maySendCommands = [] { return true; };
     hooks.m_onUnsaved = [] {};
-    m_leader = std::make_shared<edge::PoolLeader>(Context(),
-                                                  std::move(hooks),
-                                                  aTerm,
-                                                  std::vector<std::string>(),
-                                                  PoolSample());
+    pool::LeaderRow claim;
+    claim.m_term = aTerm;
+    m_leader = std::make_shared<edge::PoolLeader>(
+      Context(), std::move(hooks), claim, m_rows.Version(), PoolSample());
     m_leader->Start();
   }
   edge::PoolLeader& Leader() { return *m_leader; }
@@ -140,9 +145,17 @@
                              "&part=" + aRequest.Query("part") + "&";
     m_paths.push_back(path);
     const auto answer = [this, aRequest, aReply] {
-      if (const auto response = m_rows.Handle(aRequest)) {
-        aReply(*response);
+      auto response = m_rows.Handle(aRequest);
+      if (!response) {
+        return;
+      }
+      if (m_servesOldReads) {
+        auto body = nlohmann::json::parse(response->m_body);
+        body["ver"] = 1;
+        body["rows"] = nlohmann::json::array();
+        response->m_body = body.dump();
       }
+      aReply(*response);
     };
     if (!m_held.empty() && path.find(m_held) != std::string::npos) {
       m_waiting.emplace_back(answer);
@@ -155,6 +168,7 @@
   standin::PlatformStore m_rows;
   net::Address m_storeAddress;
   net::HttpServer m_storeServer;
+  bool m_servesOldReads = false;
   std::string m_held;
   std::vector<std::function<void()>> m_waiting;
   std::vector<std::string> m_paths;
