Acknowledge an end only when its effect is stored or there is none

Cause: an end of a job that the leader does not know was dropped and counted as stored, so the worker was told to discard it. When the job came later, its task started again. Likewise for a job that is over: the ends of the other members of a gang were acknowledged before anything of the job was stored; if the one worker with the end that was held back crashed, no trace of the run was left.

Change: the end of an unknown job stays unacknowledged and has the job looked up. It is applied when the job becomes known, and acknowledged when there is no such job. Ends of a job that is over wait until its final state is stored. An end counts only for the incarnation that reported it.

Evidence: PoolUnknownEnds, five tests; on the code before, three of them fail: EndOfAnUnknownJobCountsOnceTheJobIsKnown, EndOfAnEarlierIncarnationAcknowledges- Nothing and EndOfAJobThatIsOverWaitsForTheStoredState.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -68,8 +68,7 @@
   auto job = std::make_unique<TrackedJob>(aJob, queue, aNow - aAge, aProgress);
   if (job->IsOver()) {
     job->m_endedAt = aNow;
-    m_jobs.emplace(aJob.m_id, std::move(job));
-    IdentifyRuns(aNow, aJob.m_id);
+    TakeIn(aNow, std::move(job));
     return;
   }
   const bool mayBeKnownToPrevious =
@@ -93,8 +92,17 @@
     left = std::max(0.0, left - 1);
   }
   m_open.emplace(aJob.m_id, job.get());
-  m_jobs.emplace(aJob.m_id, std::move(job));
-  IdentifyRuns(aNow, aJob.m_id);
+  TakeIn(aNow, std::move(job));
+}
+
+void
+PoolScheduler::TakeIn(Time aNow, std::unique_ptr<TrackedJob> aJob)
+{
+  const JobId id = aJob->Spec().m_id;
+  TrackedJob& job = *aJob;
+  m_jobs.emplace(id, std::move(aJob));
+  RecordHeldEnds(aNow, job);
+  IdentifyRuns(aNow, id);
 }
 
 bool
@@ -313,11 +321,7 @@
 PoolScheduler::OnSaved(Time aNow, const ProgressWrite& aWrite)
 {
   for (const EndRef& end : aWrite.m_ends) {
-    const auto it = m_workers.find(end.m_worker);
-    if (it != m_workers.end() &&
-        it->second.m_info.m_incarnation == end.m_incarnation) {
-      it->second.m_unsavedEnds.erase(end.m_number);
-    }
+    Acknowledge(end);
   }
   TrackedJob* job = Find(aWrite.m_job);
   if (job != nullptr && IsFinal(aWrite.m_progress.m_state)) {
@@ -331,6 +335,10 @@
 {
   TrackedJob* job = Find(aWrite.m_job);
   if (job == nullptr) {
+    // Only a job whose final state is stored is removed from memory.
+    for (const EndRef& end : aWrite.m_ends) {
+      Acknowledge(end);
+    }
     return;
   }
   job->m_unsavedEnds.insert(
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -4,11 +4,11 @@
 /// Does no I/O and reads no clock. Each call returns what is to be done.
 ///
 /// Safety rests on four rules. A worker reports the end of a task until that
-/// end is stored. A task that may run on a worker that has not reported to this
-/// leader is not started elsewhere until that worker's lease has expired. A
-/// start whose outcome is unknown keeps its resources and its run number until
-/// the worker confirms it or the worker's lease has expired. Resources are
-/// released only when an end is reported.
+/// end is stored or is known to have no effect. A task that may run on a worker
+/// that has not reported to this leader is not started elsewhere until that
+/// worker's lease has expired. A start whose outcome is unknown keeps its
+/// resources and its run number until the worker confirms it or the worker's
+/// lease has expired. Resources are released only when an end is reported.
 #pragma once
 
 #include "pool/PoolConfig.h"
@@ -226,6 +226,15 @@
     int m_gangs = 0;
   };
 
+  /// An end that was reported before its job became known.
+  struct HeldEnd
+  {
+    EndRef m_ref;
+    ReportedEnd m_end;
+  };
+
+  /// Makes the job known, with its ends and runs that workers have reported.
+  void TakeIn(Time aNow, std::unique_ptr<TrackedJob> aJob);
   std::vector<Candidate> ReadySteps(Time aNow);
   /// Requests advice for the step if needed and places the tasks that fit.
   void PlanStep(Time aNow,
@@ -293,6 +302,20 @@
                           const TaskRef& aTask,
                           const Placement& aPlacement,
                           WorkerRecord& aWorker);
+  /// Applies an end and keeps it unacknowledged until the job's progress is
+  /// stored.
+  void RecordEnd(Time aNow,
+                 TrackedJob& aJob,
+                 const ReportedEnd& aEnd,
+                 WorkerRecord& aWorker);
+  /// Keeps an end of an unknown job, and has the job looked up.
+  void HoldEnd(WorkerRecord& aWorker, const ReportedEnd& aEnd);
+  void RecordHeldEnds(Time aNow, TrackedJob& aJob);
+  void DiscardHeldEnds(const JobId& aJob);
+  /// Null if the worker that reported the end is gone or has restarted.
+  WorkerRecord* FindIncarnation(const EndRef& aEnd);
+  /// Lets the worker discard the end.
+  void Acknowledge(const EndRef& aEnd);
   void ApplyEnd(Time aNow,
                 TrackedJob& aJob,
                 const ReportedEnd& aEnd,
@@ -338,6 +361,7 @@
     m_rateBudget; ///< jobs left of the guaranteed rate, by team
   std::set<JobId> m_dirty;
   std::set<JobId> m_lookups;
+  std::map<JobId, std::vector<HeldEnd>> m_heldEnds; ///< of unknown jobs
   Duration m_longestLease = kDefaultLongestLease;
   Time m_loadedAt = Time::max();
   Time m_began{};
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -38,14 +38,83 @@
     }
     DropPlacement(aWorker, aEnd.m_task);
   }
-  if (job == nullptr || job->IsOver() || !job->HasTask(aEnd.m_task)) {
-    return;
+  if (job == nullptr) {
+    HoldEnd(aWorker, aEnd);
+  } else {
+    RecordEnd(aNow, *job, aEnd, aWorker);
+  }
+}
+
+void
+PoolScheduler::RecordEnd(Time aNow,
+                         TrackedJob& aJob,
+                         const ReportedEnd& aEnd,
+                         WorkerRecord& aWorker)
+{
+  if (aJob.m_finalStateStored || !aJob.HasTask(aEnd.m_task)) {
+    aWorker.m_unsavedEnds.erase(aEnd.m_number);
+    return; // it has no effect, so the worker may discard it
+  }
+  if (!aJob.IsOver()) {
+    ApplyEnd(aNow, aJob, aEnd, aWorker);
   }
-  ApplyEnd(aNow, *job, aEnd, aWorker);
   aWorker.m_unsavedEnds.insert(aEnd.m_number);
-  job->m_unsavedEnds.push_back(
+  aJob.m_unsavedEnds.push_back(
     { aWorker.m_info.m_id, aWorker.m_info.m_incarnation, aEnd.m_number });
-  MarkDirty(*job);
+  MarkDirty(aJob);
+}
+
+void
+PoolScheduler::HoldEnd(WorkerRecord& aWorker, const ReportedEnd& aEnd)
+{
+  aWorker.m_unsavedEnds.insert(aEnd.m_number);
+  m_heldEnds[aEnd.m_task.m_job].push_back(
+    { { aWorker.m_info.m_id, aWorker.m_info.m_incarnation, aEnd.m_number },
+      aEnd });
+  m_lookups.insert(aEnd.m_task.m_job);
+}
+
+void
+PoolScheduler::RecordHeldEnds(Time aNow, TrackedJob& aJob)
+{
+  const auto held = m_heldEnds.extract(aJob.Spec().m_id);
+  if (held.empty()) {
+    return;
+  }
+  for (const HeldEnd& end : held.mapped()) {
+    if (WorkerRecord* worker = FindIncarnation(end.m_ref)) {
+      RecordEnd(aNow, aJob, end.m_end, *worker);
+    }
+  }
+}
+
+void
+PoolScheduler::DiscardHeldEnds(const JobId& aJob)
+{
+  const auto held = m_heldEnds.extract(aJob);
+  if (held.empty()) {
+    return;
+  }
+  for (const HeldEnd& end : held.mapped()) {
+    Acknowledge(end.m_ref);
+  }
+}
+
+WorkerRecord*
+PoolScheduler::FindIncarnation(const EndRef& aEnd)
+{
+  const auto it = m_workers.find(aEnd.m_worker);
+  const bool same = it != m_workers.end() &&
+                    it->second.m_info.m_incarnation == aEnd.m_incarnation;
+  return same ? &it->second : nullptr;
+}
+
+void
+PoolScheduler::Acknowledge(const EndRef& aEnd)
+{
+  if (WorkerRecord* worker = FindIncarnation(aEnd)) {
+    worker->m_unsavedEnds.erase(aEnd.m_number);
+  }
 }
 
 void
@@ -262,6 +331,10 @@
 void
 PoolScheduler::OnJobNotFound(Time aNow, const JobId& aJob)
 {
+  if (Find(aJob) != nullptr) {
+    return; // it was accepted after the read
+  }
+  DiscardHeldEnds(aJob);
   for (auto& [id, worker] : m_workers) {
     std::vector<TaskRef> unknown;
     for (const auto& [task, placement] : worker.m_placements) {
