Keep a job's progress until its rows at both locations are deleted

Cause: a job whose two deletions had failed was retried twice in the same pass. Two successes at one location then counted as both, and the progress row was deleted while a job row remained. The next leader would have run the job again.

Change: the failed jobs are a set.

Evidence: ProgressIsKeptUntilTheRowsAtBothLocationsAreDeleted fails on the code before.

--- a/src/edge/JobExpiry.cpp
+++ b/src/edge/JobExpiry.cpp
@@ -1,7 +1,9 @@
 #include "edge/JobExpiry.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
-#include <set>
+#include <utility>
 
 namespace lacewing::edge {
 
@@ -41,8 +43,11 @@
 void
 JobExpiry::Expire(const std::vector<JobId>& aJobs)
 {
-  std::vector<JobId> jobs = std::exchange(m_failedJobs, {});
-  jobs.insert(jobs.end(), aJobs.begin(), aJobs.end());
+  const std::set<JobId> failed = std::exchange(m_failedJobs, {});
+  std::vector<JobId> jobs(failed.begin(), failed.end());
+  std::ranges::copy_if(aJobs, std::back_inserter(jobs), [&](const JobId& aJob) {
+    return !failed.contains(aJob);
+  });
   // The rows at both locations of a job must be deleted before its progress.
   const auto remaining = std::make_shared<std::map<JobId, int>>();
   for (const JobId& job : jobs) {
@@ -59,7 +64,7 @@
                      }
                      for (const JobId& job : ids) {
                        if (aResult.m_state != table::CommitState::Committed) {
-                         self->m_failedJobs.push_back(job);
+                         self->m_failedJobs.insert(job);
                          // The next Expire retries the job.
                          (*remaining)[job] = 0;
                        } else if (--(*remaining)[job] == 0) {
--- a/src/edge/JobExpiry.h
+++ b/src/edge/JobExpiry.h
@@ -8,6 +8,7 @@
 #include "pool/JobRows.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,7 @@
 
 private:
   platform::TableStore& m_store;
-  std::vector<JobId> m_failedJobs; ///< to be retried
+  std::set<JobId> m_failedJobs; ///< to be retried
   std::vector<std::string> m_progressKeys;
 };
 
--- a/tests/correctness/EdgeJobExpiry.cpp
+++ b/tests/correctness/EdgeJobExpiry.cpp
@@ -1,6 +1,7 @@
 /// Guards against transactions that span several parts of a table, and against
 /// rows that remain when ended jobs are deleted.
 #include "edge/JobExpiry.h"
+#include "fakes/StoreCell.h"
 
 #include <gtest/gtest.h>
 
@@ -37,6 +38,39 @@
   EXPECT_EQ(deleted, expected);
 }
 
+/// A job whose two deletions had both failed was retried twice. Two successes
+/// at one location then released its progress while a job row was left at the
+/// other, and the job would have run again.
+TEST(EdgeJobExpiry, ProgressIsKeptUntilTheRowsAtBothLocationsAreDeleted)
+{
+  fakes::StoreCell cell;
+  const JobId job("0123456789abcdef");
+  const auto expiry = std::make_shared<JobExpiry>(cell.Store());
+  std::size_t writes = 0;
+  const auto expire = [&](const std::vector<JobId>& aJobs,
+                          const std::string& aRefusedPart) {
+    const std::size_t before = writes;
+    cell.OverrideWith([&, aRefusedPart](const net::HttpRequest& aRequest)
+                        -> std::optional<net::HttpResponse> {
+      ++writes;
+      const std::string part = "\"part\":\"" + aRefusedPart;
+      const bool refused = aRequest.m_body.find(part) != std::string::npos;
+      return refused ? std::optional(net::JsonResponse(503, "{}"))
+                     : std::nullopt;
+    });
+    expiry->Expire(aJobs);
+    const bool sent = cell.RunUntil([&] { return writes >= before + 2; });
+    cell.RunUntil([] { return false; }, milliseconds(50));
+    return sent;
+  };
+  ASSERT_TRUE(expire({ job }, ""));
+  ASSERT_TRUE(expire({}, pool::JobPart(job, pool::JobLocation::Second) + "\""));
+  EXPECT_FALSE(expiry->HasProgressKeys());
+  ASSERT_TRUE(expire({}, "none"));
+  EXPECT_EQ(expiry->TakeProgressKeys(10),
+            std::vector{ pool::ProgressKey(job) });
+}
+
 } // namespace
 
 } // namespace lacewing::edge
