--- /dev/null
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -0,0 +1,86 @@
+/// Guards against ends that a restarted worker discards before the leader has
+/// received them.
+#include "edge/WorkerLinks.h"
+#include "fakes/PoolSamples.h"
+#include "fakes/StoreCell.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewing::fakes {
+
+namespace {
+
+/// A leader's link to one worker, which answers lease extensions with an end of
+/// a job that does not exist, or not at all.
+class LinkCell : public StoreCell
+{
+public:
+  LinkCell()
+    : m_log({})
+    , m_workers(m_http)
+    , m_scheduler(net::Loop::Now(), 1, {}, net::Loop::Now())
+  {
+    OverrideWith([this](const net::HttpRequest& aRequest) {
+      const auto body = nlohmann::json::parse(aRequest.m_body);
+      m_acknowledged.push_back(body.at("last_seen").get<int>());
+      return std::optional(
+        net::JsonResponse(m_answers ? 200 : 503,
+                          R"({"born":1,"clock_ms":5,"running":[],)"
+                          R"("ended":[[4,"job.0.0.0",1,"done",""]]})"));
+    });
+    // The loop does not return while requests and responses are always ready.
+    SetDelay(milliseconds(5));
+    pool::WorkerInfo worker = PoolWorker("w1");
+    worker.m_address = Address().ToString();
+    m_scheduler.SetWorkers(net::Loop::Now(), { worker });
+    edge::WorkerLinkHooks hooks;
+    hooks.m_onChange = [this] {
+      m_scheduler.OnJobNotFound(net::Loop::Now(), JobId("job"));
+    };
+    hooks.m_onFenced = [] {};
+    hooks.m_maySendCommands = [] { return true; };
+    m_links = std::make_shared<edge::WorkerLinks>(
+      m_loop, m_workers, m_log, m_metrics, m_scheduler, 1, std::move(hooks));
+    m_links->Update();
+  }
+  ~LinkCell() { m_links->Close(); }
+  LinkCell(const LinkCell&) = delete;
+  LinkCell& operator=(const LinkCell&) = delete;
+
+  /// Runs until the worker has received that many further lease extensions.
+  bool RunExtensions(std::size_t aCount)
+  {
+    const std::size_t until = m_acknowledged.size() + aCount;
+    return RunUntil([&] { return m_acknowledged.size() >= until; });
+  }
+
+  bool m_answers = true;
+  std::vector<int> m_acknowledged; ///< by each lease extension
+
+private:
+  observe::Log m_log;
+  observe::Metrics m_metrics;
+  platform::WorkerClient m_workers;
+  pool::PoolScheduler m_scheduler;
+  std::shared_ptr<edge::WorkerLinks> m_links;
+};
+
+/// A worker that fails to answer may be restarting, and then numbers its ends
+/// from 1 again. The number of its earlier incarnation's last end would
+/// acknowledge ends that nobody has received.
+TEST(EdgeWorkerLinks, NothingIsAcknowledgedToAWorkerThatDidNotAnswer)
+{
+  LinkCell cell;
+  ASSERT_TRUE(cell.RunExtensions(3));
+  EXPECT_EQ(cell.m_acknowledged.back(), 4);
+  cell.m_answers = false;
+  ASSERT_TRUE(cell.RunExtensions(2));
+  EXPECT_EQ(cell.m_acknowledged.back(), 0);
+  cell.m_answers = true;
+  ASSERT_TRUE(cell.RunExtensions(2));
+  EXPECT_EQ(cell.m_acknowledged.back(), 4);
+}
+
+} // namespace
+
+} // namespace lacewing::fakes
--- a/tests/fakes/StoreCell.h
+++ b/tests/fakes/StoreCell.h
@@ -37,6 +37,7 @@
   StoreCell& operator=(const StoreCell&) = delete;
 
   platform::TableStore& Store() { return m_store; }
+  const net::Address& Address() const { return m_address; }
 
   /// Writes rows into the store, in one transaction.
   void Put(std::vector<table::Put> aPuts)
@@ -73,6 +74,9 @@
     std::function<std::optional<net::HttpResponse>(const net::HttpRequest&)>;
   void OverrideWith(Override aOverride) { m_override = std::move(aOverride); }
 
+  /// Delays each response.
+  void SetDelay(Duration aDelay) { m_delay = aDelay; }
+
   /// Rows of a table that are not deleted.
   std::size_t RowsOf(const std::string& aTable) const
   {
@@ -149,7 +153,7 @@
       m_waiting.emplace_back(answer);
       return;
     }
-    answer();
+    m_loop.After(m_delay, answer);
   }
 
   standin::PlatformStore m_rows;
@@ -157,6 +161,7 @@
   net::HttpServer m_server;
   Override m_override;
   bool m_servesOldReads = false;
+  Duration m_delay{};
   std::string m_held;
   std::vector<std::function<void()>> m_waiting;
   std::vector<std::string> m_paths;
