Let the clock of a process count while its VM is suspended

Cause: Loop::Now read the steady clock, which stops while a VM is suspended. A leader that wakes up would count its lease on from before, and send commands after its successor has stopped waiting for it.

Change: CLOCK_BOOTTIME, which counts that time.

Evidence: LoopClock; it tells the clocks apart only on a machine that has been suspended once.

--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <ctime>
 #include <stdexcept>
 
 namespace lacewing::net {
@@ -71,8 +72,12 @@
 Time
 Loop::Now()
 {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return Time(std::chrono::duration_cast<Duration>(now));
+  // CLOCK_MONOTONIC stops while the VM is suspended, and the leases of other
+  // processes do not.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(std::chrono::duration_cast<Duration>(
+    seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 void
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -22,7 +22,8 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  /// Present time of this process.
+  /// Present time of this process; includes the time while its VM was
+  /// suspended.
   static Time Now();
 
   /// Runs until `Stop`.
