Wait for a worker that is not listed as long as for the others

Cause: after a change of the leader, a worker of the previous leader that the store no longer listed was given up after 5.2 s, the length of its lease. But a previous leader that is cut off from the store does not see that the worker is not listed, and extends its lease for up to 5 s after the change. The tasks started elsewhere while they still ran: two runs at the same time (TWICE).

Change: such a worker counts as gone when the leases of the previous leader have expired, as any worker that does not report: 10.2 s after the change, or 5.2 s after the previous leader is known to have stopped.

Evidence: WorkerThatIsNotListedMayRunTasksUntilItsLeasesHaveExpired fails on the code before.

--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -25,9 +25,6 @@
 /// How long a new leader waits for the workers' first inventories before it
 /// places tasks; long enough for all workers that respond at all.
 constexpr Duration kFirstInventoryWait = milliseconds(400);
-/// A worker that the store doesn't list any more gets no lease; its runs have
-/// ended after this time.
-constexpr Duration kRemovedWorkerLease = milliseconds(5200);
 constexpr Duration kStuckCheckPeriod = milliseconds(500);
 /// How long a worker on which a task was stuck gets no new tasks.
 constexpr Duration kStuckAvoidance = seconds(4);
@@ -114,12 +111,6 @@
 void
 PoolScheduler::CheckBarrier(Time aNow)
 {
-  if (aNow > m_began + kRemovedWorkerLease) {
-    std::erase_if(m_unreportedWorkers, [&](const WorkerId& aWorker) {
-      const auto it = m_workers.find(aWorker);
-      return it == m_workers.end() || !it->second.m_listed;
-    });
-  }
   if (m_barrierPassed || (!m_unreportedWorkers.empty() && aNow < m_barrier)) {
     return;
   }
--- a/tests/correctness/PoolLeaderChange.cpp
+++ b/tests/correctness/PoolLeaderChange.cpp
@@ -51,6 +51,23 @@
   EXPECT_EQ(fixture.Plan().m_starts.size(), 1U);
 }
 
+/// A worker that the store no longer listed was given up five seconds after the
+/// change, although the previous leader, cut off from the store, can extend its
+/// lease for longer. The task ran twice at the same time.
+TEST(PoolLeaderChange,
+     WorkerThatIsNotListedMayRunTasksUntilItsLeasesHaveExpired)
+{
+  PoolFixture fixture = Successor();
+  fixture.m_scheduler.AddJob(
+    kStart, PoolJob("old", kPatientQueue, { PoolStep(1) }), {}, {}, true);
+  fixture.m_scheduler.SetWorkers(kStart, { PoolWorker("w2") });
+  fixture.m_now += milliseconds(9900);
+  fixture.ReportInventory(kW2, {}, {});
+  EXPECT_TRUE(fixture.Plan().m_starts.empty());
+  fixture.m_now += milliseconds(200);
+  EXPECT_EQ(fixture.Plan().m_starts.size(), 1U);
+}
+
 /// The deposed leader started a job that was accepted during the change. Its
 /// successor gave the capacity of the run to other tasks and started the task
 /// again.
