Take only an answer as the end of the previous leader

Cause: a connection that was refused within 100 ms counted as the end of the previous leader's process, and the wait for its workers was shortened to the length of a lease.

Change: the wait is shortened only when the process at the address of the previous leader answers that it does not lead. A killed process does so once it has restarted.

Evidence: RefusedConnectionDoesNotShowThatTheLeaderStopped.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -409,31 +409,25 @@
   if (!address || !m_leader) {
     return;
   }
-  const Time sentAt = net::Loop::Now();
-  m_context.m_http.Send(
-    *address,
-    MakeRequest("GET", SuccessorPath(m_election.Leader())),
-    kProbeTimeout,
-    [this, sentAt, leader = std::weak_ptr<PoolLeader>(m_leader)](
-      const net::HttpOutcome& aOutcome) {
-      const auto present = leader.lock();
-      if (!present || present != m_leader) {
-        return;
-      }
-      const auto status = StatusOf(aOutcome);
-      const bool refused = !aOutcome.m_response &&
-                           aOutcome.m_error.m_verdict == Verdict::NotRun &&
-                           net::Loop::Now() < sentAt + kRefusedWithin;
-      if (refused || (status && !status->m_leads)) {
-        present->OnPreviousLeaderStopped();
-        return;
-      }
-      m_context.m_loop.After(kProbePeriod, [this, leader] {
-        if (leader.lock() == m_leader) {
-          ProbePreviousLeader();
-        }
-      });
-    });
+  m_context.m_http.Send(*address,
+                        MakeRequest("GET", SuccessorPath(m_election.Leader())),
+                        kProbeTimeout,
+                        [this, leader = std::weak_ptr<PoolLeader>(m_leader)](
+                          const net::HttpOutcome& aOutcome) {
+                          const auto present = leader.lock();
+                          if (!present || present != m_leader) {
+                            return;
+                          }
+                          if (ShowsNoLeader(aOutcome)) {
+                            present->OnPreviousLeaderStopped();
+                            return;
+                          }
+                          m_context.m_loop.After(kProbePeriod, [this, leader] {
+                            if (leader.lock() == m_leader) {
+                              ProbePreviousLeader();
+                            }
+                          });
+                        });
 }
 
 void
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -1,5 +1,7 @@
 #include "edge/PeerProtocol.h"
 
+#include "core/TryDecode.h"
+
 #include "core/DecodeJson.h"
 #include "core/JsonFields.h"
 
@@ -146,6 +148,17 @@
   });
 }
 
+bool
+ShowsNoLeader(const net::HttpOutcome& aOutcome)
+{
+  if (!aOutcome.m_response) {
+    return false;
+  }
+  const auto status = TryDecode<LeaderStatus>(
+    [&] { return DecodeStatus(aOutcome.m_response->m_body); });
+  return status && !status->m_leads;
+}
+
 std::string
 JobPath(const JobId& aJob, RowVersion aRowVersion)
 {
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/Verdict.h"
+#include "net/HttpClient.h"
 #include "net/HttpMessage.h"
 #include "pool/PoolScheduler.h"
 
@@ -61,6 +62,12 @@
 Result<std::vector<pool::Permission>>
 DecodePermissions(const std::string& aBody);
 
+/// True if the response to a status request shows that its process does not
+/// lead. A refused connection shows nothing, since a broken link may refuse it
+/// too.
+bool
+ShowsNoLeader(const net::HttpOutcome& aOutcome);
+
 /// Path of the message that a job has been accepted. The version is that of the
 /// row that the sender has written; 0 if the row was there before.
 std::string
--- a/tests/correctness/EdgePeerProtocol.cpp
+++ b/tests/correctness/EdgePeerProtocol.cpp
@@ -3,6 +3,7 @@
 /// another process, so that each leader was replaced at once.
 #include "core/TryDecode.h"
 #include "edge/PeerProtocol.h"
+#include "net/HttpServer.h"
 
 #include <gtest/gtest.h>
 
@@ -73,6 +74,25 @@
   }
 }
 
+/// A connection that a cut refuses was taken for the end of the previous
+/// leader. Its successor then waited too short a time for the workers that both
+/// lead.
+TEST(EdgePeerProtocol, RefusedConnectionDoesNotShowThatTheLeaderStopped)
+{
+  net::HttpOutcome outcome;
+  outcome.m_error.m_verdict = Verdict::NotRun;
+  EXPECT_FALSE(ShowsNoLeader(outcome));
+  LeaderStatus status;
+  status.m_leads = true;
+  outcome.m_response = net::JsonResponse(200, EncodeStatus(status));
+  EXPECT_FALSE(ShowsNoLeader(outcome));
+  status.m_leads = false;
+  outcome.m_response = net::JsonResponse(200, EncodeStatus(status));
+  EXPECT_TRUE(ShowsNoLeader(outcome));
+  outcome.m_response = net::JsonResponse(200, "no status");
+  EXPECT_FALSE(ShowsNoLeader(outcome));
+}
+
 } // namespace
 
 } // namespace lacewing::edge
