Shorten the wait for a previous leader only if it had settled itself

Cause: when the process of the previous leader has stopped, its successor waits for the workers only as long as that leader's leases last. It did not consider the leader before that one: if the first one is cut off but alive, the second claims and is killed within seconds, the third counts from the end of the second while the first still sends commands. Two runs at the same time (TWICE) on a worker that only the first one reaches.

Change: the leader's row tells whether its leadership is settled: all workers of earlier leaders have reported, or their leases have expired. A claim is not; the next renewals say so. The wait is shortened only after a settled leadership, and the line previous_leader_stopped tells which it was.

Evidence: ClaimIsNotSettledUntilTheLeaderSaysSo guards the row; that Leadership goes by it has no test of its own.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -168,6 +168,7 @@
       "leader_resigns",
       { { "term", static_cast<std::int64_t>(m_election.Term()) } });
     m_election.SetWorkers(m_leader->WorkersToRecord());
+    m_election.SetSettled(m_leader->IsSettled());
   }
   m_election.Resign();
   UpdateRole();
@@ -193,6 +194,7 @@
       m_election.RenewSoon();
     }
     m_election.SetWorkers(std::move(workers));
+    m_election.SetSettled(m_leader->IsSettled());
     // A write with unknown outcome may still be applied and record other
     // workers.
     if (!m_renewFirst) {
@@ -395,12 +397,30 @@
   m_leader->Start();
   if (m_previousLeader.m_vm.empty() ||
       m_previousLeader.m_vm == m_context.m_settings.m_vm.Value()) {
-    m_leader->OnPreviousLeaderStopped();
+    OnPreviousLeaderStopped();
   } else {
     ProbePreviousLeader();
   }
 }
 
+void
+Leadership::OnPreviousLeaderStopped()
+{
+  // A leader before the previous one may still go on, unless the previous one
+  // had waited for its end.
+  const bool settled =
+    m_previousLeader.m_settled || m_previousLeader.m_term == 0;
+  m_context.m_log.Write(
+    settings::LogLevel::Info,
+    "previous_leader_stopped",
+    { { "leader", m_previousLeader.m_vm },
+      { "term", static_cast<std::int64_t>(m_previousLeader.m_term) },
+      { "settled", settled } });
+  if (settled) {
+    m_leader->OnPreviousLeaderStopped();
+  }
+}
+
 void
 Leadership::ProbePreviousLeader()
 {
@@ -419,7 +439,7 @@
                             return;
                           }
                           if (ShowsNoLeader(aOutcome)) {
-                            present->OnPreviousLeaderStopped();
+                            OnPreviousLeaderStopped();
                             return;
                           }
                           m_context.m_loop.After(kProbePeriod, [this, leader] {
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -59,6 +59,8 @@
   void WriteRows();
   void UpdateRole();
   void ProbeLeader();
+  /// The process that led before sends no more commands.
+  void OnPreviousLeaderStopped();
   /// Probes the previous leader until it is known to have stopped.
   void ProbePreviousLeader();
   void OnStatus(Time aSentAt,
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -3,6 +3,7 @@
 #include "core/TryDecode.h"
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
+#include "pool/LeaderElection.h"
 
 #include <algorithm>
 
@@ -28,9 +29,8 @@
 constexpr int kPlanSpacingFactor = 5;
 /// Plans are made at least this often, to act on expired leases and tickets.
 constexpr Duration kIdlePlanPeriod = milliseconds(100);
-/// Longest time that the previous leader may go on sending commands after it
-/// lost its row, and the longest lease as measured by a slow clock.
-constexpr Duration kPreviousCommandTime = seconds(5);
+/// By this time after its last command, no lease of the previous leader is
+/// valid any more, also on the slowest clock of a worker.
 constexpr Duration kPreviousLeaseTime = milliseconds(5200);
 constexpr Duration kExpiryPeriod = seconds(2);
 /// Ended jobs are kept longer than the status retention by this factor.
@@ -69,7 +69,7 @@
   , m_scheduler(net::Loop::Now(),
                 aClaim.m_term,
                 ToWorkerIds(aClaim.m_workers),
-                net::Loop::Now() + kPreviousCommandTime + kPreviousLeaseTime)
+                net::Loop::Now() + pool::kLeaderLease + kPreviousLeaseTime)
   , m_advice(aContext.m_settings.m_vm)
   , m_expiry(std::make_shared<JobExpiry>(aContext.m_store))
   , m_planTimer(aContext.m_loop, kPlanPeriod, [this] { Plan(); })
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -73,6 +73,8 @@
   void Close();
   /// The previous leader no longer sends commands.
   void OnPreviousLeaderStopped();
+  /// True once nothing that earlier leaders have commanded can go on unknown.
+  bool IsSettled() const { return m_scheduler.IsSettled(); }
   /// True once the stored jobs are loaded.
   bool IsLoaded() const { return m_loaded; }
 
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -175,7 +175,8 @@
                 { "address", aRow.m_address },
                 { "incarnation", aRow.m_incarnation },
                 { "term", aRow.m_term },
-                { "workers", aRow.m_workers } });
+                { "workers", aRow.m_workers },
+                { "settled", aRow.m_settled } });
 }
 
 Result<Job>
@@ -230,6 +231,7 @@
     row.m_incarnation = NumberField<std::uint64_t>(json, "incarnation");
     row.m_term = NumberField<std::uint64_t>(json, "term");
     row.m_workers = TypedField<std::vector<std::string>>(json, "workers");
+    row.m_settled = json.value("settled", false);
     return row;
   });
 }
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -95,6 +95,9 @@
   std::uint64_t m_term = 0; ///< fencing token of the leader at all workers
   /// Workers on which its tasks may run.
   std::vector<std::string> m_workers;
+  /// No leader before this one can send commands, and none of its leases is
+  /// valid any more.
+  bool m_settled = false;
 
   bool operator==(const LeaderRow&) const = default;
 };
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -77,6 +77,7 @@
   ElectionAction action{ aStep, m_version, m_self };
   action.m_row.m_term = aTerm;
   action.m_row.m_workers = m_workers;
+  action.m_row.m_settled = m_settled;
   if (m_resigned) {
     action.m_row.m_vm.clear();
   }
@@ -113,6 +114,7 @@
     // Tasks of the previous leader may run on its workers until they report to
     // this one, so the row must still name them for a successor.
     m_workers = m_row.m_workers;
+    m_settled = false;
     return Write(aNow, ElectionStep::Claim, m_row.m_term + 1);
   }
   const bool leaderSuspected = m_probeResult != LeaderProbeResult::Leads;
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -118,6 +118,8 @@
   {
     m_workers = std::move(aWorkers);
   }
+  /// Whether the next renewal marks the leadership as settled.
+  void SetSettled(bool aSettled) { m_settled = aSettled; }
   /// Renews at the next tick instead of after the period.
   void RenewSoon() { m_renewSoon = true; }
 
@@ -146,6 +148,7 @@
   Time m_retryAt = Time::min();
   LeaderProbeResult m_probeResult = LeaderProbeResult::Leads;
   std::vector<std::string> m_workers;
+  bool m_settled = false;
 };
 
 } // namespace lacewing::pool
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -134,6 +134,9 @@
   void SetAskingVms(int aVms) { m_askingVms = aVms; }
   /// All leases of the previous leader have expired by this time.
   void SetBarrier(Time aBarrier);
+  /// True once all workers of the previous leader have reported or its leases
+  /// have expired.
+  bool IsSettled() const { return m_barrierPassed; }
 
   /// Replaces the list of workers.
   void SetWorkers(Time aNow, const std::vector<WorkerInfo>& aWorkers);
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -15,7 +15,7 @@
 LeaderRow
 Self(const std::string& aVm)
 {
-  return { aVm, "127.0.0.1:1", kIncarnation, 0, {} };
+  return { aVm, "127.0.0.1:1", kIncarnation, 0, {}, false };
 }
 
 LeaderRow
@@ -180,6 +180,27 @@
   EXPECT_FALSE(election.MaySendCommands(kStart + milliseconds(6100)));
 }
 
+/// Each of two leaders within seconds ended by a kill. The third one waited
+/// only for the leases of the second, while the first, cut off, still sent
+/// commands.
+TEST(PoolElection, ClaimIsNotSettledUntilTheLeaderSaysSo)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  LeaderRow previous = RowOf("b", 4);
+  previous.m_vm.clear();
+  previous.m_settled = true;
+  election.OnRow(kStart, previous, 40);
+  const ElectionAction claim = election.OnTick(kStart);
+  ASSERT_EQ(claim.m_step, ElectionStep::Claim);
+  EXPECT_FALSE(claim.m_row.m_settled);
+  election.OnWritten(kStart, claim.m_row, 41);
+  EXPECT_FALSE(election.OnTick(kStart + seconds(1)).m_row.m_settled);
+  election.OnWritten(kStart + seconds(1), claim.m_row, 42);
+  election.SetSettled(true);
+  EXPECT_TRUE(election.OnTick(kStart + seconds(2)).m_row.m_settled);
+}
+
 TEST(PoolElection, ResignedLeaderLeavesARowThatAnyoneMayClaim)
 {
   LeaderElection election(Self("a"), {});
