--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -14,6 +14,10 @@
 
 namespace lacewing::pool {
 
+/// Latest start of a worker that is believed, in milliseconds since the Unix
+/// epoch: the year 2100. A later one would hide all true incarnations.
+inline constexpr std::int64_t kMaxIncarnation = 4'102'444'800'000;
+
 /// A worker's description of itself.
 struct WorkerInfo
 {
