--- a/tests/error/OddWorkerEntries.cpp
+++ b/tests/error/OddWorkerEntries.cpp
@@ -116,6 +116,36 @@
     [&] { return cell.Leader().Scheduler().Workers().size() == 1; }));
 }
 
+/// A value that is not base64 made the whole page unreadable, so that the list
+/// was read again and again.
+TEST(OddWorkerEntries, ValueThatIsNotBase64DoesNotHideTheOtherRows)
+{
+  const auto page = TryDecode<platform::PageResult>([] {
+    return platform::DecodePage(
+      R"({"ver":9,"rows":[
+        {"table":"servers","key":"a","ver":1,"value":"not base64"},
+        {"table":"servers","key":"b","ver":2,"value":7},
+        {"table":"servers","key":"c","ver":3,"value":"e30="}]})");
+  });
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->m_read.m_rows.at("servers//a").m_value, "");
+  EXPECT_EQ(page->m_read.m_rows.at("servers//b").m_value, "");
+  EXPECT_EQ(page->m_read.m_rows.at("servers//c").m_value, "{}");
+}
+
+/// The key after which the next page begins stood in the request as it was.
+TEST(OddWorkerEntries, KeyWithSpecialCharactersCanBeRead)
+{
+  StoreCell cell;
+  const std::string key = "servers//odd &limit=0#%1 key";
+  cell.Put({ { key, "value" } });
+  std::optional<platform::PageResult> page;
+  cell.Store().ReadRow(
+    key, seconds(2), [&](const platform::PageResult& aPage) { page = aPage; });
+  ASSERT_TRUE(cell.RunUntil([&] { return page.has_value(); }));
+  EXPECT_TRUE(page->m_read.m_rows.contains(key));
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
