Do not claim over a leader's row that cannot be read

Cause: a row of the leader that could not be decoded counted as no leader. The claim then began with the first term, below the fencing tokens that workers have seen. Found by the review; needs a damaged row.

Change: such a row counts as a failed read. No test of its own.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -245,6 +245,11 @@
         row = TryDecode<pool::LeaderRow>(
           [&] { return pool::DecodeLeader(item.second.m_value); });
       }
+      if (version != 0 && !row) {
+        // A claim over a row that cannot be read could have too low a term.
+        m_election.OnReadFailed(now);
+        return;
+      }
       m_election.OnRow(now, row, version);
       UpdateRole();
       m_timer.CallSoon();
