Apply cancellations that come while their job is read

Cause: the leader dropped a cancellation of a job that it did not know. While such a job is being read this takes several reads, and the job then ran although its caller had been told that it was cancelled.

Change: cancellations of unknown jobs are kept and applied when the job becomes known. Besides: the progress is read before the row, since expiry deletes the row first; a read after a truncated history always looks a job up, since it may bring ended jobs whose deletion has failed; failed look-ups are logged and repeated after a growing delay; a job with a younger row is taken in although it is being looked up.

--- a/src/edge/JobFinder.cpp
+++ b/src/edge/JobFinder.cpp
@@ -25,16 +25,19 @@
   return found;
 }
 
-/// Adds the progress in the page to the job.
+/// Joins the job's row with the page of its progress, which was read before.
 JobLookUp
-WithProgress(const FoundJob& aFound,
-             const platform::PageResult& aPage,
-             RowVersion aNotBefore)
+Join(const FoundJob& aFound,
+     const platform::PageResult& aProgress,
+     RowVersion aNotBefore)
 {
   JobLookUp result;
-  result.m_known = IsReadAt(aPage, aNotBefore);
+  result.m_known = aFound.m_known && IsReadAt(aProgress, aNotBefore);
+  if (!result.m_known || !aFound.m_job) {
+    return result;
+  }
   StoredJob job{ *aFound.m_job, {}, aFound.m_version };
-  for (const auto& item : aPage.m_read.m_rows) {
+  for (const auto& item : aProgress.m_read.m_rows) {
     auto progress = TryDecode<pool::JobProgress>(
       [&] { return pool::DecodeProgress(item.second.m_value); });
     result.m_known = result.m_known && progress.has_value();
@@ -89,23 +92,22 @@
           Duration aTimeout,
           std::function<void(const JobLookUp&)> aDone)
 {
-  FindJobRow(aStore,
-             aJob,
-             aNotBefore,
-             aTimeout,
-             [&aStore, aJob, aNotBefore, aTimeout, aDone = std::move(aDone)](
-               const FoundJob& aFound) {
-               if (!aFound.m_known || !aFound.m_job) {
-                 aDone({ aFound.m_known, std::nullopt });
-                 return;
-               }
-               aStore.ReadRow(pool::ProgressKey(aJob),
-                              aTimeout,
-                              [aFound, aNotBefore, aDone](
-                                const platform::PageResult& aPage) {
-                                aDone(WithProgress(aFound, aPage, aNotBefore));
-                              });
-             });
+  // Expiry deletes the rows of a job before its progress. In the opposite order
+  // the row could be read just before, and the progress just after they are
+  // deleted.
+  aStore.ReadRow(
+    pool::ProgressKey(aJob),
+    aTimeout,
+    [&aStore, aJob, aNotBefore, aTimeout, aDone = std::move(aDone)](
+      const platform::PageResult& aProgress) {
+      FindJobRow(aStore,
+                 aJob,
+                 aNotBefore,
+                 aTimeout,
+                 [aProgress, aNotBefore, aDone](const FoundJob& aFound) {
+                   aDone(Join(aFound, aProgress, aNotBefore));
+                 });
+    });
 }
 
 } // namespace lacewing::edge
--- a/src/edge/JobFinder.h
+++ b/src/edge/JobFinder.h
@@ -38,7 +38,7 @@
   std::optional<StoredJob> m_job; ///< `nullopt` if the job does not exist
 };
 
-/// Reads the job's row and then its progress, both at `aNotBefore` or a later
+/// Reads the job's progress and then its row, both at `aNotBefore` or a later
 /// version. Calls back exactly once.
 void
 LookUpJob(platform::TableStore& aStore,
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -12,7 +12,10 @@
 namespace {
 
 constexpr Duration kReadTimeout = milliseconds(1000);
-constexpr Duration kRetryPause = milliseconds(100);
+/// Delay before a job whose rows could not be read is read again; it doubles
+/// with each failure.
+constexpr Duration kFirstLookUpDelay = milliseconds(100);
+constexpr Duration kLongestLookUpDelay = milliseconds(1600);
 /// Daemons send new jobs to the leader at once; the watch of the job table
 /// finds jobs whose message was lost.
 constexpr Duration kJobWatchPeriod = milliseconds(1000);
@@ -267,6 +270,9 @@
                      milliseconds(age),
                      aJob.m_progress,
                      !isNew || aSource == JobSource::LookUp);
+  if (m_unappliedCancellations.erase(id) > 0) {
+    CancelJob(id);
+  }
   m_planTimer.CallSoon();
 }
 
@@ -281,7 +287,9 @@
   // Earlier leaders cannot store progress after the claim, and the load has
   // read all jobs whose rows are older. So only a job with a younger row is
   // known to have no progress.
-  if (aRowVersion > m_claimVersion && !m_lookUps.contains(aJob.m_id)) {
+  // After a truncated history the rows include those of ended jobs whose
+  // deletion has failed.
+  if (aRowVersion > m_claimVersion && aSource != JobSource::Reload) {
     Add({ aJob, {}, aRowVersion }, aSource);
   } else {
     LookUp(aJob.m_id, aSource);
@@ -291,10 +299,12 @@
 void
 PoolLeader::CancelJob(const JobId& aJob)
 {
-  if (m_scheduler.CancelJob(net::Loop::Now(), aJob)) {
-    m_planTimer.CallSoon();
-    m_hooks.m_onUnsaved();
+  if (!m_scheduler.CancelJob(net::Loop::Now(), aJob)) {
+    m_unappliedCancellations.insert(aJob);
+    return;
   }
+  m_planTimer.CallSoon();
+  m_hooks.m_onUnsaved();
 }
 
 std::optional<JobView>
@@ -520,9 +530,14 @@
 void
 PoolLeader::LookUp(const JobId& aJob, JobSource aSource)
 {
-  if (!m_lookUps.insert(aJob).second) {
-    return;
+  if (m_lookUps.emplace(aJob, kFirstLookUpDelay).second) {
+    ReadJob(aJob, aSource);
   }
+}
+
+void
+PoolLeader::ReadJob(const JobId& aJob, JobSource aSource)
+{
   LookUpJob(m_context.m_store,
             aJob,
             m_claimVersion,
@@ -539,11 +554,17 @@
                        JobSource aSource,
                        const JobLookUp& aResult)
 {
-  m_lookUps.erase(aJob);
   if (!aResult.m_known) {
-    After(kRetryPause, [this, aJob, aSource] { LookUp(aJob, aSource); });
+    Duration& delay = m_lookUps.at(aJob);
+    m_context.m_log.Write(
+      settings::LogLevel::Warn,
+      "look_up_failed",
+      { { "request", aJob.Value() }, { "retry_ms", ToMilliseconds(delay) } });
+    After(delay, [this, aJob, aSource] { ReadJob(aJob, aSource); });
+    delay = std::min(delay * 2, kLongestLookUpDelay);
     return;
   }
+  m_lookUps.erase(aJob);
   if (aResult.m_job) {
     Add(*aResult.m_job, aSource);
   } else {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -54,7 +54,7 @@
   Reload, ///< a load after the history of changes was truncated
   Watch,  ///< the watch of the job table
   Front,  ///< the message of a daemon that has accepted it
-  LookUp, ///< a worker runs one of its tasks
+  LookUp, ///< a worker has reported a run or an end of one of its tasks
 };
 
 class PoolLeader : public std::enable_shared_from_this<PoolLeader>
@@ -126,6 +126,7 @@
   /// Reads an unknown job and its progress, until it is found or is known not
   /// to exist.
   void LookUp(const JobId& aJob, JobSource aSource);
+  void ReadJob(const JobId& aJob, JobSource aSource);
   void OnLookedUp(const JobId& aJob,
                   JobSource aSource,
                   const JobLookUp& aResult);
@@ -156,7 +157,10 @@
   bool m_workersRead = false; ///< at least once
   bool m_loaded = false;
   Time m_loadedAt{};
-  std::set<JobId> m_lookUps; ///< jobs that are being looked up
+  /// Jobs that are being looked up, with the delay before the next attempt.
+  std::map<JobId, Duration> m_lookUps;
+  /// Jobs that were cancelled before they became known here.
+  std::set<JobId> m_unappliedCancellations;
   RowVersion m_jobsAfter = 0;
   RowVersion m_workersAfter = 0;
 
--- a/tests/correctness/EdgeJobLoad.cpp
+++ b/tests/correctness/EdgeJobLoad.cpp
@@ -63,9 +63,8 @@
   EXPECT_EQ(view->m_state, pool::JobState::Completed);
 }
 
-/// A repeated submission, the watch, and a read after a truncated history added
-/// a job that the leader did not know without its progress: done tasks ran
-/// again.
+/// A repeated submission and a read after a truncated history added a job that
+/// the leader did not know without its progress: done tasks ran again.
 class EdgeJobEntrance : public testing::Test
 {
 protected:
@@ -81,6 +80,19 @@
       [&] { return m_cell.Leader().ViewOf(aJob).has_value(); });
   }
 
+  /// The watch would bring the job first, as younger than the claim.
+  void HideJobsFromWatch()
+  {
+    m_cell.OverrideWith(
+      [](const net::HttpRequest& aRequest) -> std::optional<net::HttpResponse> {
+        if (aRequest.m_path == "/api/rows-feed" &&
+            aRequest.Query("table") == "jobs") {
+          return net::JsonResponse(200, R"({"rows":[],"ver":1})");
+        }
+        return std::nullopt;
+      });
+  }
+
   LeaderCell m_cell;
   bool m_led = false;
   const pool::Job m_job = PoolJob("job", kPatientQueue, { PoolStep(1) });
@@ -89,7 +101,7 @@
 TEST_F(EdgeJobEntrance, RepeatedSubmissionBringsTheJobWithItsProgress)
 {
   ASSERT_TRUE(m_led);
-  m_cell.Hold("rows-feed?table=jobs");
+  HideJobsFromWatch();
   m_cell.PutProgress(m_job.m_id, Completed());
   m_cell.PutJob(m_job, pool::JobLocation::Second);
   m_cell.Leader().AddJob(m_job, 0, edge::JobSource::Front);
@@ -102,6 +114,7 @@
 TEST_F(EdgeJobEntrance, UnansweredReadOfAJobIsRepeated)
 {
   ASSERT_TRUE(m_led);
+  HideJobsFromWatch();
   m_cell.PutProgress(m_job.m_id, Completed());
   m_cell.PutJob(m_job);
   m_cell.Hold("table=progress");
@@ -121,12 +134,40 @@
 {
   ASSERT_TRUE(m_led);
   m_cell.PutJob(m_job);
+  const std::size_t before = m_cell.Requests("rows-get?table=progress");
   m_cell.Leader().AddJob(m_job, m_cell.Version(), edge::JobSource::Front);
+  EXPECT_EQ(m_cell.Requests("rows-get?table=progress"), before);
   const auto view = m_cell.Leader().ViewOf(m_job.m_id);
   ASSERT_TRUE(view);
   EXPECT_EQ(view->m_state, pool::JobState::Pending);
 }
 
+TEST_F(EdgeJobEntrance, ReadAfterATruncatedHistoryBringsJobsWithTheirProgress)
+{
+  ASSERT_TRUE(m_led);
+  m_cell.PutProgress(m_job.m_id, Completed());
+  m_cell.PutJob(m_job);
+  m_cell.ForgetHistory();
+  ASSERT_TRUE(IsShown(m_job.m_id));
+  EXPECT_EQ(m_cell.Leader().ViewOf(m_job.m_id)->m_state,
+            pool::JobState::Completed);
+}
+
+/// A cancellation that came while its job was being read was lost, and the job
+/// ran although its caller had been told that it was cancelled.
+TEST_F(EdgeJobEntrance, CancellationDuringTheReadOfItsJobIsApplied)
+{
+  ASSERT_TRUE(m_led);
+  m_cell.Hold("rows-");
+  m_cell.PutJob(m_job);
+  m_cell.Leader().AddJob(m_job, 0, edge::JobSource::Front);
+  m_cell.Leader().CancelJob(m_job.m_id);
+  m_cell.Release();
+  ASSERT_TRUE(IsShown(m_job.m_id));
+  EXPECT_EQ(m_cell.Leader().ViewOf(m_job.m_id)->m_state,
+            pool::JobState::Cancelled);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
