Stop repeating a start that the worker has listed

Cause: a start without an answer was sent again also after an inventory had listed its run. If the worker restarted then, the new incarnation could execute the further copy, while the run that had been listed was taken for ended and started elsewhere: two runs at the same time (TWICE). And a stop whose time came while no commands were allowed for a moment was never sent again, so a cancelled run went on.

Change: a listed start is not sent again; a stop is retried until it is confirmed or not wanted. A copy that is on its way during the restart can still be executed by the new incarnation; the run is then stopped when it is reported.

Evidence: ListedStartIsKnownToTheSender tests the condition; the retry of the stop has no test of its own.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -216,7 +216,9 @@
 void
 WorkerLinks::SendStart(const pool::StartTask& aStart, bool aInDoubt)
 {
-  if (!m_scheduler.IsWanted(aStart)) {
+  // A start that an inventory has listed needs no answer; a further copy could
+  // be executed by the next incarnation of the worker.
+  if (!m_scheduler.IsWanted(aStart) || m_scheduler.IsListed(aStart)) {
     return;
   }
   const Time now = net::Loop::Now();
@@ -288,9 +290,12 @@
 void
 WorkerLinks::Stop(const pool::StopTask& aStop)
 {
+  if (!m_scheduler.IsWanted(aStop)) {
+    return;
+  }
   const auto address = AddressOf(aStop.m_worker);
-  if (!m_scheduler.IsWanted(aStop) || !address ||
-      !m_hooks.m_maySendCommands()) {
+  if (!address || !m_hooks.m_maySendCommands()) {
+    StopLater(aStop);
     return;
   }
   m_client.Stop(
@@ -314,12 +319,18 @@
         self->m_scheduler.OnStopConfirmed(aStop);
         return;
       }
-      self->m_loop.After(kRetryPause, [weak, aStop] {
-        if (const auto again = weak.lock(); again && !again->m_closed) {
-          again->Stop(aStop);
-        }
-      });
+      self->StopLater(aStop);
     });
 }
 
+void
+WorkerLinks::StopLater(const pool::StopTask& aStop)
+{
+  m_loop.After(kRetryPause, [weak = weak_from_this(), aStop] {
+    if (const auto self = weak.lock(); self && !self->m_closed) {
+      self->Stop(aStop);
+    }
+  });
+}
+
 } // namespace lacewing::edge
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -18,14 +18,13 @@
 /// Added to the end of a lease for the resolution of the clocks.
 constexpr Duration kLeaseMargin = milliseconds(50);
 
-/// False if the run has certainly ended with the previous incarnation of its
-/// worker.
+/// False if the run has ended with the previous incarnation of its worker.
 bool
 MayRunAfterRestart(const TaskRef& aTask,
                    const Placement& aPlacement,
                    const Inventory* aInventory)
 {
-  if (aPlacement.m_listedBy != 0) {
+  if (aPlacement.m_wasListed) {
     return false;
   }
   if (aInventory == nullptr) {
@@ -423,16 +422,30 @@
   return deadline;
 }
 
-bool
-PoolScheduler::IsWanted(const StartTask& aStart) const
+const Placement*
+PoolScheduler::PlacementOf(const StartTask& aStart) const
 {
   const auto worker = m_workers.find(aStart.m_worker);
   if (worker == m_workers.end()) {
-    return false;
+    return nullptr;
   }
   const auto placement = worker->second.m_placements.find(aStart.m_task);
-  return placement != worker->second.m_placements.end() &&
-         placement->second.m_run == aStart.m_run;
+  const bool same = placement != worker->second.m_placements.end() &&
+                    placement->second.m_run == aStart.m_run;
+  return same ? &placement->second : nullptr;
+}
+
+bool
+PoolScheduler::IsWanted(const StartTask& aStart) const
+{
+  return PlacementOf(aStart) != nullptr;
+}
+
+bool
+PoolScheduler::IsListed(const StartTask& aStart) const
+{
+  const Placement* placement = PlacementOf(aStart);
+  return placement != nullptr && placement->m_wasListed;
 }
 
 bool
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -189,6 +189,8 @@
   /// matters.
   bool IsWanted(const StartTask& aStart) const;
   bool IsWanted(const StopTask& aStop) const;
+  /// True if the worker has reported the run.
+  bool IsListed(const StartTask& aStart) const;
 
   const TrackedJob* FindJob(const JobId& aJob) const;
   /// The state that callers may be shown: a final one only once it is stored.
@@ -352,6 +354,8 @@
   void DropAllPlacements(WorkerRecord& aWorker);
   void MarkDirty(TrackedJob& aJob);
   TrackedJob* Find(const JobId& aJob);
+  /// Null if the run is not on the worker any more.
+  const Placement* PlacementOf(const StartTask& aStart) const;
 
   std::uint64_t m_term;
   std::set<WorkerId>
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -256,7 +256,8 @@
   }
   Placement& placement = it->second;
   placement.m_confirmed = true;
-  placement.m_listedBy = aWorker.m_info.m_incarnation;
+  placement.m_wasListed = true;
+  placement.m_sentBeforeRestart = false;
   if (placement.m_state == PlacementState::Starting) {
     placement.m_state = PlacementState::Running;
     placement.m_progressAt = aNow;
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -57,8 +57,8 @@
   bool m_confirmed = false;
   /// When its start was confirmed by a response.
   std::optional<Time> m_confirmedAt;
-  /// Incarnation of the worker whose inventory has listed it; 0 for none.
-  std::int64_t m_listedBy = 0;
+  /// An inventory of the worker's present incarnation has listed it.
+  bool m_wasListed = false;
   /// The worker has restarted since the start was sent: it runs on the new
   /// incarnation or not at all.
   bool m_sentBeforeRestart = false;
--- a/tests/correctness/LoopClock.cpp
+++ b/tests/correctness/LoopClock.cpp
@@ -21,7 +21,7 @@
 
 /// On a machine that has never been suspended this also holds for a clock that
 /// stops meanwhile.
-TEST(LoopClock, CountsTheTimeWhileTheVmIsSuspended)
+TEST(LoopClock, ReadsTheTimeSinceBoot)
 {
   const Time before = TimeSinceBoot();
   const Time now = Loop::Now();
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -180,8 +180,8 @@
   EXPECT_FALSE(election.MaySendCommands(kStart + milliseconds(6100)));
 }
 
-/// Each of two leaders within seconds ended by a kill. The third one waited
-/// only for the leases of the second, while the first, cut off, still sent
+/// A claim says nothing about the leader before: a third leader that waited
+/// only for the leases of the second missed the first, which still sent
 /// commands.
 TEST(PoolElection, ClaimIsNotSettledUntilTheLeaderSaysSo)
 {
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -106,8 +106,8 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
-/// The new incarnation shortens the lease in the start to the longest one that
-/// workers accept, and that lease counts from the arrival of the start.
+/// The new incarnation may have taken the longest lease that workers accept, at
+/// the latest when its restart was noticed.
 TEST_F(PoolWorkerRestarts, TaskOfASilentNewIncarnationWaitsForTheLongestLease)
 {
   ShowRestartInStore();
@@ -117,6 +117,15 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// A start that an inventory has listed was sent again until it was answered;
+/// the new incarnation could execute a further copy.
+TEST_F(PoolWorkerRestarts, ListedStartIsKnownToTheSender)
+{
+  EXPECT_FALSE(Scheduler().IsListed(m_start));
+  m_fixture.ReportInventory(m_start.m_worker, { RunOf(m_start) }, {});
+  EXPECT_TRUE(Scheduler().IsListed(m_start));
+}
+
 /// A command for the earlier incarnation gave the new one the longest lease.
 /// The leader counted with the shorter one that it had sent since.
 TEST_F(PoolWorkerRestarts, NewIncarnationMayHoldTheLongestLease)
