Wait for the counts of all stand-ins at the end of a load run

Cause: the timer that polls jobs every 250 ms goes on after the load has ended. While the loop runs again to read the counts, the timer finds everything done once more and stops the loop. Counts that took longer than that were missing: answered requests were reported as not run, and double starts were overlooked. The late answer then wrote to local variables of a function that had returned. Nothing else in src/load or src/net stops the loop.

Change: the timer does nothing once the load is over. The counts are read by one function for endpoints and workers, which runs the loop until all have answered or timed out; its callbacks share the sum that they write to.

Evidence: on the code before, both tests of LoadSlowCounts fail (30 untrue and 0 double starts instead of 0 and 16).

--- a/src/load/LoadRunner.cpp
+++ b/src/load/LoadRunner.cpp
@@ -65,8 +65,11 @@
   m_start = net::Loop::Now();
   ScheduleArrivals();
   m_loop.Every(kJobPollPeriod, [this] {
-    PollJobs();
-    FinishWhenDone();
+    // The loop also runs while the counts are read.
+    if (!m_loadOver) {
+      PollJobs();
+      FinishWhenDone();
+    }
   });
   m_loop.Run();
   CheckExecutions();
@@ -357,38 +360,61 @@
                 token + " (" + job.m_id + ") did not end");
     }
   }
+  m_loadOver = true;
   m_loop.Stop();
 }
 
+LoadRunner::Counts
+LoadRunner::ReadCounts(const std::vector<net::Address>& aServers,
+                       const std::string& aName)
+{
+  const auto sum = std::make_shared<CountSum>();
+  sum->m_waiting = aServers.size();
+  net::HttpRequest request;
+  request.m_method = "GET";
+  request.m_path = "/" + aName;
+  for (const net::Address& server : aServers) {
+    m_http.Send(server,
+                request,
+                kReplyMargin,
+                [this, sum, aName](const net::HttpOutcome& aOutcome) {
+                  AddCounts(aOutcome, aName, sum->m_counts);
+                  if (--sum->m_waiting == 0) {
+                    m_loop.Stop();
+                  }
+                });
+  }
+  // Every request ends by its timeout, so this ends even if others stop the
+  // loop.
+  while (sum->m_waiting > 0) {
+    m_loop.Run();
+  }
+  return sum->m_counts;
+}
+
+void
+LoadRunner::AddCounts(const net::HttpOutcome& aOutcome,
+                      const std::string& aName,
+                      Counts& aCounts)
+{
+  if (!IsStatus(aOutcome, kOk)) {
+    return;
+  }
+  const auto body =
+    nlohmann::json::parse(aOutcome.m_response->m_body, nullptr, false);
+  const auto counts = body.value(aName, nlohmann::json::object());
+  for (const auto& [key, count] : counts.items()) {
+    aCounts[key] += count.get<int>();
+  }
+}
+
 void
 LoadRunner::CheckExecutions()
 {
   if (m_options.m_endpoints.empty()) {
     return;
   }
-  std::unordered_map<std::string, int> executions;
-  std::size_t waiting = m_options.m_endpoints.size();
-  net::HttpRequest request;
-  request.m_method = "GET";
-  request.m_path = "/executions";
-  for (const net::Address& endpoint : m_options.m_endpoints) {
-    m_http.Send(
-      endpoint, request, kReplyMargin, [&](const net::HttpOutcome& aOutcome) {
-        if (IsStatus(aOutcome, kOk)) {
-          const auto body =
-            nlohmann::json::parse(aOutcome.m_response->m_body, nullptr, false);
-          const auto counts =
-            body.value("executions", nlohmann::json::object());
-          for (const auto& [token, count] : counts.items()) {
-            executions[token] += count.get<int>();
-          }
-        }
-        if (--waiting == 0) {
-          m_loop.Stop();
-        }
-      });
-  }
-  m_loop.Run();
+  Counts executions = ReadCounts(m_options.m_endpoints, "executions");
   for (const auto& [token, state] : m_requests) {
     CheckToken(token, state, executions[token]);
   }
@@ -422,28 +448,8 @@
   if (m_options.m_workers.empty() || m_jobs.empty()) {
     return;
   }
-  std::unordered_map<std::string, int> starts; ///< by "job/index"
-  std::size_t waiting = m_options.m_workers.size();
-  net::HttpRequest request;
-  request.m_method = "GET";
-  request.m_path = "/starts";
-  for (const net::Address& worker : m_options.m_workers) {
-    m_http.Send(
-      worker, request, kReplyMargin, [&](const net::HttpOutcome& aOutcome) {
-        if (IsStatus(aOutcome, kOk)) {
-          const auto body =
-            nlohmann::json::parse(aOutcome.m_response->m_body, nullptr, false);
-          const auto counts = body.value("starts", nlohmann::json::object());
-          for (const auto& [task, count] : counts.items()) {
-            starts[task] += count.get<int>();
-          }
-        }
-        if (--waiting == 0) {
-          m_loop.Stop();
-        }
-      });
-  }
-  m_loop.Run();
+  // By "job/index".
+  Counts starts = ReadCounts(m_options.m_workers, "starts");
   for (const auto& [token, job] : m_jobs) {
     if (!job.m_kind->m_spec.m_atMostOnce || job.m_id.empty()) {
       continue;
--- a/src/load/LoadRunner.h
+++ b/src/load/LoadRunner.h
@@ -73,6 +73,15 @@
     bool m_over = false;
   };
 
+  using Counts = std::unordered_map<std::string, int>;
+
+  /// Counts of several stand-ins, added up as their answers come.
+  struct CountSum
+  {
+    Counts m_counts;
+    std::size_t m_waiting = 0; ///< stand-ins that have not answered yet
+  };
+
   void ScheduleArrivals();
   void StartRequest();
   void SendRequest(const std::string& aToken);
@@ -91,6 +100,13 @@
   void OnJobStatus(const std::string& aToken, const net::HttpOutcome& aOutcome);
 
   void FinishWhenDone();
+  /// Runs the loop until all servers have answered or timed out. The path and
+  /// the field of the answer have the same name.
+  Counts ReadCounts(const std::vector<net::Address>& aServers,
+                    const std::string& aName);
+  static void AddCounts(const net::HttpOutcome& aOutcome,
+                        const std::string& aName,
+                        Counts& aCounts);
   void CheckExecutions();
   void CheckTaskStarts();
   void CheckToken(const std::string& aToken,
@@ -108,6 +124,7 @@
   std::mt19937_64 m_random;
   Time m_start{};
   bool m_arrivalsOver = false;
+  bool m_loadOver = false; ///< everything has ended or was waited for
   std::uint64_t m_nextToken = 1;
   std::size_t m_openRequests = 0;
   std::size_t m_openJobs = 0;
