Let the pool simulation load and look up jobs with delayed reads

What the model could not see: a new leader had all jobs and all progress at once, and a job that it met later was added at once. A job that enters the scheduler without its stored progress could not occur.

What it sees now, with m_delayedReads: job rows, progress rows and claims share one counter of versions. The load reads job rows and progress rows at separate times, 0 to 600 ms after the claim, and the leader plans and takes jobs once both are joined. Messages of fronts arrive 1 to 400 ms late at any of the leaders, repeated submissions 0.5 to 5 s later without a version. Jobs whose row may be older than the claim are read 5 to 200 ms later and then added.

--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -52,6 +52,22 @@
   }
 }
 
+PoolSimulationOptions
+WithDelayedReads()
+{
+  PoolSimulationOptions options;
+  options.m_delayedReads = true;
+  return options;
+}
+
+TEST(PoolHistories, DelayedReadsLoseAndDuplicateNothing)
+{
+  PoolSimulationOptions options = WithDelayedReads();
+  for (options.m_seed = 1; options.m_seed <= kSeeds; ++options.m_seed) {
+    ExpectCompleteAndSafe(options);
+  }
+}
+
 /// Seeds that found faults: ends confirmed without a lease (54, 250, 362, 405)
 /// and runs adopted too late (61, 300, 394).
 TEST(PoolHistories, SeedsOfEarlierFailuresPass)
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -26,6 +26,11 @@
   bool m_leaderChanges = true;
   bool m_unresponsiveWorkers = true;
   bool m_lateCommands = true;
+  /// A new leader reads the rows of the jobs and those of their progress at
+  /// different times and is loaded once both are read. Jobs that it learns of
+  /// otherwise have no progress if their row is younger than its claim; the
+  /// others are looked up. If false, it knows all rows at once.
+  bool m_delayedReads = false;
   /// False only to show that the checks detect the fault: the successor does
   /// not wait for the workers of the previous leader.
   bool m_waitForPreviousWorkers = true;
@@ -33,6 +38,16 @@
   bool m_workersCheckTerms = true;
   /// Likewise, if false: a start without a reply counts as not sent.
   bool m_unansweredMayRun = true;
+  /// Likewise, if false: the load adds the jobs with empty progress as soon as
+  /// their rows are read. Only with delayed reads.
+  bool m_loadWaitsForProgress = true;
+  /// Likewise, if false: jobs that are looked up are added with empty progress.
+  /// Only with delayed reads.
+  bool m_lookUpsReadProgress = true;
+  /// The load misses a third of the job rows, so that a leader meets unknown
+  /// jobs that have progress. Complete loads leave none of these to look up.
+  /// Only with delayed reads.
+  bool m_loadsMissJobs = false;
 };
 
 class PoolSimulation
@@ -77,6 +92,8 @@
   /// All starts that workers executed, in order.
   const std::vector<std::string>& Starts() const { return m_starts; }
   const std::vector<std::string>& Violations() const { return m_violations; }
+  /// Jobs with stored progress that leaders looked up.
+  std::size_t LookUpsWithProgress() const { return m_lookUpsWithProgress; }
   std::size_t Jobs() const { return m_jobs.size(); }
   std::size_t Completed() const
   {
@@ -89,6 +106,9 @@
 
 private:
   using TaskRef = pool::TaskRef;
+  using RowVersion = std::uint64_t;
+  using JobRows = std::map<JobId, pool::Job>;
+  using ProgressRows = std::map<JobId, pool::JobProgress>;
 
   struct RunState
   {
@@ -111,6 +131,11 @@
   struct SimLeader
   {
     std::uint64_t m_term = 0;
+    RowVersion m_claimVersion = 0;
+    bool m_loaded = false;
+    std::optional<JobRows> m_jobRows;           ///< read by the load
+    std::optional<ProgressRows> m_progressRows; ///< likewise
+    std::set<JobId> m_lookUps;                  ///< in flight
     std::unique_ptr<pool::PoolScheduler> m_scheduler;
     Time m_stopsAt = Time::max(); ///< of a deposed leader
     bool m_recording = false;     ///< its row is being written
@@ -157,6 +182,7 @@
     ++m_term;
     auto leader = std::make_shared<SimLeader>();
     leader->m_term = m_term;
+    leader->m_claimVersion = ++m_version;
     std::set<pool::WorkerId> previous;
     if (m_term > 1 && m_options.m_waitForPreviousWorkers) {
       previous = { m_rowWorkers.begin(), m_rowWorkers.end() };
@@ -166,11 +192,130 @@
       m_now, m_term, previous, m_now + seconds(7));
     leader->m_scheduler->SetConfig(m_now, PoolSample(kTeamLimit));
     leader->m_scheduler->SetWorkers(m_now, m_infos);
+    m_leaders.push_back(leader);
+    if (m_options.m_delayedReads) {
+      Load(leader);
+      return;
+    }
     for (const auto& [id, job] : m_jobs) {
       leader->m_scheduler->AddJob(m_now, job, {}, m_progress[id], true);
     }
     leader->m_scheduler->OnLoaded(m_now);
-    m_leaders.push_back(leader);
+    leader->m_loaded = true;
+  }
+
+  /// Reads the rows of the jobs and of their progress, each at its own time.
+  void Load(const std::shared_ptr<SimLeader>& aLeader)
+  {
+    At(m_now + Between(0, kLongestReadMs), [this, aLeader] {
+      aLeader->m_jobRows = ReadJobRows();
+      if (!m_options.m_loadWaitsForProgress) {
+        aLeader->m_progressRows = ProgressRows();
+      }
+      FinishLoad(*aLeader);
+    });
+    At(m_now + Between(0, kLongestReadMs), [this, aLeader] {
+      if (m_options.m_loadWaitsForProgress) {
+        aLeader->m_progressRows = m_progress;
+      }
+      FinishLoad(*aLeader);
+    });
+  }
+
+  JobRows ReadJobRows()
+  {
+    JobRows rows = m_jobs;
+    if (m_options.m_loadsMissJobs) {
+      std::erase_if(rows, [this](const auto&) { return Chance(1.0 / 3); });
+    }
+    return rows;
+  }
+
+  void FinishLoad(SimLeader& aLeader)
+  {
+    if (aLeader.m_loaded || !aLeader.m_jobRows || !aLeader.m_progressRows) {
+      return;
+    }
+    for (const auto& [id, job] : *aLeader.m_jobRows) {
+      const auto it = aLeader.m_progressRows->find(id);
+      aLeader.m_scheduler->AddJob(
+        m_now,
+        job,
+        {},
+        it == aLeader.m_progressRows->end() ? pool::JobProgress() : it->second,
+        !IsYounger(id, aLeader));
+    }
+    aLeader.m_scheduler->OnLoaded(m_now);
+    aLeader.m_loaded = true;
+  }
+
+  /// True if the job was accepted after the leader's claim.
+  bool IsYounger(const JobId& aJob, const SimLeader& aLeader) const
+  {
+    return m_jobVersions.at(aJob) > aLeader.m_claimVersion;
+  }
+
+  /// Adds a job of a message or of the watch by the same rules as the leader of
+  /// the edge: a job whose row may be older than the claim is looked up.
+  void TakeJob(const std::shared_ptr<SimLeader>& aLeader,
+               const pool::Job& aJob,
+               RowVersion aVersion)
+  {
+    if (!aLeader->m_loaded ||
+        aLeader->m_scheduler->FindJob(aJob.m_id) != nullptr) {
+      return;
+    }
+    if (aVersion > aLeader->m_claimVersion &&
+        !aLeader->m_lookUps.contains(aJob.m_id)) {
+      aLeader->m_scheduler->AddJob(m_now, aJob, {}, {}, false);
+    } else {
+      LookUp(aLeader, aJob.m_id, false);
+    }
+  }
+
+  /// `aRuns` if the job runs on a worker, or ran there.
+  void LookUp(const std::shared_ptr<SimLeader>& aLeader,
+              const JobId& aJob,
+              bool aRuns)
+  {
+    if (!aLeader->m_lookUps.insert(aJob).second) {
+      return;
+    }
+    At(m_now + Between(5, 200), [this, aLeader, aJob, aRuns] {
+      aLeader->m_lookUps.erase(aJob);
+      OnLookedUp(*aLeader, aJob, aRuns);
+    });
+  }
+
+  void OnLookedUp(SimLeader& aLeader, const JobId& aJob, bool aRuns)
+  {
+    const auto job = m_jobs.find(aJob);
+    if (job == m_jobs.end()) {
+      aLeader.m_scheduler->OnJobNotFound(m_now, aJob);
+      return;
+    }
+    pool::JobProgress progress;
+    if (const auto it = m_progress.find(aJob); it != m_progress.end()) {
+      ++m_lookUpsWithProgress;
+      if (m_options.m_lookUpsReadProgress) {
+        progress = it->second;
+      }
+    }
+    aLeader.m_scheduler->AddJob(
+      m_now, job->second, {}, progress, aRuns || !IsYounger(aJob, aLeader));
+  }
+
+  /// Sends the job to one of the leaders of the time of arrival. Fronts know
+  /// the version of the row unless the submission is a repeated one.
+  void SendJob(Time aSentAt, const pool::Job& aJob, RowVersion aVersion)
+  {
+    At(aSentAt + Between(1, kLongestMessageMs),
+       [this, aJob, aVersion] { TakeJob(AnyLeader(), aJob, aVersion); });
+  }
+
+  std::shared_ptr<SimLeader> AnyLeader()
+  {
+    return m_leaders[Pick(0, static_cast<std::uint32_t>(m_leaders.size()) - 1)];
   }
 
   void Arrive()
@@ -189,15 +334,29 @@
     const pool::Job job = PoolJob(
       name, Chance(0.5) ? kUrgentQueue : kPatientQueue, std::move(steps));
     m_jobs[job.m_id] = job;
-    if (Chance(0.8)) {
-      const auto leader =
-        m_leaders[Pick(0, static_cast<std::uint32_t>(m_leaders.size()) - 1)];
+    m_jobVersions[job.m_id] = ++m_version;
+    if (m_options.m_delayedReads) {
+      AnnounceLate(job);
+    } else if (Chance(0.8)) {
+      const auto leader = AnyLeader();
       At(m_now + Between(1, 30), [this, leader, job] {
         leader->m_scheduler->AddJob(m_now, job, {}, {}, false);
       });
     }
   }
 
+  /// Sends most new jobs to a leader, and some of them again later.
+  void AnnounceLate(const pool::Job& aJob)
+  {
+    constexpr RowVersion kUnknownVersion = 0;
+    if (Chance(0.8)) {
+      SendJob(m_now, aJob, m_jobVersions.at(aJob.m_id));
+    }
+    if (Chance(0.5)) {
+      SendJob(m_now + Between(500, 5000), aJob, kUnknownVersion);
+    }
+  }
+
   void InjectFaults()
   {
     if (m_options.m_leaderChanges && Chance(0.003)) {
@@ -245,6 +404,9 @@
 
   void RunLeader(SimLeader& aLeader)
   {
+    if (!aLeader.m_loaded) {
+      return;
+    }
     pool::PoolScheduler& scheduler = *aLeader.m_scheduler;
     const auto shared = SharedOf(aLeader);
     Record(shared);
@@ -256,7 +418,11 @@
       SendStart(shared, start, false);
     }
     for (const JobId& id : actions.m_lookups) {
-      scheduler.AddJob(m_now, m_jobs.at(id), {}, {}, true);
+      if (m_options.m_delayedReads) {
+        LookUp(shared, id, true);
+      } else {
+        scheduler.AddJob(m_now, m_jobs.at(id), {}, {}, true);
+      }
     }
     for (auto& [id, worker] : m_workers) {
       if (m_now >= aLeader.m_nextExtension[id]) {
@@ -270,8 +436,17 @@
     }
     if (m_now >= aLeader.m_nextWatch) {
       aLeader.m_nextWatch = m_now + milliseconds(300);
-      for (const auto& [id, job] : m_jobs) {
-        scheduler.AddJob(m_now, job, {}, {}, false);
+      WatchJobs(shared);
+    }
+  }
+
+  void WatchJobs(const std::shared_ptr<SimLeader>& aLeader)
+  {
+    for (const auto& [id, job] : m_jobs) {
+      if (m_options.m_delayedReads) {
+        TakeJob(aLeader, job, m_jobVersions.at(id));
+      } else {
+        aLeader->m_scheduler->AddJob(m_now, job, {}, {}, false);
       }
     }
   }
@@ -323,6 +498,7 @@
           return;
         }
         m_progress[write.m_job] = write.m_progress;
+        ++m_version;
         At(m_now + milliseconds(5), [this, aLeader, write] {
           aLeader->m_scheduler->OnSaved(m_now, write);
         });
@@ -553,6 +729,8 @@
   }
 
   static constexpr Resources kTeamLimit{ 30'000, 0, 0 };
+  static constexpr int kLongestReadMs = 600;
+  static constexpr int kLongestMessageMs = 400;
 
   PoolSimulationOptions m_options;
   std::mt19937_64 m_random;
@@ -562,8 +740,11 @@
   std::map<pool::WorkerId, SimWorker> m_workers;
   std::vector<std::shared_ptr<SimLeader>> m_leaders;
   std::uint64_t m_term = 0; ///< of the leader in the store's row
-  std::map<JobId, pool::Job> m_jobs;
-  std::map<JobId, pool::JobProgress> m_progress;
+  RowVersion m_version = 0; ///< of the last row written, claims included
+  JobRows m_jobs;
+  std::map<JobId, RowVersion> m_jobVersions;
+  ProgressRows m_progress;
+  std::size_t m_lookUpsWithProgress = 0;
   std::vector<std::string> m_starts;
   std::set<TaskRef> m_everDone;
   std::set<TaskRef> m_done; ///< ends that a leader has confirmed
