Show that the pool histories notice jobs that lose their stored progress

What the model could not see: no test showed that a load that does not wait for the progress, or a look-up without it, breaks a check.

What it sees now: both faults are noticed, as starts of tasks whose end a leader had confirmed. The same histories with correct look-ups complete all jobs and break no rule but the limit of a team.

--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace lacewing::fakes {
 
 namespace {
@@ -129,6 +131,49 @@
   EXPECT_GT(ViolationsOf(options), 0U);
 }
 
+TEST(PoolHistories, ChecksDetectALoadThatDoesNotWaitForTheProgress)
+{
+  PoolSimulationOptions options = WithDelayedReads();
+  options.m_loadWaitsForProgress = false;
+  EXPECT_GT(ViolationsOf(options), 0U);
+}
+
+/// Violations other than starts beyond the limit of a team.
+std::size_t
+ViolationsBesideTeamLimit(const PoolSimulation& aSimulation)
+{
+  const auto& violations = aSimulation.Violations();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(violations, [](const std::string& aViolation) {
+      return !aViolation.starts_with(PoolSimulation::kTeamAboveLimit);
+    }));
+}
+
+/// Leaders meet unknown jobs with progress only if their load was incomplete.
+/// Such leaders can exceed the limit of a team, since the team of an unknown
+/// run is not known, but must not break any other rule.
+TEST(PoolHistories, ChecksDetectLookUpsThatBringJobsWithoutProgress)
+{
+  std::size_t noticed = 0;
+  PoolSimulationOptions options = WithDelayedReads();
+  options.m_loadsMissJobs = true;
+  for (options.m_seed = 1; options.m_seed <= kSeeds; ++options.m_seed) {
+    options.m_lookUpsReadProgress = true;
+    PoolSimulation withProgress(options);
+    withProgress.Run();
+    EXPECT_GT(withProgress.LookUpsWithProgress(), 0U);
+    EXPECT_EQ(ViolationsBesideTeamLimit(withProgress), 0U)
+      << "seed " << options.m_seed;
+    EXPECT_EQ(withProgress.Completed(), withProgress.Jobs());
+
+    options.m_lookUpsReadProgress = false;
+    PoolSimulation withoutProgress(options);
+    withoutProgress.Run();
+    noticed += ViolationsBesideTeamLimit(withoutProgress);
+  }
+  EXPECT_GT(noticed, 0U);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -1,8 +1,8 @@
 /// Simulates a pool under virtual time: workers with leases and fencing tokens,
 /// a store that fences leaders, arriving jobs, and faults from a seed: lost
-/// replies, commands executed late, unresponsive workers, and leader changes
-/// during which the previous leader still sends commands. Checks every start
-/// that a worker executes.
+/// replies, commands executed late, unresponsive workers, leader changes during
+/// which the previous leader still sends commands, and delayed reads of the
+/// stored jobs. Checks every start that a worker executes.
 #pragma once
 
 #include "fakes/PoolSamples.h"
@@ -46,13 +46,17 @@
   bool m_lookUpsReadProgress = true;
   /// The load misses a third of the job rows, so that a leader meets unknown
   /// jobs that have progress. Complete loads leave none of these to look up.
-  /// Only with delayed reads.
+  /// The watch, which lists all jobs here, finds the missed ones. Only with
+  /// delayed reads.
   bool m_loadsMissJobs = false;
 };
 
 class PoolSimulation
 {
 public:
+  /// Begin of the violations by starts beyond the limit of a team.
+  static constexpr const char* kTeamAboveLimit = "team above its limit";
+
   explicit PoolSimulation(PoolSimulationOptions aOptions)
     : m_options(aOptions)
     , m_random(aOptions.m_seed)
@@ -674,7 +678,7 @@
       }
     }
     if (team.m_millicores > kTeamLimit.m_millicores) {
-      Violate("team above its limit", aStart.m_task);
+      Violate(kTeamAboveLimit, aStart.m_task);
     }
     if (m_done.contains(aStart.m_task)) {
       Violate("start after a confirmed end", aStart.m_task);
