Leave a forwarded cancellation in doubt if its answer was lost

Cause: a daemon that cannot reach the store forwards a cancellation to the leader. If the answer was lost, the caller was told not_run (503) although the leader may have stored it.

Change: the call remembers that an attempt had no answer; its refusal is then 504, may_have_run.

Result: EdgeLostAnswers.ForwardedCancellationWithoutAnswerMayHaveRun fails before (503, not_run) and passes after; a refusal by the leader stays not_run.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -403,8 +403,10 @@
 void
 CallerFront::ForwardCancel(const Call& aCall)
 {
-  const std::function<void(bool)> failed = [this, aCall](bool) {
-    RetryOrRefuse(aCall, &CallerFront::Cancel);
+  const std::function<void(bool)> failed = [this, aCall](bool aInDoubt) {
+    Call retried = aCall;
+    retried.m_mayBeStored = aCall.m_mayBeStored || aInDoubt;
+    RetryOrRefuse(retried, &CallerFront::Cancel);
   };
   const bool hasTime = TimeLeft(aCall) >= kMinAttemptTime;
   if (!hasTime || !ForwardToLeader(aCall, kStoreCancelPath, "{}", failed)) {
@@ -417,7 +419,9 @@
                            void (CallerFront::*aRetry)(const Call&))
 {
   if (TimeLeft(aCall) < kMinAttemptTime) {
-    Refuse(aCall, kUnavailable, "store_unreachable");
+    Refuse(aCall,
+           aCall.m_mayBeStored ? kGatewayTimeout : kUnavailable,
+           "store_unreachable");
     return;
   }
   m_context.m_loop.After(kRetryDelay,
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -40,6 +40,8 @@
     Time m_deadline{};
     std::string m_method;
     bool m_isForwarded = false; ///< by another daemon; not forwarded again
+    /// An attempt to store its cancellation had no answer.
+    bool m_mayBeStored = false;
     net::HttpReply m_reply;
   };
 
