Reject jobs whose progress does not fit in a row, and impossible estimates

Cause: a job could have 1000 steps of 100,000 tasks. Its progress row is larger than a row of the store may be, so that the transaction with the progress of up to 60 jobs was refused for ever, and its tasks need more memory than an entry VM has: every leader that loads the job would end. An estimate such as 1e300 ms became a time in the past.

--- a/tests/error/PlatformFormats.cpp
+++ b/tests/error/PlatformFormats.cpp
@@ -103,6 +103,42 @@
   }
 }
 
+/// The rows of an accepted job could be larger than the store takes, and its
+/// tasks larger than the leader's memory: the progress of all jobs in the same
+/// transaction was refused, and each leader that loaded the job ended.
+TEST(PlatformFormats, JobsWithMoreTasksThanARowHoldsAreRejected)
+{
+  const auto accepts = [](const std::string& aSteps) {
+    return TryDecode<pool::Job>([&] {
+             return DecodeJobBody(R"({"spec":"x","steps":[)" + aSteps + "]}");
+           })
+      .has_value();
+  };
+  EXPECT_TRUE(accepts(R"({"count":600},{"count":400})"));
+  EXPECT_FALSE(accepts(R"({"count":600},{"count":401})"));
+  EXPECT_FALSE(accepts(R"({"count":100000})"));
+  EXPECT_FALSE(accepts(R"({"count":4294967295},{"count":2})"));
+}
+
+/// An estimate that does not fit the clock's type became a time in the past or
+/// the far future, and its job went before or after all others.
+TEST(PlatformFormats, ImpossibleEstimatesAreRejected)
+{
+  const auto accepts = [](const std::string& aEstimate) {
+    return TryDecode<pool::Job>([&] {
+             return DecodeJobBody(
+               R"({"spec":"x","steps":[{"count":1,"estimate_ms":)" + aEstimate +
+               "}]}");
+           })
+      .has_value();
+  };
+  EXPECT_TRUE(accepts("0"));
+  EXPECT_TRUE(accepts("86400000"));
+  EXPECT_FALSE(accepts("-1"));
+  EXPECT_FALSE(accepts("1e300"));
+  EXPECT_FALSE(accepts("1e16"));
+}
+
 TEST(PlatformFormats, DesiredStateHasQueuesTeamsAndAdvice)
 {
   const auto config = TryDecode<pool::PoolConfig>([] {
