Do not stop long tasks between two percents of progress

Cause: a task without progress for 3.5 s counts as stuck. Workers report whole percents, so that a task of more than 350 s was stopped and started again for ever on sound workers.

Change: the timeout is at least ten hundredths of the step's estimate, so that a task that takes ten times as long still makes one percent within it.

Result: PoolLostOrders.LongTaskIsNotStoppedBetweenTwoPercents fails before and passes after; the timeout of steps with estimates below 35 s is unchanged.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -301,6 +301,8 @@
                 std::uint32_t aStep,
                 StopReason aReason);
   void StopStuck(Time aNow);
+  /// How long the task may go without progress.
+  Duration StuckTimeout(const TaskRef& aTask) const;
   void ExpireLeases(Time aNow);
 
   void OnReportedEnd(Time aNow, WorkerRecord& aWorker, const ReportedEnd& aEnd);
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -21,7 +21,11 @@
 /// Size of the range of run numbers that one leadership has for a task.
 constexpr RunNumber kRunsPerTerm = 1000;
 /// Without progress for this long a running task counts as stuck.
-constexpr Duration kStuckAfter = milliseconds(3500);
+constexpr Duration kMinStuckTimeout = milliseconds(3500);
+/// Workers report progress in whole percents. A task that takes this multiple
+/// of its estimate still makes one percent within the timeout.
+constexpr int kSlowestRuntimeFactor = 10;
+constexpr int kPercentsOfTask = 100;
 /// How long a new leader waits for the workers' first inventories before it
 /// places tasks; long enough for all workers that respond at all.
 constexpr Duration kFirstInventoryWait = milliseconds(400);
@@ -476,6 +480,18 @@
   aActions.m_starts.push_back(std::move(start));
 }
 
+Duration
+PoolScheduler::StuckTimeout(const TaskRef& aTask) const
+{
+  const TrackedJob* job = FindJob(aTask.m_job);
+  if (job == nullptr || !job->HasTask(aTask)) {
+    return kMinStuckTimeout;
+  }
+  const Duration onePercent =
+    job->Spec().m_steps[aTask.m_step].m_estimate / kPercentsOfTask;
+  return std::max(kMinStuckTimeout, onePercent * kSlowestRuntimeFactor);
+}
+
 void
 PoolScheduler::StopStuck(Time aNow)
 {
@@ -490,7 +506,8 @@
     std::vector<TaskRef> stuck;
     for (const auto& [task, placement] : worker.m_placements) {
       if (placement.m_state == PlacementState::Running &&
-          aNow > placement.m_progressAt + kStuckAfter) {
+          aNow > placement.m_progressAt + kMinStuckTimeout &&
+          aNow > placement.m_progressAt + StuckTimeout(task)) {
         stuck.push_back(task);
       }
     }
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -141,6 +141,31 @@
                  .CanAcceptTasks(fixture.m_now));
 }
 
+/// Progress is reported in whole percents. A task that takes longer than 350 s
+/// kept the same percent for longer than the limit, and was stopped and started
+/// again without end.
+TEST(PoolLostOrders, LongTaskIsNotStoppedBetweenTwoPercents)
+{
+  PoolFixture fixture({ PoolWorker("w1") });
+  fixture.ReportAllIdle();
+  pool::StepSpec step = PoolStep(1);
+  step.m_estimate = seconds(600);
+  fixture.Add(PoolJob("job", kPatientQueue, { step }));
+  const auto start = fixture.Plan().m_starts.at(0);
+  fixture.Confirm({ start });
+  const auto stopsWithin = [&](int aSeconds) {
+    std::size_t stops = 0;
+    for (int passed = 0; passed < aSeconds; ++passed) {
+      fixture.m_now += seconds(1);
+      fixture.ReportInventory(start.m_worker, { RunOf(start, 30) }, {});
+      stops += fixture.Plan().m_stops.size();
+    }
+    return stops;
+  };
+  EXPECT_EQ(stopsWithin(30), 0U);
+  EXPECT_EQ(stopsWithin(60), 1U);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
