Refuse submissions at once while no daemon reaches the store

Cause: while the store was silent, a front passed a job to the leader, which refused, and tried again every 60 ms until the caller's deadline; every 400 ms it sent a caller's job to the store to see whether it works again, and left that caller in doubt. The last attempt used all the time that was left, so that its answer came after the deadline.

Change: WritePlan decides the next step of a write without I/O. A job that neither this daemon nor the leader can store is refused at once, or left in doubt (504) if an attempt had no answer. A table stays down until a call is answered, and a read every 300 ms finds that out.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -1,6 +1,7 @@
 #include "edge/CallerFront.h"
 
 #include "core/TryDecode.h"
+#include "edge/WritePlan.h"
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
 
@@ -29,11 +30,9 @@
 constexpr Duration kMaxDeadline = seconds(30);
 /// Subtracted from the caller's deadline for the transfer of the response.
 constexpr Duration kResponseMargin = milliseconds(20);
-/// Timeout of one attempt to read or store a row.
-constexpr Duration kStoreTimeout = milliseconds(900);
 constexpr Duration kRetryDelay = milliseconds(60);
-/// No further attempt is made if less time than this is left.
-constexpr Duration kMinAttemptTime = milliseconds(50);
+/// Reads of a job's row at both locations, one after the other.
+constexpr int kReadsToFindJob = 2;
 /// Callers may be shown what any read of the store returns.
 constexpr RowVersion kAnyVersion = 0;
 constexpr Duration kLeaderTimeout = milliseconds(500);
@@ -90,11 +89,16 @@
   return aCall.m_deadline - net::Loop::Now();
 }
 
+std::optional<Time>
+CallerFront::StoreDownSince() const
+{
+  return m_context.m_storeHealth.DownSince(pool::kJobTable);
+}
+
 bool
-CallerFront::IsStoreSuspectedDown() const
+CallerFront::HasTimeToRetry(const Call& aCall) const
 {
-  return m_context.m_storeHealth.IsSuspectedDown(net::Loop::Now(),
-                                                 pool::kJobTable);
+  return HasTimeForAttempt(TimeLeft(aCall) - kRetryDelay);
 }
 
 void
@@ -126,7 +130,9 @@
       { "ms", ToMilliseconds(net::Loop::Now() - aCall.m_received) } });
   net::HttpResponse response = net::JsonResponse(aStatus, std::move(aBody));
   if (aStatus == kUnavailable) {
-    response.m_headers["Retry-After"] = "1";
+    const seconds delay =
+      RetryAfter(net::Loop::Now(), StoreDownSince(), aCall.m_job);
+    response.m_headers["Retry-After"] = std::to_string(delay.count());
   }
   aCall.m_reply(response);
 }
@@ -141,6 +147,14 @@
   Finish(aCall, aStatus, aReason, body.dump());
 }
 
+void
+CallerFront::RefuseWrite(const Call& aCall, bool aInDoubt)
+{
+  Refuse(aCall,
+         aInDoubt ? kGatewayTimeout : kUnavailable,
+         aInDoubt ? "store_silent" : "store_refuses");
+}
+
 void
 CallerFront::Handle(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply)
@@ -226,23 +240,28 @@
                    pool::JobLocation aLocation,
                    bool aInDoubt)
 {
-  const bool hasTime = TimeLeft(aCall) >= kMinAttemptTime;
-  const bool down = IsStoreSuspectedDown();
-  if (down && hasTime &&
-      ForwardToLeader(
-        aCall,
-        kStoreJobPath,
-        pool::EncodeJob(aJob),
-        [this, aCall, aJob, aLocation, aInDoubt](bool aForwardInDoubt) {
-          RetryStore(aCall, aJob, aLocation, aInDoubt || aForwardInDoubt);
-        })) {
-    return;
-  }
-  if (!hasTime || (down && !aInDoubt)) {
-    Refuse(aCall,
-           aInDoubt ? kGatewayTimeout : kUnavailable,
-           aInDoubt ? "store_silent" : "store_refuses");
-    return;
+  const auto forwardEnded = [this, aCall](bool aForwardInDoubt) {
+    // A leader that refuses cannot reach the store either.
+    RefuseWrite(aCall, aForwardInDoubt);
+  };
+  switch (NextWriteStep({ TimeLeft(aCall),
+                          StoreDownSince().has_value(),
+                          OtherLeader(aCall).has_value(),
+                          aInDoubt })) {
+    case WriteStep::Forward:
+      ForwardToLeader(aCall,
+                      kStoreJobPath,
+                      pool::EncodeJob(aJob),
+                      [forwardEnded, aInDoubt](bool aForwardInDoubt) {
+                        forwardEnded(aInDoubt || aForwardInDoubt);
+                      });
+      return;
+    case WriteStep::Refuse:
+    case WriteStep::LeaveInDoubt:
+      RefuseWrite(aCall, aInDoubt);
+      return;
+    case WriteStep::TryStore:
+      break;
   }
   const std::string key = pool::JobKey(aJob.m_id, aLocation);
   table::Commit commit;
@@ -250,7 +269,7 @@
   commit.m_puts = { { key, pool::EncodeJob(aJob) } };
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "job" });
   m_context.m_store.Submit(commit,
-                           std::min(kStoreTimeout, TimeLeft(aCall)),
+                           AttemptTimeout(TimeLeft(aCall)),
                            [this, aCall, aJob, aLocation, aInDoubt](
                              const table::CommitResult& aResult) {
                              using table::CommitState;
@@ -271,25 +290,30 @@
                            });
 }
 
-bool
+std::optional<net::Address>
+CallerFront::OtherLeader(const Call& aCall) const
+{
+  const auto address = m_leadership.LeaderAddress();
+  const bool isOther =
+    address && !aCall.m_isForwarded && *address != m_context.m_settings.m_peers;
+  return isOther ? address : std::nullopt;
+}
+
+void
 CallerFront::ForwardToLeader(const Call& aCall,
                              const char* aPath,
                              std::string aBody,
                              const std::function<void(bool aInDoubt)>& aFailed)
 {
-  const auto address = m_leadership.LeaderAddress();
-  if (aCall.m_isForwarded || !address ||
-      *address == m_context.m_settings.m_peers) {
-    return false;
-  }
+  const Duration timeout = AttemptTimeout(TimeLeft(aCall));
   net::HttpRequest request = MakeRequest(
     "POST", std::string(aPath) + "/" + aCall.m_job.Value(), std::move(aBody));
   request.m_headers[platform::kDeadlineHeader] =
-    std::to_string(ToMilliseconds(TimeLeft(aCall)));
+    std::to_string(ToMilliseconds(timeout));
   m_context.m_http.Send(
-    *address,
+    *OtherLeader(aCall),
     request,
-    TimeLeft(aCall),
+    timeout,
     [this, aCall, aFailed](const net::HttpOutcome& aOutcome) {
       const int status =
         aOutcome.m_response ? aOutcome.m_response->m_status : 0;
@@ -302,7 +326,6 @@
         (status == 0 && aOutcome.m_error.m_verdict == Verdict::NotRun);
       aFailed(!refused);
     });
-  return true;
 }
 
 void
@@ -338,6 +361,10 @@
                         pool::JobLocation aLocation,
                         bool aInDoubt)
 {
+  if (!HasTimeToRetry(aCall)) {
+    RefuseWrite(aCall, aInDoubt);
+    return;
+  }
   m_context.m_loop.After(kRetryDelay, [this, aCall, aJob, aLocation, aInDoubt] {
     Store(aCall, aJob, aLocation, aInDoubt);
   });
@@ -388,7 +415,7 @@
   FindJobRow(m_context.m_store,
              aCall.m_job,
              kAnyVersion,
-             std::min(kStoreTimeout, TimeLeft(aCall)),
+             AttemptTimeout(TimeLeft(aCall) / kReadsToFindJob),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
                  ForwardCancel(aCall);
@@ -408,8 +435,9 @@
     retried.m_mayBeStored = aCall.m_mayBeStored || aInDoubt;
     RetryOrRefuse(retried, &CallerFront::Cancel);
   };
-  const bool hasTime = TimeLeft(aCall) >= kMinAttemptTime;
-  if (!hasTime || !ForwardToLeader(aCall, kStoreCancelPath, "{}", failed)) {
+  if (HasTimeForAttempt(TimeLeft(aCall)) && OtherLeader(aCall)) {
+    ForwardToLeader(aCall, kStoreCancelPath, "{}", failed);
+  } else {
     RetryOrRefuse(aCall, &CallerFront::Cancel);
   }
 }
@@ -418,7 +446,7 @@
 CallerFront::RetryOrRefuse(const Call& aCall,
                            void (CallerFront::*aRetry)(const Call&))
 {
-  if (TimeLeft(aCall) < kMinAttemptTime) {
+  if (!HasTimeToRetry(aCall)) {
     Refuse(aCall,
            aCall.m_mayBeStored ? kGatewayTimeout : kUnavailable,
            "store_unreachable");
@@ -435,7 +463,7 @@
   commit.m_puts = { { pool::CancelKey(aCall.m_job, aLocation), "{}" } };
   m_context.m_store.Submit(
     commit,
-    std::min(kStoreTimeout, TimeLeft(aCall)),
+    AttemptTimeout(TimeLeft(aCall)),
     [this, aCall, aLocation](const table::CommitResult& aResult) {
       if (aResult.m_state == table::CommitState::Committed) {
         if (const auto leader = m_leadership.Local()) {
@@ -448,7 +476,7 @@
         Finish(aCall, kOk, "cancelled");
         return;
       }
-      if (TimeLeft(aCall) < kMinAttemptTime) {
+      if (!HasTimeToRetry(aCall)) {
         Refuse(aCall, kGatewayTimeout, "store_silent");
         return;
       }
@@ -504,7 +532,7 @@
   FindJobRow(m_context.m_store,
              aCall.m_job,
              kAnyVersion,
-             std::min(kStoreTimeout, TimeLeft(aCall)),
+             AttemptTimeout(TimeLeft(aCall) / kReadsToFindJob),
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
                  RetryOrRefuse(aCall, &CallerFront::ShowState);
@@ -524,7 +552,7 @@
 {
   m_context.m_store.ReadRow(
     pool::ProgressKey(aCall.m_job),
-    std::min(kStoreTimeout, TimeLeft(aCall)),
+    AttemptTimeout(TimeLeft(aCall)),
     [this, aCall](const platform::PageResult& aProgress) {
       if (!aProgress.m_read.m_ok) {
         RetryOrRefuse(aCall, &CallerFront::ShowState);
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -50,9 +50,10 @@
              const pool::Job& aJob,
              pool::JobLocation aLocation,
              bool aInDoubt);
+  /// Address of the leader's daemon, if the call can be forwarded to it.
+  std::optional<net::Address> OtherLeader(const Call& aCall) const;
   /// Forwards a write that this daemon cannot perform to the leader's daemon.
-  /// Returns false if there is no other daemon to forward the write to.
-  bool ForwardToLeader(const Call& aCall,
+  void ForwardToLeader(const Call& aCall,
                        const char* aPath,
                        std::string aBody,
                        const std::function<void(bool aInDoubt)>& aFailed);
@@ -82,8 +83,13 @@
               std::string_view aOutcome,
               std::string aBody = "{}");
   void Refuse(const Call& aCall, int aStatus, std::string_view aReason);
+  /// The final answer to a write: in doubt if an attempt had no answer.
+  void RefuseWrite(const Call& aCall, bool aInDoubt);
   Duration TimeLeft(const Call& aCall) const;
-  bool IsStoreSuspectedDown() const;
+  /// True if a further attempt after the retry delay can end in time.
+  bool HasTimeToRetry(const Call& aCall) const;
+  /// Since when this daemon has had no answers about jobs from the store.
+  std::optional<Time> StoreDownSince() const;
 
   LeaderContext m_context;
   ConfigWatch& m_config;
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kKillMargin = milliseconds(700);
 constexpr Duration kDrainTick = milliseconds(50);
 constexpr Duration kStatePeriod = seconds(5);
+constexpr Duration kStoreProbePeriod = milliseconds(300);
+constexpr Duration kStoreProbeTimeout = milliseconds(900);
 /// Limit of log lines per second; lines above the limit are counted and
 /// dropped.
 constexpr int kLogLinesPerSecond = 400;
@@ -111,6 +113,7 @@
   m_config.Start();
   m_leadership.Start();
   m_loop.Every(kStatePeriod, [this] { LogState(); });
+  m_loop.Every(kStoreProbePeriod, [this] { ProbeJobTable(); });
   m_log.Write(settings::LogLevel::Info,
               "started",
               { { "callers", m_settings.m_callers.ToString() },
@@ -144,6 +147,21 @@
                       {});
 }
 
+void
+EdgeDaemon::ProbeJobTable()
+{
+  if (m_storeProbePending || !m_storeHealth.DownSince(pool::kJobTable)) {
+    return;
+  }
+  m_storeProbePending = true;
+  // Parts of the table fail independently, so each probe reads another one.
+  m_probedPart = (m_probedPart + 1) % pool::kJobParts;
+  m_store.ReadRow(
+    pool::JobPartPrefix(m_probedPart) + "probe",
+    kStoreProbeTimeout,
+    [this](const platform::PageResult&) { m_storeProbePending = false; });
+}
+
 void
 EdgeDaemon::OnSettingsChanged()
 {
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -42,6 +42,8 @@
                     const net::HttpReply& aReply);
   bool IsReady() const;
   void OnStoreCall(const std::string& aTable, bool aAnswered);
+  /// Reads from the table of jobs while it is down, to notice its return.
+  void ProbeJobTable();
   void OnConfig(const pool::PoolConfig& aConfig);
   void TickDrain();
   void LogState();
@@ -62,6 +64,8 @@
   net::HttpServer m_callerServer;
   net::HttpServer m_probeServer;
   net::HttpServer m_peerServer;
+  bool m_storeProbePending = false;
+  int m_probedPart = 0;
   bool m_draining = false;
   Time m_drainStart{};
 };
--- a/src/edge/StoreHealth.cpp
+++ b/src/edge/StoreHealth.cpp
@@ -21,7 +21,11 @@
 void
 StoreHealth::OnFailure(Time aNow, const std::string& aTable)
 {
-  Table& table = m_tables[aTable];
+  const auto [it, fresh] = m_tables.try_emplace(aTable);
+  Table& table = it->second;
+  if (fresh) {
+    table.m_firstFailure = aNow;
+  }
   ++table.m_failuresInRow;
   table.m_lastFailure = aNow;
 }
@@ -35,4 +39,14 @@
          aNow < it->second.m_lastFailure + kRetryAfter;
 }
 
+std::optional<Time>
+StoreHealth::DownSince(const std::string& aTable) const
+{
+  const auto it = m_tables.find(aTable);
+  if (it == m_tables.end() || it->second.m_failuresInRow < kFailuresForDown) {
+    return std::nullopt;
+  }
+  return it->second.m_firstFailure;
+}
+
 } // namespace lacewing::edge
--- a/src/edge/StoreHealth.h
+++ b/src/edge/StoreHealth.h
@@ -7,6 +7,7 @@
 #include "core/Time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lacewing::edge {
@@ -20,11 +21,17 @@
   void OnFailure(Time aNow, const std::string& aTable);
 
   bool IsSuspectedDown(Time aNow, const std::string& aTable) const;
+  /// When the present series of failures began, if the table is down: from the
+  /// suspicion until a call is answered. Callers' writes are not sent to find
+  /// out whether it works again, since one without an answer is in doubt; a
+  /// read does that.
+  std::optional<Time> DownSince(const std::string& aTable) const;
 
 private:
   struct Table
   {
     int m_failuresInRow = 0;
+    Time m_firstFailure{};
     Time m_lastFailure{};
   };
 
--- a/tests/correctness/EdgeStoreHealth.cpp
+++ b/tests/correctness/EdgeStoreHealth.cpp
@@ -45,6 +45,24 @@
   EXPECT_TRUE(health.IsSuspectedDown(kStart + milliseconds(600), "1"));
 }
 
+/// Every 400 ms a caller's job was sent to find out whether the store works
+/// again, and its caller was left in doubt.
+TEST(EdgeStoreHealth, TableStaysDownUntilACallIsAnswered)
+{
+  StoreHealth health;
+  for (int number = 0; number < 3; ++number) {
+    health.OnFailure(kStart + seconds(number), "1");
+  }
+  EXPECT_FALSE(health.DownSince("1"));
+  health.OnFailure(kStart + seconds(3), "1");
+  EXPECT_EQ(health.DownSince("1"), kStart);
+  EXPECT_FALSE(health.DownSince("2"));
+  health.OnFailure(kStart + seconds(60), "1");
+  EXPECT_EQ(health.DownSince("1"), kStart);
+  health.OnAnswer(kStart + seconds(61), "1");
+  EXPECT_FALSE(health.DownSince("1"));
+}
+
 } // namespace
 
 } // namespace lacewing::edge
