Send the counts of waiting jobs only on request, and count them less often

Cause: each daemon asks the leader for its status four times a second. The leader went through all open jobs for each answer and sent the counts of all queues, about 1 kB: with 147 daemons and 800 open jobs some 580 times a second. It also listed all workers to record in every tick of 25 ms.

Change: the counts are sent on request, which a daemon makes every 900 ms, and are computed at most every 200 ms; the workers to record every 100 ms.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -231,7 +231,8 @@
                                  NumericQuery(aRequest, "term"),
                                  {} });
   }
-  const LeaderStatus status = m_leadership.OwnStatus();
+  const LeaderStatus status =
+    m_leadership.OwnStatus(NumericQuery(aRequest, kCountsQuery) != 0);
   const auto leader = m_leadership.Local();
   const auto address = TryDecode<net::Address>(
     [&] { return net::ParseAddress(aRequest.Query("address")); });
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -21,6 +21,14 @@
 constexpr std::size_t kExpiredPerWrite = 30;
 constexpr Duration kProbePeriod = milliseconds(250);
 constexpr Duration kProbeTimeout = milliseconds(400);
+/// The leader counts its waiting jobs at most this often. Every daemon of the
+/// pool asks for the counts several times a second.
+constexpr Duration kWaitingCountPeriod = milliseconds(200);
+/// A daemon asks the leader for the counts at most this often; callers are
+/// shown counts of up to 1.8 s of age.
+constexpr Duration kRemoteCountPeriod = milliseconds(900);
+/// The leader lists the workers to record at most this often.
+constexpr Duration kRecordPeriod = milliseconds(100);
 /// A connection that fails within this time was refused: no process listens on
 /// the address.
 constexpr Duration kRefusedWithin = milliseconds(100);
@@ -107,7 +115,7 @@
 }
 
 LeaderStatus
-Leadership::OwnStatus() const
+Leadership::OwnStatus(bool aWithCounts)
 {
   LeaderStatus status;
   status.m_leads = m_election.CurrentRole() == pool::Role::Leader;
@@ -115,8 +123,8 @@
   status.m_incarnation = m_incarnation;
   status.m_storeWorks =
     net::Loop::Now() < m_election.LastRenewal() + kStoreFailedAfter;
-  if (const auto leader = Local()) {
-    status.m_waitingJobs = leader->WaitingJobs();
+  if (aWithCounts && Local()) {
+    status.m_waitingJobs = WaitingJobs().m_jobs;
   }
   const pool::LeaderRow& leader = m_election.Leader();
   status.m_leader = {
@@ -126,10 +134,12 @@
 }
 
 Leadership::WaitingCount
-Leadership::WaitingJobs() const
+Leadership::WaitingJobs()
 {
-  if (const auto leader = Local()) {
-    return { leader->WaitingJobs(), net::Loop::Now() };
+  const Time now = net::Loop::Now();
+  const auto leader = Local();
+  if (leader && now >= m_lastWaiting.m_at + kWaitingCountPeriod) {
+    m_lastWaiting = { leader->WaitingJobs(), now };
   }
   return m_lastWaiting;
 }
@@ -185,7 +195,8 @@
     return;
   }
   const Time now = net::Loop::Now();
-  if (m_leader && m_leader->IsLoaded()) {
+  if (m_leader && m_leader->IsLoaded() && now >= m_nextRecord) {
+    m_nextRecord = now + kRecordPeriod;
     std::vector<std::string> workers = m_leader->WorkersToRecord();
     // Both lists are sorted. A recorded worker that is no longer needed can
     // stay until the next regular renewal; a worker that is not recorded gets
@@ -464,10 +475,13 @@
     return;
   }
   m_probePending = true;
-  const std::string path =
-    std::string(kStatusPath) + "?vm=" + m_context.m_settings.m_vm.Value() +
-    "&address=" + m_context.m_settings.m_peers.ToString();
   const Time sentAt = net::Loop::Now();
+  std::string path = std::string(kStatusPath) +
+                     "?vm=" + m_context.m_settings.m_vm.Value() +
+                     "&address=" + m_context.m_settings.m_peers.ToString();
+  if (sentAt >= m_lastWaiting.m_at + kRemoteCountPeriod) {
+    path += std::string("&") + kCountsQuery + "=1";
+  }
   const std::uint64_t incarnation = m_election.Leader().m_incarnation;
   m_context.m_http.Send(
     *address,
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -30,14 +30,15 @@
   std::shared_ptr<PoolLeader> Local() const;
   /// Address of the leader; empty if no leader is known.
   std::optional<net::Address> LeaderAddress() const;
-  LeaderStatus OwnStatus() const;
+  /// The counts of waiting jobs are large; they are included on request.
+  LeaderStatus OwnStatus(bool aWithCounts);
   /// Waiting jobs by queue, as last counted by the leader.
   struct WaitingCount
   {
     std::map<pool::QueueId, std::size_t> m_jobs;
     Time m_at = Time::min();
   };
-  WaitingCount WaitingJobs() const;
+  WaitingCount WaitingJobs();
   /// True while a row of this process is being written.
   bool IsWriting() const { return m_writing; }
 
@@ -85,7 +86,8 @@
   /// the leader's row must be rewritten before progress is written again.
   bool m_renewFirst = false;
   Time m_nextWrite{};
-  WaitingCount m_lastWaiting; ///< from the last probe of a remote leader
+  Time m_nextRecord{};
+  WaitingCount m_lastWaiting; ///< own, or of the last probe of the leader
   bool m_probePending = false;
   std::size_t m_nextSeed = 0;
 };
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -14,6 +14,8 @@
 namespace lacewing::edge {
 
 inline constexpr const char* kStatusPath = "/v1/pool/status";
+/// Query of a status request: 1 to include the counts of waiting jobs.
+inline constexpr const char* kCountsQuery = "counts";
 inline constexpr const char* kJobsPath = "/v1/pool/jobs";
 /// A job or a cancellation that the sender could not store itself.
 inline constexpr const char* kStoreJobPath = "/v1/pool/stored_jobs";
@@ -29,7 +31,7 @@
   std::uint64_t m_term = 0;
   std::uint64_t m_incarnation = 0; ///< of the responding process
   bool m_storeWorks = true;        ///< its row was renewed recently
-  /// Empty until the leader has loaded the jobs.
+  /// Empty until the leader has loaded the jobs, and if not requested.
   std::optional<std::map<pool::QueueId, std::size_t>> m_waitingJobs;
   /// The leader known to the daemon, without the workers; the VM is empty if
   /// none is known.
