Let the leader's row ask for patience while it loads or is busy

Cause: a leader whose link or processor was saturated answered no probes within 400 ms and was replaced after 0.9 s.

Change: the row carries how much later than usual a renewal may come: 3 s from the claim until the jobs are loaded, then four times the lag of the event loop or twice the time of the last renewal, 4 s at most. A successor of a leader that does not answer or cannot renew waits that much longer; one whose process has ended is replaced at once, as before. Safety does not rest on the wait.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kExpiredPerWrite = 30;
 constexpr Duration kProbePeriod = milliseconds(250);
 constexpr Duration kProbeTimeout = milliseconds(400);
+/// The measured lag of the event loop falls by this fraction in each tick.
+constexpr int kLagDecayTicks = 20;
 /// The leader counts its waiting jobs at most this often. Every daemon of the
 /// pool asks for the counts several times a second.
 constexpr Duration kWaitingCountPeriod = milliseconds(200);
@@ -185,9 +187,22 @@
   m_timer.CallSoon();
 }
 
+void
+Leadership::MeasureLoopLag()
+{
+  const Time now = net::Loop::Now();
+  const Duration lag = std::max(Duration::zero(), now - m_tickDue);
+  m_tickDue = now + kTickPeriod;
+  // Falls slowly, so that one early tick does not hide that the loop is busy.
+  m_loopLag = std::max(lag, m_loopLag - m_loopLag / kLagDecayTicks);
+  m_election.SetLoopLag(m_loopLag);
+  m_election.SetLoading(m_leader && !m_leader->IsLoaded());
+}
+
 void
 Leadership::Advance()
 {
+  MeasureLoopLag();
   m_timer.CallBy(net::Loop::Now() + kTickPeriod);
   UpdateRole();
   // A daemon that has not read the desired state of the pool yet cannot lead.
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -52,6 +52,7 @@
   };
 
   void Advance();
+  void MeasureLoopLag();
   void ReadRow();
   void Write(const pool::ElectionAction& aAction);
   void OnWritten(const pool::ElectionAction& aAction,
@@ -87,6 +88,8 @@
   bool m_renewFirst = false;
   Time m_nextWrite{};
   Time m_nextRecord{};
+  Time m_tickDue = Time::max();
+  Duration m_loopLag{};       ///< of the event loop, as seen by the ticks
   WaitingCount m_lastWaiting; ///< own, or of the last probe of the leader
   bool m_probePending = false;
   std::size_t m_nextSeed = 0;
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -176,7 +176,8 @@
                 { "incarnation", aRow.m_incarnation },
                 { "term", aRow.m_term },
                 { "workers", aRow.m_workers },
-                { "settled", aRow.m_settled } });
+                { "settled", aRow.m_settled },
+                { "patience_ms", ToMilliseconds(aRow.m_patience) } });
 }
 
 Result<Job>
@@ -232,6 +233,10 @@
     row.m_term = NumberField<std::uint64_t>(json, "term");
     row.m_workers = TypedField<std::vector<std::string>>(json, "workers");
     row.m_settled = json.value("settled", false);
+    if (json.contains("patience_ms")) {
+      row.m_patience = milliseconds(NumberField<std::int64_t>(
+        json, "patience_ms", 0, ToMilliseconds(kMaxLeaderPatience)));
+    }
     return row;
   });
 }
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -87,6 +87,9 @@
   bool operator==(const JobProgress&) const = default;
 };
 
+/// Longest time by which a leader's row can extend the wait of its successors.
+inline constexpr Duration kMaxLeaderPatience = seconds(4);
+
 struct LeaderRow
 {
   std::string m_vm; ///< empty once the leader has resigned
@@ -98,6 +101,9 @@
   /// No leader before this one can send commands, and none of its leases is
   /// valid any more.
   bool m_settled = false;
+  /// How much later than usual the leader may renew its row, since its
+  /// processor is busy or it is still loading the jobs.
+  Duration m_patience{};
 
   bool operator==(const LeaderRow&) const = default;
 };
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -19,6 +19,13 @@
 /// notice that there is no leader and to claim.
 constexpr Duration kSmallVmDelay = milliseconds(600);
 constexpr double kLeastCores = 0.05;
+/// A new leader reads all jobs and asks all workers before its event loop is as
+/// fast as usual.
+constexpr Duration kLoadingPatience = seconds(3);
+/// A renewal passes through the event loop several times.
+constexpr int kLagsForRenewal = 4;
+/// The next renewal can take this multiple of the time of the last one.
+constexpr int kRenewalsForPatience = 2;
 
 } // namespace
 
@@ -62,15 +69,28 @@
       return false;
     case LeaderProbeResult::Ended:
       return aNow >= unchangedSince;
-    case LeaderProbeResult::StoreFailed:
     case LeaderProbeResult::Unsettled:
-    case LeaderProbeResult::Unreachable:
       return aNow >= unchangedSince + m_options.m_leaderTimeout +
                        m_readTime * kReadsForRenewal;
+    case LeaderProbeResult::StoreFailed:
+    case LeaderProbeResult::Unreachable:
+      // A leader whose processor is busy answers late, like one that is gone.
+      return aNow >= unchangedSince + m_options.m_leaderTimeout +
+                       m_readTime * kReadsForRenewal + m_row.m_patience;
   }
   return false;
 }
 
+Duration
+LeaderElection::Patience(ElectionStep aStep) const
+{
+  const Duration busy =
+    std::max(m_loopLag * kLagsForRenewal, m_renewalTime * kRenewalsForPatience);
+  const bool loading = aStep == ElectionStep::Claim || m_loading;
+  return std::min(std::max(busy, loading ? kLoadingPatience : Duration::zero()),
+                  kMaxLeaderPatience);
+}
+
 ElectionAction
 LeaderElection::Write(Time aNow, ElectionStep aStep, std::uint64_t aTerm)
 {
@@ -78,6 +98,7 @@
   action.m_row.m_term = aTerm;
   action.m_row.m_workers = m_workers;
   action.m_row.m_settled = m_settled;
+  action.m_row.m_patience = Patience(aStep);
   if (m_resigned) {
     action.m_row.m_vm.clear();
   }
@@ -171,6 +192,7 @@
   m_version = aVersion;
   m_changedAt = aNow;
   m_lastRenewal = aNow;
+  m_renewalTime = aNow - m_requestedAt;
   // The response may be read long after the store has sent it, if this process
   // was stopped in between. Other daemons see the renewal from its sending on.
   m_leaseStart = m_requestedAt;
@@ -190,6 +212,7 @@
 LeaderElection::OnWriteFailed(Time aNow)
 {
   m_busy = false;
+  m_renewalTime = aNow - m_requestedAt;
   m_reread = true;
   m_retryAt = aNow + kRetryDelay;
 }
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -120,12 +120,18 @@
   }
   /// Whether the next renewal marks the leadership as settled.
   void SetSettled(bool aSettled) { m_settled = aSettled; }
+  /// How late the calls of this daemon's event loop are. The next renewal asks
+  /// the others for a multiple of that time.
+  void SetLoopLag(Duration aLag) { m_loopLag = aLag; }
+  /// While the leader reads the stored jobs its renewals may be late.
+  void SetLoading(bool aLoading) { m_loading = aLoading; }
   /// Renews at the next tick instead of after the period.
   void RenewSoon() { m_renewSoon = true; }
 
 private:
   bool IsSelf(const LeaderRow& aRow) const;
   bool MayClaim(Time aNow) const;
+  Duration Patience(ElectionStep aStep) const;
   ElectionAction Write(Time aNow, ElectionStep aStep, std::uint64_t aTerm);
 
   LeaderRow m_self;
@@ -144,11 +150,14 @@
   Time m_readAt = Time::min();
   Time m_requestedAt{}; ///< when the read or write in flight was sent
   Time m_lastRenewal{};
-  Time m_leaseStart{}; ///< when the last confirmed renewal was sent
+  Duration m_renewalTime{}; ///< how long the last write of the row took
+  Time m_leaseStart{};      ///< when the last confirmed renewal was sent
   Time m_retryAt = Time::min();
   LeaderProbeResult m_probeResult = LeaderProbeResult::Leads;
   std::vector<std::string> m_workers;
   bool m_settled = false;
+  Duration m_loopLag{};
+  bool m_loading = false;
 };
 
 } // namespace lacewing::pool
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -369,6 +369,85 @@
   }
 }
 
+/// A leader whose processor or link was busy was replaced, and so was each
+/// successor while it was loading the jobs: no leader ever began to work.
+TEST(PoolElection, BusyLeaderIsNotReplacedWhileItsRowAsksForPatience)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  LeaderRow row = RowOf("b", 4);
+  row.m_patience = seconds(3);
+  election.OnRow(kStart, row, 40);
+  election.OnLeaderProbed(kStart, kIncarnation, LeaderProbeResult::Unreachable);
+  Time now = kStart;
+  const auto claims = [&] {
+    ElectionAction action = election.OnTick(now);
+    if (action.m_step == ElectionStep::ReadRow) {
+      election.OnRow(now, row, 40);
+      action = election.OnTick(now);
+    }
+    return action.m_step == ElectionStep::Claim;
+  };
+  for (; now < kStart + seconds(3); now += milliseconds(50)) {
+    EXPECT_FALSE(claims());
+  }
+  now = kStart + seconds(5);
+  EXPECT_TRUE(claims());
+}
+
+/// The process is gone, so there is nothing to wait for.
+TEST(PoolElection, EndedLeaderIsReplacedAtOnceWhateverItsRowAsks)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  LeaderRow row = RowOf("b", 4);
+  row.m_patience = seconds(3);
+  election.OnRow(kStart, row, 40);
+  election.OnLeaderProbed(kStart, kIncarnation, LeaderProbeResult::Ended);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
+  election.OnRow(kStart, row, 40);
+  EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::Claim);
+}
+
+TEST(PoolElection, RowAsksForPatienceWhileTheLeaderLoadsOrIsBusy)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  election.OnRow(kStart, std::nullopt, 0);
+  const ElectionAction claim = election.OnTick(kStart);
+  EXPECT_GE(claim.m_row.m_patience, seconds(2));
+  election.OnWritten(kStart, claim.m_row, 5);
+  Time now = kStart;
+  const auto renewal = [&] {
+    now += seconds(1);
+    const LeaderRow row = election.OnTick(now).m_row;
+    election.OnWritten(now, row, 6);
+    return row.m_patience;
+  };
+  election.SetLoading(true);
+  EXPECT_GE(renewal(), seconds(2));
+  election.SetLoading(false);
+  EXPECT_EQ(renewal(), Duration::zero());
+  election.SetLoopLag(milliseconds(300));
+  EXPECT_GE(renewal(), milliseconds(900));
+  election.SetLoopLag(seconds(60));
+  EXPECT_EQ(renewal(), kMaxLeaderPatience);
+}
+
+/// A renewal that was long on its way shows that the next one may be, too.
+TEST(PoolElection, RowAsksForPatienceAfterASlowRenewal)
+{
+  LeaderElection election(Self("a"), {});
+  election.OnTick(kStart);
+  election.OnRow(kStart, std::nullopt, 0);
+  election.OnWritten(kStart, election.OnTick(kStart).m_row, 5);
+  const Time sent = kStart + seconds(1);
+  const ElectionAction slow = election.OnTick(sent);
+  election.OnWritten(sent + milliseconds(800), slow.m_row, 6);
+  const ElectionAction next = election.OnTick(sent + seconds(2));
+  EXPECT_GE(next.m_row.m_patience, milliseconds(800));
+}
+
 } // namespace
 
 } // namespace lacewing::pool
--- a/tests/correctness/PoolRows.cpp
+++ b/tests/correctness/PoolRows.cpp
@@ -42,7 +42,8 @@
 
 TEST(PoolRows, LeaderSurvivesARoundTrip)
 {
-  const pool::LeaderRow row{ "vm", "127.0.0.1:1", 3, 9, { "w1", "w2" } };
+  const pool::LeaderRow row{ "vm", "127.0.0.1:1",     3, 9, { "w1", "w2" },
+                             true, milliseconds(1500) };
   const auto decoded = TryDecode<pool::LeaderRow>(
     [&] { return pool::DecodeLeader(pool::EncodeLeader(row)); });
   EXPECT_EQ(decoded, row);
