--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -240,10 +240,6 @@
                    pool::JobLocation aLocation,
                    bool aInDoubt)
 {
-  const auto forwardEnded = [this, aCall](bool aForwardInDoubt) {
-    // A leader that refuses cannot reach the store either.
-    RefuseWrite(aCall, aForwardInDoubt);
-  };
   switch (NextWriteStep({ TimeLeft(aCall),
                           StoreDownSince().has_value(),
                           OtherLeader(aCall).has_value(),
@@ -252,8 +248,9 @@
       ForwardToLeader(aCall,
                       kStoreJobPath,
                       pool::EncodeJob(aJob),
-                      [forwardEnded, aInDoubt](bool aForwardInDoubt) {
-                        forwardEnded(aInDoubt || aForwardInDoubt);
+                      // A leader that refuses cannot reach the store either.
+                      [this, aCall, aInDoubt](bool aForwardInDoubt) {
+                        RefuseWrite(aCall, aInDoubt || aForwardInDoubt);
                       });
       return;
     case WriteStep::Refuse:
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -23,6 +23,7 @@
 constexpr Duration kKillMargin = milliseconds(700);
 constexpr Duration kDrainTick = milliseconds(50);
 constexpr Duration kStatePeriod = seconds(5);
+/// Reads of the table of jobs while it is down.
 constexpr Duration kStoreProbePeriod = milliseconds(300);
 constexpr Duration kStoreProbeTimeout = milliseconds(900);
 /// Limit of log lines per second; lines above the limit are counted and
--- a/src/edge/WritePlan.h
+++ b/src/edge/WritePlan.h
@@ -23,10 +23,10 @@
 /// What is known about a write so far.
 struct WriteState
 {
-  Duration m_left{};        ///< until the caller's deadline
-  bool m_storeDown = false; ///< this daemon gets no answers from the store
-  bool m_canForward = false;
-  bool m_inDoubt = false; ///< an attempt had no answer
+  Duration m_left{};         ///< until the caller's deadline
+  bool m_storeDown = false;  ///< this daemon gets no answers from the store
+  bool m_canForward = false; ///< another daemon leads
+  bool m_inDoubt = false;    ///< an attempt had no answer
 };
 
 WriteStep
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -87,8 +87,8 @@
   const Duration busy =
     std::max(m_loopLag * kLagsForRenewal, m_renewalTime * kRenewalsForPatience);
   const bool loading = aStep == ElectionStep::Claim || m_loading;
-  return std::min(std::max(busy, loading ? kLoadingPatience : Duration::zero()),
-                  kMaxLeaderPatience);
+  return std::clamp(
+    busy, loading ? kLoadingPatience : Duration::zero(), kMaxLeaderPatience);
 }
 
 ElectionAction
