--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -177,7 +177,7 @@
                 { "term", aRow.m_term },
                 { "workers", aRow.m_workers },
                 { "settled", aRow.m_settled },
-                { "patience_ms", ToMilliseconds(aRow.m_patience) } });
+                { "renewal_grace_ms", ToMilliseconds(aRow.m_renewalGrace) } });
 }
 
 Result<Job>
@@ -233,9 +233,9 @@
     row.m_term = NumberField<std::uint64_t>(json, "term");
     row.m_workers = TypedField<std::vector<std::string>>(json, "workers");
     row.m_settled = json.value("settled", false);
-    if (json.contains("patience_ms")) {
-      row.m_patience = milliseconds(NumberField<std::int64_t>(
-        json, "patience_ms", 0, ToMilliseconds(kMaxLeaderPatience)));
+    if (json.contains("renewal_grace_ms")) {
+      row.m_renewalGrace = milliseconds(NumberField<std::int64_t>(
+        json, "renewal_grace_ms", 0, ToMilliseconds(kMaxRenewalGrace)));
     }
     return row;
   });
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -88,7 +88,7 @@
 };
 
 /// Longest time by which a leader's row can extend the wait of its successors.
-inline constexpr Duration kMaxLeaderPatience = seconds(4);
+inline constexpr Duration kMaxRenewalGrace = seconds(4);
 
 struct LeaderRow
 {
@@ -103,7 +103,7 @@
   bool m_settled = false;
   /// How much later than usual the leader may renew its row, since its
   /// processor is busy or it is still loading the jobs.
-  Duration m_patience{};
+  Duration m_renewalGrace{};
 
   bool operator==(const LeaderRow&) const = default;
 };
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -21,11 +21,11 @@
 constexpr double kLeastCores = 0.05;
 /// A new leader reads all jobs and asks all workers before its event loop is as
 /// fast as usual.
-constexpr Duration kLoadingPatience = seconds(3);
+constexpr Duration kLoadingGrace = seconds(3);
 /// A renewal passes through the event loop several times.
-constexpr int kLagsForRenewal = 4;
+constexpr int kLagsForGrace = 4;
 /// The next renewal can take this multiple of the time of the last one.
-constexpr int kRenewalsForPatience = 2;
+constexpr int kRenewalsForGrace = 2;
 
 } // namespace
 
@@ -76,19 +76,19 @@
     case LeaderProbeResult::Unreachable:
       // A leader whose processor is busy answers late, like one that is gone.
       return aNow >= unchangedSince + m_options.m_leaderTimeout +
-                       m_readTime * kReadsForRenewal + m_row.m_patience;
+                       m_readTime * kReadsForRenewal + m_row.m_renewalGrace;
   }
   return false;
 }
 
 Duration
-LeaderElection::Patience(ElectionStep aStep) const
+LeaderElection::RenewalGrace(ElectionStep aStep) const
 {
   const Duration busy =
-    std::max(m_loopLag * kLagsForRenewal, m_renewalTime * kRenewalsForPatience);
+    std::max(m_loopLag * kLagsForGrace, m_renewalTime * kRenewalsForGrace);
   const bool loading = aStep == ElectionStep::Claim || m_loading;
   return std::clamp(
-    busy, loading ? kLoadingPatience : Duration::zero(), kMaxLeaderPatience);
+    busy, loading ? kLoadingGrace : Duration::zero(), kMaxRenewalGrace);
 }
 
 ElectionAction
@@ -98,7 +98,7 @@
   action.m_row.m_term = aTerm;
   action.m_row.m_workers = m_workers;
   action.m_row.m_settled = m_settled;
-  action.m_row.m_patience = Patience(aStep);
+  action.m_row.m_renewalGrace = RenewalGrace(aStep);
   if (m_resigned) {
     action.m_row.m_vm.clear();
   }
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -131,7 +131,7 @@
 private:
   bool IsSelf(const LeaderRow& aRow) const;
   bool MayClaim(Time aNow) const;
-  Duration Patience(ElectionStep aStep) const;
+  Duration RenewalGrace(ElectionStep aStep) const;
   ElectionAction Write(Time aNow, ElectionStep aStep, std::uint64_t aTerm);
 
   LeaderRow m_self;
--- a/tests/correctness/PoolElection.cpp
+++ b/tests/correctness/PoolElection.cpp
@@ -371,12 +371,12 @@
 
 /// A leader whose processor or link was busy was replaced, and so was each
 /// successor while it was loading the jobs: no leader ever began to work.
-TEST(PoolElection, BusyLeaderIsNotReplacedWhileItsRowAsksForPatience)
+TEST(PoolElection, BusyLeaderIsNotReplacedWhileItsRowAsksForMoreTime)
 {
   LeaderElection election(Self("a"), {});
   election.OnTick(kStart);
   LeaderRow row = RowOf("b", 4);
-  row.m_patience = seconds(3);
+  row.m_renewalGrace = seconds(3);
   election.OnRow(kStart, row, 40);
   election.OnLeaderProbed(kStart, kIncarnation, LeaderProbeResult::Unreachable);
   Time now = kStart;
@@ -401,7 +401,7 @@
   LeaderElection election(Self("a"), {});
   election.OnTick(kStart);
   LeaderRow row = RowOf("b", 4);
-  row.m_patience = seconds(3);
+  row.m_renewalGrace = seconds(3);
   election.OnRow(kStart, row, 40);
   election.OnLeaderProbed(kStart, kIncarnation, LeaderProbeResult::Ended);
   EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::ReadRow);
@@ -409,20 +409,20 @@
   EXPECT_EQ(election.OnTick(kStart).m_step, ElectionStep::Claim);
 }
 
-TEST(PoolElection, RowAsksForPatienceWhileTheLeaderLoadsOrIsBusy)
+TEST(PoolElection, RowAsksForMoreTimeWhileTheLeaderLoadsOrIsBusy)
 {
   LeaderElection election(Self("a"), {});
   election.OnTick(kStart);
   election.OnRow(kStart, std::nullopt, 0);
   const ElectionAction claim = election.OnTick(kStart);
-  EXPECT_GE(claim.m_row.m_patience, seconds(2));
+  EXPECT_GE(claim.m_row.m_renewalGrace, seconds(2));
   election.OnWritten(kStart, claim.m_row, 5);
   Time now = kStart;
   const auto renewal = [&] {
     now += seconds(1);
     const LeaderRow row = election.OnTick(now).m_row;
     election.OnWritten(now, row, 6);
-    return row.m_patience;
+    return row.m_renewalGrace;
   };
   election.SetLoading(true);
   EXPECT_GE(renewal(), seconds(2));
@@ -431,11 +431,11 @@
   election.SetLoopLag(milliseconds(300));
   EXPECT_GE(renewal(), milliseconds(900));
   election.SetLoopLag(seconds(60));
-  EXPECT_EQ(renewal(), kMaxLeaderPatience);
+  EXPECT_EQ(renewal(), kMaxRenewalGrace);
 }
 
 /// A renewal that was long on its way shows that the next one may be, too.
-TEST(PoolElection, RowAsksForPatienceAfterASlowRenewal)
+TEST(PoolElection, RowAsksForMoreTimeAfterASlowRenewal)
 {
   LeaderElection election(Self("a"), {});
   election.OnTick(kStart);
@@ -445,7 +445,7 @@
   const ElectionAction slow = election.OnTick(sent);
   election.OnWritten(sent + milliseconds(800), slow.m_row, 6);
   const ElectionAction next = election.OnTick(sent + seconds(2));
-  EXPECT_GE(next.m_row.m_patience, milliseconds(800));
+  EXPECT_GE(next.m_row.m_renewalGrace, milliseconds(800));
 }
 
 } // namespace
