Show callers a state again while the leader is busy

Cause: each GET of a caller at any daemon is a request to the leader.

Change: the status of a daemon has the lag of its event loop. A cancellation at the front removes the state.

EdgeJobViewCache guards the decision; without it each of 100 questions within a second reaches the leader.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -408,6 +408,7 @@
 void
 CallerFront::Cancel(const Call& aCall)
 {
+  m_views.Erase(aCall.m_job);
   // The row shows whether the job exists and where its cancellation belongs.
   FindJobRow(m_context.m_store,
              aCall.m_job,
@@ -509,17 +510,27 @@
     ShowStoredState(aCall);
     return;
   }
+  if (const auto known = m_views.Find(net::Loop::Now(),
+                                      aCall.m_job,
+                                      ViewValidity(m_leadership.LeaderLag()))) {
+    show(known);
+    return;
+  }
   m_context.m_http.Send(
     *address,
     MakeRequest("GET", std::string(kJobsPath) + "/" + aCall.m_job.Value()),
     std::min(kLeaderTimeout, TimeLeft(aCall) / 2),
-    [show](const net::HttpOutcome& aOutcome) {
+    [this, show, job = aCall.m_job](const net::HttpOutcome& aOutcome) {
       if (!aOutcome.m_response || aOutcome.m_response->m_status != kOk) {
         show(std::nullopt);
         return;
       }
-      show(TryDecode<JobView>(
-        [&] { return DecodeJobView(aOutcome.m_response->m_body); }));
+      const auto view = TryDecode<JobView>(
+        [&] { return DecodeJobView(aOutcome.m_response->m_body); });
+      if (view) {
+        m_views.Put(net::Loop::Now(), job, *view);
+      }
+      show(view);
     });
 }
 
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -8,6 +8,7 @@
 
 #include "edge/ConfigWatch.h"
 #include "edge/JobFinder.h"
+#include "edge/JobViewCache.h"
 #include "edge/Leadership.h"
 #include "net/HttpServer.h"
 
@@ -94,6 +95,7 @@
   LeaderContext m_context;
   ConfigWatch& m_config;
   Leadership& m_leadership;
+  JobViewCache m_views;
 };
 
 } // namespace lacewing::edge
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -125,6 +125,7 @@
   status.m_incarnation = m_incarnation;
   status.m_storeWorks =
     net::Loop::Now() < m_election.LastRenewal() + kStoreFailedAfter;
+  status.m_loopLag = m_loopLag;
   if (aWithCounts && Local()) {
     status.m_waitingJobs = WaitingJobs().m_jobs;
   }
@@ -553,6 +554,7 @@
     } else {
       probeResult = status->m_storeWorks ? LeaderProbeResult::Leads
                                          : LeaderProbeResult::StoreFailed;
+      m_leaderLag = status->m_loopLag;
       if (status->m_waitingJobs) {
         m_lastWaiting = { *status->m_waitingJobs, now };
       }
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -39,6 +39,8 @@
     Time m_at = Time::min();
   };
   WaitingCount WaitingJobs();
+  /// How late the event loop of the remote leader was when it last answered.
+  Duration LeaderLag() const { return m_leaderLag; }
   /// True while a row of this process is being written.
   bool IsWriting() const { return m_writing; }
 
@@ -90,6 +92,7 @@
   Time m_nextRecord{};
   Time m_tickDue = Time::max();
   Duration m_loopLag{};       ///< of the event loop, as seen by the ticks
+  Duration m_leaderLag{};     ///< likewise of a remote leader, as last reported
   WaitingCount m_lastWaiting; ///< own, or of the last probe of the leader
   bool m_probePending = false;
   std::size_t m_nextSeed = 0;
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+/// Lags above one hour are not believed.
+constexpr std::int64_t kMaxLoopLagMs = 3'600'000;
+
 Json
 ToJson(const pool::LeaderRow& aLeader)
 {
@@ -48,6 +51,7 @@
     { "term", aStatus.m_term },
     { "incarnation", aStatus.m_incarnation },
     { "store_works", aStatus.m_storeWorks },
+    { "loop_lag_ms", ToMilliseconds(aStatus.m_loopLag) },
     { "waiting", std::move(waiting) },
     { "leader", ToJson(aStatus.m_leader) }
   }.dump();
@@ -95,6 +99,8 @@
     status.m_term = NumberField<std::uint64_t>(json, "term");
     status.m_incarnation = NumberField<std::uint64_t>(json, "incarnation");
     status.m_storeWorks = TypedField<bool>(json, "store_works");
+    status.m_loopLag = milliseconds(
+      NumberField<std::int64_t>(json, "loop_lag_ms", 0, kMaxLoopLagMs));
     if (!json.at("waiting").is_null()) {
       auto& waiting = status.m_waitingJobs.emplace();
       for (const auto& [queue, count] : ObjectField(json, "waiting").items()) {
