--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,4 @@
 folder=$(basename "$(cd "$(dirname "$0")" && pwd)")
 cd "$(dirname "$0")/../.." || exit 2
 [ -x "review/bin/case-$folder" ] && [ -x target/lacewing-edge ] || exit 2
-ulimit -n 4100 # max_fds of the deployment
 exec "review/bin/case-$folder" "review/$folder"
--- a/review/cell/Cell.cpp
+++ b/review/cell/Cell.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -33,6 +34,21 @@
 constexpr Duration kClientRetryPause = milliseconds(200);
 constexpr int kClientTries = 40;
 
+/// `max_fds` of the deployment.
+constexpr rlim_t kDaemonDescriptors = 4100;
+
+/// Sets the most descriptors of this process, within its hard limit; 0 for
+/// that limit.
+void
+SetDescriptors(rlim_t aMost)
+{
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur =
+    aMost == 0 ? limit.rlim_max : std::min(aMost, limit.rlim_max);
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int g_exitCode = 2; // NOLINT: result of the case
 
 } // namespace
@@ -252,6 +268,7 @@
   }
   if (process == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    SetDescriptors(kDaemonDescriptors);
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
@@ -311,6 +328,48 @@
   }
 }
 
+std::size_t
+Cell::MemoryMb(pid_t aProcess)
+{
+  std::ifstream in("/proc/" + std::to_string(aProcess) + "/statm");
+  std::size_t all = 0;
+  std::size_t resident = 0;
+  in >> all >> resident;
+  const auto page = static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return resident * page / 1'000'000;
+}
+
+void
+Cell::CheckMemory(std::size_t aMostMb)
+{
+  for (std::size_t number = 0; number < m_daemons.size(); ++number) {
+    const Daemon& daemon = m_daemons[number];
+    if (daemon.m_process <= 0 || daemon.m_stopped) {
+      continue;
+    }
+    const std::size_t memory = MemoryMb(daemon.m_process);
+    m_peakMemoryMb = std::max(m_peakMemoryMb, memory);
+    if (memory > aMostMb) {
+      const int index = static_cast<int>(number);
+      m_record.Write("daemon " + std::to_string(number) + " has " +
+                     std::to_string(memory) + " MB, over its limit" +
+                     (index == Leader() ? "; it leads" : ""));
+      ++m_memoryKills;
+      Kill(index, SIGKILL);
+      After(1, [this, index] {
+        Reap();
+        StartDaemon(index);
+      });
+    }
+  }
+}
+
+void
+Cell::EnforceMemory(std::size_t aMostMb)
+{
+  m_loop.Every(milliseconds(20), [this, aMostMb] { CheckMemory(aMostMb); });
+}
+
 void
 Cell::ProbeReadiness()
 {
@@ -507,6 +566,8 @@
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // This process holds the other ends of all the daemons' connections.
+  SetDescriptors(0);
   const char* setting = std::getenv("TROUBLE"); // NOLINT
   const bool trouble = setting == nullptr || std::string(setting) != "0";
   const std::string folder = std::filesystem::temp_directory_path().string() +
--- a/review/cell/Cell.h
+++ b/review/cell/Cell.h
@@ -73,6 +73,11 @@
   void Kill(int aDaemon, int aSignal);
   bool StartDaemon(int aDaemon);
   bool IsRunning(int aDaemon) const;
+  /// From now on a process over `memory_mb` is killed, and starts again.
+  void EnforceMemory(std::size_t aMostMb);
+  /// Processes that were over their memory, and the most that one had.
+  int MemoryKills() const { return m_memoryKills; }
+  std::size_t PeakMemoryMb() const { return m_peakMemoryMb; }
 
   lacewing::net::Loop& Loop() { return m_loop; }
   Record& Log() { return m_record; }
@@ -101,6 +106,8 @@
   bool IsPermitted(const std::string& aStep, const std::string& aWorker) const;
   void ProbeReadiness();
   void Reap();
+  void CheckMemory(std::size_t aMostMb);
+  static std::size_t MemoryMb(pid_t aProcess);
   std::optional<lacewing::net::Address> NextFront();
 
   lacewing::net::Loop& m_loop;
@@ -116,6 +123,8 @@
   std::vector<Daemon> m_daemons;
   std::size_t m_nextFront = 0;
   int m_unexpectedEnds = 0;
+  int m_memoryKills = 0;
+  std::size_t m_peakMemoryMb = 0;
   double m_permitted = 1;
   Json m_config;
 };
--- a/review/cell/Worker.cpp
+++ b/review/cell/Worker.cpp
@@ -390,7 +390,9 @@
     m_hasLease = false;
     ++m_lapses;
     while (!m_running.empty()) {
-      End(m_running.begin()->first, "lapsed");
+      // A copy, since the run is erased.
+      const std::string task = m_running.begin()->first;
+      End(task, "lapsed");
     }
   }
   After(kLeaseCheck, [this] { CheckLease(); });
