Don't take a run for lost while its worker lists only some of its ends

Cause: a worker lists 500 ends at a time, and the next ones once these are acknowledged, which needs the store. `DropMissingRuns` took such a list for the whole: a run in neither list for three inventories counted as lost.

The same cause on related paths: a successor counted a worker as reported after its first list, and its own lease extensions outlive the barrier; a start that a restarted worker had executed counted as never executed. Both wait for the further ends now, as long as the worker has a lease.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -15,8 +15,6 @@
 /// After a change of the leader, fronts may report new jobs to the previous
 /// leader for this long.
 constexpr Duration kPreviousLeaderGrace = seconds(1);
-/// Added to the end of a lease for the resolution of the clocks.
-constexpr Duration kLeaseMargin = milliseconds(50);
 
 /// False if the run has ended with the previous incarnation of its worker.
 bool
@@ -27,7 +25,7 @@
   if (aPlacement.m_wasListed) {
     return false;
   }
-  if (aInventory == nullptr) {
+  if (aInventory == nullptr || aInventory->m_endsTruncated) {
     return true;
   }
   const bool confirmedBefore =
@@ -229,7 +227,10 @@
         worker.m_deadlineMs, worker.m_clockMs + ToMilliseconds(m_longestLease));
     }
   }
-  m_unreportedWorkers.erase(aWorker);
+  worker.m_endsTruncated = aInventory.m_endsTruncated;
+  if (!aInventory.m_endsTruncated) {
+    m_unreportedWorkers.erase(aWorker);
+  }
   const std::uint64_t known = worker.m_highestEnd;
   for (const ReportedEnd& end : aInventory.m_ended) {
     if (end.m_number > worker.m_highestEnd) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -275,6 +275,9 @@
   RunNumber NextRun(const TaskRecord& aTask) const;
   void CheckBarrier(Time aNow);
   bool AwaitsFirstInventories(Time aNow) const;
+  /// True while a worker of the previous leader that still holds a lease has
+  /// listed only some of its ends.
+  bool AwaitsFurtherEnds(Time aNow) const;
   /// Estimates what may run on the previous leader's workers that have not
   /// reported to this leader.
   void EstimateUnreportedUse();
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -355,6 +355,11 @@
                                WorkerRecord& aWorker,
                                const Inventory& aInventory)
 {
+  // A missing run may have ended with an end that is not listed yet. Taking it
+  // for lost would start a task again that is done.
+  if (aInventory.m_endsTruncated) {
+    return;
+  }
   std::set<TaskRef> listed;
   for (const ReportedRun& run : aInventory.m_running) {
     listed.insert(run.m_task);
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -115,7 +115,8 @@
 void
 PoolScheduler::CheckBarrier(Time aNow)
 {
-  if (m_barrierPassed || (!m_unreportedWorkers.empty() && aNow < m_barrier)) {
+  if (m_barrierPassed || (!m_unreportedWorkers.empty() &&
+                          (aNow < m_barrier || AwaitsFurtherEnds(aNow)))) {
     return;
   }
   m_barrierPassed = true;
@@ -130,6 +131,16 @@
   }
 }
 
+bool
+PoolScheduler::AwaitsFurtherEnds(Time aNow) const
+{
+  return std::ranges::any_of(m_unreportedWorkers, [&](const WorkerId& aWorker) {
+    const auto it = m_workers.find(aWorker);
+    return it != m_workers.end() && it->second.m_endsTruncated &&
+           aNow < it->second.LeaseEnd() + kLeaseMargin;
+  });
+}
+
 void
 PoolScheduler::EstimateUnreportedUse()
 {
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -97,6 +97,9 @@
   Time m_requestedAt = Time::max();
   std::vector<ReportedRun> m_running;
   std::vector<ReportedEnd> m_ended;
+  /// The worker may have further ends, which it lists once these are
+  /// acknowledged. A run that is not listed may then have ended in any way.
+  bool m_endsTruncated = false;
 
   bool Lists(const TaskRef& aTask, RunNumber aRun) const;
 };
@@ -147,6 +150,7 @@
   Time m_avoidUntil{};
   std::uint64_t m_highestEnd = 0;
   std::set<std::uint64_t> m_unsavedEnds;
+  bool m_endsTruncated = false; ///< its last inventory listed only some ends
   int m_repeatedInventories =
     0; ///< inventories in a row with only known, unsaved ends
 
@@ -186,6 +190,9 @@
 /// leader can have sent, unless the settings name another.
 inline constexpr Duration kDefaultLongestLease = milliseconds(6000);
 
+/// Added to the end of a lease for the resolution of the clocks.
+inline constexpr Duration kLeaseMargin = milliseconds(50);
+
 /// Fraction by which a worker's clock may run slow.
 inline constexpr double kWorkerClockError = 0.02;
 
