Ask for advice wherever a step could start, not only at the head

Cause: tickets were renewed for the first ten steps of the order. Any other step asked only while it had no ticket, and an expired one counted as one. Steps that can't be placed stay in the order and held all ten.

Now a plan first places tasks and then requests advice: for each step without valid tickets whose team may run more and for which a worker that may be permitted has room (a gang: room for all members), or that never had advice; then renewals ahead of time for ten steps that could be placed and ten of teams at their limits. A request either places the step or leaves fewer workers to ask about, so that no step asks for ever beside free room.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -243,18 +243,34 @@
   /// Makes the job known, with its ends and runs that workers have reported.
   void TakeIn(Time aNow, std::unique_ptr<TrackedJob> aJob);
   std::vector<Candidate> ReadySteps(Time aNow);
-  /// Requests advice for the step if needed and places the tasks that fit.
+  /// Steps that this plan considers: the head of the order and some of the
+  /// others in rotation.
+  std::vector<Candidate> ConsideredSteps(Time aNow);
+  /// Places the tasks that fit.
   void PlanStep(Time aNow,
                 const Candidate& aCandidate,
-                bool aRefresh,
                 Reservation& aReservation,
                 Actions& aActions);
   /// Lists the workers that can be given tasks in this plan.
   void ListUsable(Time aNow);
-  bool EnsureAdvice(Time aNow,
-                    const Candidate& aCandidate,
-                    bool aRefresh,
-                    Actions& aActions);
+  /// True if the step needs no advice or has a valid ticket of a usable worker.
+  bool HasAdvice(Time aNow, const Candidate& aCandidate) const;
+  /// Requests advice for steps without valid tickets that could start, and then
+  /// renews the tickets of steps at the head of the order.
+  void RequestAdvice(Time aNow,
+                     const std::vector<Candidate>& aSteps,
+                     Actions& aActions);
+  /// True if a worker that may be permitted has room for the step now; for a
+  /// gang, if such workers have room for all its members.
+  bool HasRoom(const Candidate& aCandidate);
+  /// True if the step has never had advice, or could start now if it had it.
+  bool LacksOnlyAdvice(Time aNow, const Candidate& aCandidate);
+  /// True if tickets of the step expire before a request made later would be
+  /// answered, or if further workers should be asked about.
+  bool NeedsRenewal(Time aNow, const Candidate& aCandidate) const;
+  void Request(const Candidate& aCandidate, Actions& aActions);
+  /// True if a usable worker may run tasks of the step at any time.
+  bool IsSuitedByUsable(const Candidate& aCandidate) const;
   /// Workers to ask the policy service about; empty if there is none.
   std::vector<WorkerId> ChooseToAsk(const Candidate& aCandidate) const;
   /// False while the number of advice requests in flight is at its limit.
@@ -285,8 +301,15 @@
                     const Candidate& aCandidate,
                     const std::set<WorkerId>& aReserved,
                     Actions& aActions);
+  /// A rack in which the workers have room for the whole gang; empty for a gang
+  /// that need not be in one rack. Nothing if there is none.
+  static std::optional<std::string> RackForGang(
+    const Candidate& aCandidate,
+    const std::vector<WorkerRecord*>& aWorkers);
   bool PlaceGang(Time aNow, const Candidate& aCandidate, Actions& aActions);
   void ReserveFor(const Candidate& aCandidate, std::set<WorkerId>& aReserved);
+  /// True if the team may run one more task of the step, or the whole gang.
+  bool HasQuotaFor(const Candidate& aCandidate) const;
   bool HasQuota(const TeamId& aTeam, const Resources& aExtra) const;
   void Start(Time aNow,
              const Candidate& aCandidate,
@@ -393,6 +416,8 @@
   std::size_t m_planCursor = 0;        ///< last step considered beyond the head
   std::vector<WorkerRecord*> m_usable; ///< in this plan
   std::vector<WorkerRecord*> m_usableBySlot; ///< null for the others
+  /// No usable worker had more of any resource as this plan began.
+  Resources m_mostFree;
   Time m_nextStuckCheck{};
 };
 
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Steps at the head of the order whose tickets are renewed before they expire,
+/// among those that could be placed, and as many of teams at their limits.
+constexpr std::size_t kStepsWithFreshTickets = 10;
 /// Tickets of the steps at the head of the order are renewed this long before
 /// they expire, on top of the time that the policy service takes.
 constexpr Duration kTicketRenewal = milliseconds(300);
@@ -32,50 +35,126 @@
 } // namespace
 
 bool
-PoolScheduler::EnsureAdvice(Time aNow,
-                            const Candidate& aCandidate,
-                            bool aRefresh,
-                            Actions& aActions)
+PoolScheduler::HasAdvice(Time aNow, const Candidate& aCandidate) const
 {
-  const auto& rule = aCandidate.m_queue->m_advice;
-  if (!rule) {
+  if (!aCandidate.m_queue->m_advice) {
     return true;
   }
-  StepRecord& step = aCandidate.Record();
+  return std::ranges::any_of(
+    aCandidate.Record().m_tickets, [&](const Ticket& aTicket) {
+      return m_usableBySlot[aTicket.m_worker] != nullptr &&
+             aTicket.m_until > aNow + kTicketMargin;
+    });
+}
+
+void
+PoolScheduler::RequestAdvice(Time aNow,
+                             const std::vector<Candidate>& aSteps,
+                             Actions& aActions)
+{
+  for (const Candidate& step : aSteps) {
+    if (LacksOnlyAdvice(aNow, step)) {
+      Request(step, aActions);
+    }
+  }
+  // Steps that can't be placed whatever the policy service answers must not
+  // take the renewals of the others.
+  std::size_t placeable = 0;
+  std::size_t limited = 0;
+  for (const Candidate& step : aSteps) {
+    if (!step.m_queue->m_advice || !IsSuitedByUsable(step)) {
+      continue;
+    }
+    std::size_t& renewed = HasQuotaFor(step) ? placeable : limited;
+    if (++renewed <= kStepsWithFreshTickets && NeedsRenewal(aNow, step)) {
+      Request(step, aActions);
+    }
+    if (placeable >= kStepsWithFreshTickets &&
+        limited >= kStepsWithFreshTickets) {
+      return;
+    }
+  }
+}
+
+bool
+PoolScheduler::LacksOnlyAdvice(Time aNow, const Candidate& aCandidate)
+{
+  const StepRecord& step = aCandidate.Record();
+  if (step.m_adviceOpen || !MayRequestAdvice(aCandidate) ||
+      HasAdvice(aNow, aCandidate)) {
+    return false;
+  }
+  const bool neverAsked = step.m_asked.empty();
+  return neverAsked || (HasQuotaFor(aCandidate) && HasRoom(aCandidate));
+}
+
+bool
+PoolScheduler::NeedsRenewal(Time aNow, const Candidate& aCandidate) const
+{
+  const StepRecord& step = aCandidate.Record();
   // Tickets of workers that can't be used now are ignored here: they don't show
   // whether the usable workers need a renewal.
   Time earliest = Time::max();
-  bool valid = false;
   int usable = 0;
   for (const Ticket& ticket : step.m_tickets) {
-    if (m_usableBySlot[ticket.m_worker] == nullptr) {
-      continue;
+    if (m_usableBySlot[ticket.m_worker] != nullptr) {
+      ++usable;
+      earliest = std::min(earliest, ticket.m_until);
     }
-    ++usable;
-    earliest = std::min(earliest, ticket.m_until);
-    valid = valid || ticket.m_until > aNow + kTicketMargin;
   }
-  if (step.m_adviceOpen || !MayRequestAdvice(aCandidate)) {
-    return valid;
-  }
-  const Duration cost = rule->m_decide + rule->m_each * usable + kTicketRenewal;
+  const AdviceRule& rule = *aCandidate.m_queue->m_advice;
+  const Duration cost = rule.m_decide + rule.m_each * usable + kTicketRenewal;
   const bool fresh = usable > 0 && earliest > aNow + cost;
-  const bool isDue = !fresh && (aRefresh || step.m_tickets.empty());
-  const bool mayWiden = aRefresh && step.m_lacksCapacity;
-  if (!isDue && !(mayWiden && HasUnaskedCapacity(aCandidate))) {
-    return valid;
+  return !fresh || (step.m_lacksCapacity && HasUnaskedCapacity(aCandidate));
+}
+
+void
+PoolScheduler::Request(const Candidate& aCandidate, Actions& aActions)
+{
+  StepRecord& step = aCandidate.Record();
+  if (step.m_adviceOpen || !MayRequestAdvice(aCandidate)) {
+    return;
   }
   AdviceRequest request{ aCandidate.m_job->Spec().m_id,
                          aCandidate.m_step,
                          ChooseToAsk(aCandidate),
                          aCandidate.m_interactive };
-  if (!request.m_workers.empty()) {
-    step.m_adviceOpen = true;
-    ++(aCandidate.m_interactive ? m_openInteractiveRequests
-                                : m_openPatientRequests);
-    aActions.m_adviceRequests.push_back(std::move(request));
+  if (request.m_workers.empty()) {
+    return;
+  }
+  step.m_adviceOpen = true;
+  ++(aCandidate.m_interactive ? m_openInteractiveRequests
+                              : m_openPatientRequests);
+  aActions.m_adviceRequests.push_back(std::move(request));
+}
+
+bool
+PoolScheduler::IsSuitedByUsable(const Candidate& aCandidate) const
+{
+  return std::ranges::any_of(m_usable, [&](const WorkerRecord* aWorker) {
+    return IsSuitable(aCandidate, *aWorker);
+  });
+}
+
+bool
+PoolScheduler::HasRoom(const Candidate& aCandidate)
+{
+  if (!aCandidate.Spec().m_each.FitsIn(m_mostFree)) {
+    return false;
+  }
+  StepRecord& step = aCandidate.Record();
+  const auto hasRoom = [&](const WorkerRecord* aWorker) {
+    return aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
+           IsSuitable(aCandidate, *aWorker) &&
+           (!step.WasAsked(aWorker->m_slot) ||
+            step.FindTicket(aWorker->m_slot) != nullptr);
+  };
+  if (!aCandidate.Spec().m_gang) {
+    return std::ranges::any_of(m_usable, hasRoom);
   }
-  return valid;
+  std::vector<WorkerRecord*> workers;
+  std::ranges::copy_if(m_usable, std::back_inserter(workers), hasRoom);
+  return RackForGang(aCandidate, workers).has_value();
 }
 
 bool
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Steps at the head of the order whose tickets are renewed before they expire.
-constexpr std::size_t kStepsWithFreshTickets = 10;
 /// Each plan considers this many steps at the head of the order, and this many
 /// of the others in rotation. A backlog of thousands of steps must not make
 /// plans slower, or it would grow.
@@ -64,30 +62,39 @@
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
   }
-  const std::vector<Candidate> steps = ReadySteps(aNow);
-  const std::size_t head = std::min(kHeadSteps, steps.size());
-  const std::size_t tail = steps.size() - head;
+  const std::vector<Candidate> steps = ConsideredSteps(aNow);
   Reservation reservation;
-  for (std::size_t rank = 0; rank < head; ++rank) {
-    PlanStep(
-      aNow, steps[rank], rank < kStepsWithFreshTickets, reservation, actions);
+  for (const Candidate& step : steps) {
+    PlanStep(aNow, step, reservation, actions);
   }
+  RequestAdvice(aNow, steps, actions);
+  actions.m_stops = std::exchange(m_stops, {});
+  return actions;
+}
+
+std::vector<PoolScheduler::Candidate>
+PoolScheduler::ConsideredSteps(Time aNow)
+{
+  std::vector<Candidate> steps = ReadySteps(aNow);
+  if (steps.size() <= kHeadSteps) {
+    return steps;
+  }
+  const std::size_t tail = steps.size() - kHeadSteps;
+  std::vector<Candidate> result(steps.begin(), steps.begin() + kHeadSteps);
   for (std::size_t turn = 0; turn < std::min(kTailSteps, tail); ++turn) {
     m_planCursor = (m_planCursor + 1) % tail;
-    PlanStep(aNow, steps[head + m_planCursor], false, reservation, actions);
+    result.push_back(steps[kHeadSteps + m_planCursor]);
   }
-  actions.m_stops = std::exchange(m_stops, {});
-  return actions;
+  return result;
 }
 
 void
 PoolScheduler::PlanStep(Time aNow,
                         const Candidate& aCandidate,
-                        bool aRefresh,
                         Reservation& aReservation,
                         Actions& aActions)
 {
-  if (!EnsureAdvice(aNow, aCandidate, aRefresh, aActions)) {
+  if (!HasAdvice(aNow, aCandidate)) {
     return;
   }
   if (!aCandidate.Spec().m_gang) {
@@ -219,10 +226,15 @@
 {
   m_usable.clear();
   m_usableBySlot.assign(m_nextSlot, nullptr);
+  m_mostFree = {};
   for (auto& [id, worker] : m_workers) {
     if (worker.CanAcceptTasks(aNow)) {
       m_usable.push_back(&worker);
       m_usableBySlot[worker.m_slot] = &worker;
+      const Resources free = worker.Free();
+      m_mostFree = { std::max(m_mostFree.m_millicores, free.m_millicores),
+                     std::max(m_mostFree.m_memoryMib, free.m_memoryMib),
+                     std::max(m_mostFree.m_accelerators, free.m_accelerators) };
     }
   }
 }
@@ -295,6 +307,15 @@
   return SpeedClass::Usual;
 }
 
+bool
+PoolScheduler::HasQuotaFor(const Candidate& aCandidate) const
+{
+  const StepSpec& spec = aCandidate.Spec();
+  const std::int64_t least =
+    spec.m_gang ? static_cast<std::int64_t>(spec.m_tasks) : 1;
+  return HasQuota(aCandidate.m_job->Spec().m_team, Times(spec.m_each, least));
+}
+
 bool
 PoolScheduler::HasQuota(const TeamId& aTeam, const Resources& aExtra) const
 {
@@ -320,7 +341,7 @@
                             Actions& aActions)
 {
   const StepSpec& spec = aCandidate.Spec();
-  if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
+  if (!HasQuotaFor(aCandidate)) {
     return;
   }
   const std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
@@ -363,6 +384,21 @@
   }
 }
 
+std::optional<std::string>
+PoolScheduler::RackForGang(const Candidate& aCandidate,
+                           const std::vector<WorkerRecord*>& aWorkers)
+{
+  const StepSpec& spec = aCandidate.Spec();
+  std::map<std::string, std::uint32_t> capacity;
+  for (const WorkerRecord* worker : aWorkers) {
+    capacity[spec.m_sameRack ? worker->m_info.m_rack : std::string()] +=
+      TasksThatFitOn(*worker, aCandidate);
+  }
+  const auto rack = std::ranges::find_if(
+    capacity, [&](const auto& aItem) { return aItem.second >= spec.m_tasks; });
+  return rack == capacity.end() ? std::nullopt : std::optional(rack->first);
+}
+
 bool
 PoolScheduler::PlaceGang(Time aNow,
                          const Candidate& aCandidate,
@@ -382,25 +418,16 @@
     StopStep(
       aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
   }
-  if (!allWait ||
-      !HasQuota(aCandidate.m_job->Spec().m_team,
-                Times(spec.m_each, static_cast<std::int64_t>(tasks.size())))) {
+  if (!allWait || !HasQuotaFor(aCandidate)) {
     return true; // waits for something other than capacity
   }
   std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
-  std::map<std::string, std::uint32_t> rackCapacity;
-  for (const WorkerRecord* worker : eligible) {
-    rackCapacity[spec.m_sameRack ? worker->m_info.m_rack : std::string()] +=
-      TasksThatFitOn(*worker, aCandidate);
-  }
-  const auto rack = std::ranges::find_if(rackCapacity, [&](const auto& aItem) {
-    return aItem.second >= tasks.size();
-  });
-  if (rack == rackCapacity.end()) {
+  const auto rack = RackForGang(aCandidate, eligible);
+  if (!rack) {
     return false;
   }
   std::erase_if(eligible, [&](const WorkerRecord* aWorker) {
-    return spec.m_sameRack && aWorker->m_info.m_rack != rack->first;
+    return spec.m_sameRack && aWorker->m_info.m_rack != *rack;
   });
   // Uses as few workers as possible, since the gang fails if any of them fails.
   std::ranges::sort(eligible, {}, [&](const WorkerRecord* aWorker) {
--- a/tests/correctness/PoolTickets.cpp
+++ b/tests/correctness/PoolTickets.cpp
@@ -70,6 +70,83 @@
   EXPECT_EQ(actions.m_adviceRequests.size(), 1U);
 }
 
+/// A step whose tickets have expired, behind many older ones that can't start.
+class PoolBlockedSteps : public testing::Test
+{
+protected:
+  /// The scheduler renews the tickets of ten steps.
+  static constexpr int kBlocked = 10;
+  static constexpr int kRounds = 60;
+
+  static pool::PoolConfig Config()
+  {
+    pool::PoolConfig config = PoolSample();
+    config.m_teams.push_back({ Limited(), { "other" }, 1000, { 500, 0, 0 } });
+    return config;
+  }
+
+  PoolBlockedSteps()
+    : m_fixture({ PoolWorker("w1") }, Config())
+  {
+    m_fixture.ReportAllIdle();
+  }
+
+  void AddBlocked(const TeamId& aTeam, std::int64_t aMillicores)
+  {
+    for (int number = 0; number < kBlocked; ++number) {
+      pool::Job job = PoolJob("a" + std::to_string(number),
+                              kPolicyQueue,
+                              { PoolStep(1, aMillicores) });
+      job.m_team = aTeam;
+      m_fixture.Add(job);
+    }
+  }
+
+  /// Answers advice requests for a while; the first answer for `job` names
+  /// tickets that have expired. True if a task of it starts.
+  bool JobStarts()
+  {
+    const JobId waiting("job");
+    m_fixture.Add(PoolJob(waiting.Value(), kPolicyQueue, { PoolStep(1) }));
+    bool expired = false;
+    for (int round = 0; round < kRounds; ++round) {
+      const pool::Actions actions = m_fixture.Plan();
+      if (!actions.m_starts.empty()) {
+        return actions.m_starts[0].m_task.m_job == waiting;
+      }
+      for (const pool::AdviceRequest& request : actions.m_adviceRequests) {
+        const bool late = request.m_job == waiting && !expired;
+        expired = expired || late;
+        m_fixture.m_scheduler.OnAdvice(late ? m_fixture.m_now - seconds(3)
+                                            : m_fixture.m_now,
+                                       request,
+                                       { { pool::WorkerId("w1"), "ticket" } });
+      }
+      m_fixture.m_now += milliseconds(100);
+      m_fixture.ReportAllIdle();
+    }
+    return false;
+  }
+
+  static TeamId Limited() { return TeamId("limited"); }
+
+  PoolFixture m_fixture;
+};
+
+/// Only the first ten steps renewed their tickets, also if no worker could ever
+/// run them. The job behind them waited beside a free worker.
+TEST_F(PoolBlockedSteps, StepsThatNoWorkerCanRunLeaveTheRenewalsToOthers)
+{
+  AddBlocked(kTeam, 40'000);
+  EXPECT_TRUE(JobStarts());
+}
+
+TEST_F(PoolBlockedSteps, StepsOfATeamAtItsLimitLeaveTheRenewalsToOthers)
+{
+  AddBlocked(Limited(), 1000);
+  EXPECT_TRUE(JobStarts());
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
