Store a cancellation before it is confirmed, also without its job

Cause: DELETE of a job without a row was answered after a read and left nothing behind, and a submission was stored on the condition only that its own row does not exist. A write that the store does late passes both, too.

Now the row of the cancellation is written before the 410, and a submission is stored only if no such row is in its place; otherwise it is refused with 410. If they are in different places, the leader cancels the job as it learns of it. A new leader dropped loaded cancellations of jobs that it did not know yet; it keeps them now. Cancellations of jobs that never come expire like ended jobs.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -35,6 +35,8 @@
 constexpr int kReadsToFindJob = 2;
 /// Callers may be shown what any read of the store returns.
 constexpr RowVersion kAnyVersion = 0;
+/// Stands for the version of a row that is only known to exist.
+constexpr RowVersion kUnknownVersion = 0;
 constexpr Duration kLeaderTimeout = milliseconds(500);
 /// Greatest age of the leader's count of waiting jobs that is still reported.
 constexpr Duration kMaxWaitingCountAge = milliseconds(1800);
@@ -109,7 +111,8 @@
 {
   const double taken =
     std::chrono::duration<double>(net::Loop::Now() - aCall.m_received).count();
-  const bool failed = aStatus >= kBadRequest && aStatus != kGone;
+  const bool goneAsAsked = aStatus == kGone && aCall.m_method != "POST";
+  const bool failed = aStatus >= kBadRequest && !goneAsAsked;
   m_context.m_metrics.Add(observe::Metric::Requests,
                           { aStatus == kGatewayTimeout ? "may_have_run"
                             : failed                   ? "not_run"
@@ -262,7 +265,10 @@
   }
   const std::string key = pool::JobKey(aJob.m_id, aLocation);
   table::Commit commit;
-  commit.m_checks = { { key, 0 } };
+  // A cancellation that was confirmed without the job closes the id: this
+  // write may come late, and nobody would cancel the job again.
+  commit.m_checks = { { key, 0 },
+                      { pool::CancelKey(aJob.m_id, aLocation), 0 } };
   commit.m_puts = { { key, pool::EncodeJob(aJob) } };
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "job" });
   m_context.m_store.Submit(commit,
@@ -270,11 +276,12 @@
                            [this, aCall, aJob, aLocation, aInDoubt](
                              const table::CommitResult& aResult) {
                              using table::CommitState;
-                             // A conflict means that the job is stored, by this
-                             // call or an earlier one.
-                             if (aResult.m_state == CommitState::Committed ||
-                                 aResult.m_state == CommitState::Conflict) {
-                               Accept(aCall, aJob, aResult);
+                             if (aResult.m_state == CommitState::Committed) {
+                               Accept(aCall, aJob, aResult.m_version);
+                               return;
+                             }
+                             if (aResult.m_state == CommitState::Conflict) {
+                               OnConflict(aCall, aJob, aLocation, aResult);
                                return;
                              }
                              // The part of the store with the other location
@@ -367,18 +374,43 @@
   });
 }
 
+void
+CallerFront::OnConflict(const Call& aCall,
+                        const pool::Job& aJob,
+                        pool::JobLocation aLocation,
+                        const table::CommitResult& aResult)
+{
+  const std::string key = pool::JobKey(aJob.m_id, aLocation);
+  if (std::ranges::find(aResult.m_conflicts, key) !=
+      aResult.m_conflicts.end()) {
+    Accept(aCall, aJob, kUnknownVersion); // stored by an earlier attempt
+    return;
+  }
+  FindJobRow(m_context.m_store,
+             aCall.m_job,
+             kAnyVersion,
+             AttemptTimeout(TimeLeft(aCall) / kReadsToFindJob),
+             [this, aCall, aJob](const FoundJob& aFound) {
+               if (aFound.m_job) {
+                 Accept(aCall, aJob, kUnknownVersion);
+               } else if (aFound.m_known) {
+                 Refuse(aCall, kGone, "cancelled_before");
+               } else {
+                 RetryStore(aCall, aJob, pool::JobLocation::First, true);
+               }
+             });
+}
+
 void
 CallerFront::Accept(const Call& aCall,
                     const pool::Job& aJob,
-                    const table::CommitResult& aStored)
+                    RowVersion aVersion)
 {
-  // A conflict shows that a row exists, but not its version.
-  const RowVersion version =
-    aStored.m_state == table::CommitState::Committed ? aStored.m_version : 0;
   if (const auto leader = m_leadership.Local()) {
-    leader->AddJob(aJob, version, JobSource::Front);
+    leader->AddJob(aJob, aVersion, JobSource::Front);
   } else {
-    NotifyLeader(JobPath(aJob.m_id, version), aJob.m_id, pool::EncodeJob(aJob));
+    NotifyLeader(
+      JobPath(aJob.m_id, aVersion), aJob.m_id, pool::EncodeJob(aJob));
   }
   Finish(aCall, kOk, "accepted");
 }
@@ -417,11 +449,15 @@
              [this, aCall](const FoundJob& aFound) {
                if (!aFound.m_known) {
                  ForwardCancel(aCall);
-               } else if (!aFound.m_job) {
-                 Finish(aCall, kGone, "no_job");
-               } else {
-                 StoreCancellation(aCall, aFound.m_location);
+                 return;
                }
+               // The row of the cancellation is written for an unknown job too:
+               // a write of the job may still be under way.
+               Call found = aCall;
+               found.m_isUnknownJob = !aFound.m_job;
+               StoreCancellation(found,
+                                 aFound.m_job ? aFound.m_location
+                                              : pool::JobLocation::First);
              });
 }
 
@@ -471,7 +507,11 @@
                        aCall.m_job,
                        "{}");
         }
-        Finish(aCall, kOk, "cancelled");
+        if (aCall.m_isUnknownJob) {
+          Finish(aCall, kGone, "no_job");
+        } else {
+          Finish(aCall, kOk, "cancelled");
+        }
         return;
       }
       if (!HasTimeToRetry(aCall)) {
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -3,7 +3,8 @@
 /// A job is accepted once its row is stored. The leader is then notified; if
 /// the notification is lost, the leader finds the row in the store. A caller
 /// receives the verdict `not_run` for a job only if its row cannot have been
-/// written.
+/// written. A cancellation is confirmed once its row is stored, also for a job
+/// that is not stored: that row keeps a late write of the job from running it.
 #pragma once
 
 #include "edge/ConfigWatch.h"
@@ -43,6 +44,7 @@
     bool m_isForwarded = false; ///< by another daemon; not forwarded again
     /// An attempt to store its cancellation had no answer.
     bool m_mayBeStored = false;
+    bool m_isUnknownJob = false; ///< it cancels a job that has no row
     net::HttpReply m_reply;
   };
 
@@ -62,9 +64,14 @@
                   const pool::Job& aJob,
                   pool::JobLocation aLocation,
                   bool aInDoubt);
-  void Accept(const Call& aCall,
-              const pool::Job& aJob,
-              const table::CommitResult& aStored);
+  /// Accepts a job whose row exists already, and refuses one that was cancelled
+  /// before it was stored.
+  void OnConflict(const Call& aCall,
+                  const pool::Job& aJob,
+                  pool::JobLocation aLocation,
+                  const table::CommitResult& aResult);
+  /// `aVersion` is that of the job's row; 0 if it is not known.
+  void Accept(const Call& aCall, const pool::Job& aJob, RowVersion aVersion);
   void NotifyLeader(const std::string& aPath,
                     const JobId& aJob,
                     std::string aBody);
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -142,7 +142,7 @@
     Add(job, JobSource::Load);
   }
   for (const JobId& id : aLoaded.m_cancelled) {
-    m_scheduler.CancelJob(net::Loop::Now(), id);
+    CancelJob(id);
   }
   m_jobsAfter = aLoaded.m_readFrom;
   m_context.m_log.Write(
@@ -238,7 +238,16 @@
 {
   const Duration kept =
     Scale(m_context.m_settings.m_statusRetention, kRetentionMargin);
-  m_expiry->Expire(m_scheduler.ForgetEnded(net::Loop::Now() - kept));
+  const Time before = net::Loop::Now() - kept;
+  std::vector<JobId> ended = m_scheduler.ForgetEnded(before);
+  std::erase_if(m_unappliedCancellations, [&](const auto& aItem) {
+    const bool expired = aItem.second < before;
+    if (expired) {
+      ended.push_back(aItem.first);
+    }
+    return expired;
+  });
+  m_expiry->Expire(ended);
   if (m_expiry->HasProgressKeys()) {
     m_hooks.m_onUnsaved();
   }
@@ -300,7 +309,7 @@
 PoolLeader::CancelJob(const JobId& aJob)
 {
   if (!m_scheduler.CancelJob(net::Loop::Now(), aJob)) {
-    m_unappliedCancellations.insert(aJob);
+    m_unappliedCancellations.emplace(aJob, net::Loop::Now());
     return;
   }
   m_planTimer.CallSoon();
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -159,8 +159,9 @@
   Time m_loadedAt{};
   /// Jobs that are being looked up, with the delay before the next attempt.
   std::map<JobId, Duration> m_lookUps;
-  /// Jobs that were cancelled before they became known here.
-  std::set<JobId> m_unappliedCancellations;
+  /// Jobs that were cancelled before they became known here, and when that was
+  /// noticed. Their rows expire like those of ended jobs.
+  std::map<JobId, Time> m_unappliedCancellations;
   RowVersion m_jobsAfter = 0;
   RowVersion m_workersAfter = 0;
 
--- a/standins/PlatformStore.cpp
+++ b/standins/PlatformStore.cpp
@@ -96,14 +96,21 @@
 net::HttpResponse
 PlatformStore::Apply(const Json& aBody)
 {
+  bool conflict = false;
+  Json current = Json::array();
   for (const Json& expected : aBody.at("expected_rev")) {
     const auto it = m_rows.find(KeyOf(expected));
     const bool absent = it == m_rows.end() || it->second.m_deleted;
     const std::uint64_t present = absent ? 0 : it->second.m_version;
-    if (present != expected.at("ver").get<std::uint64_t>()) {
-      return net::JsonResponse(kConditionFailed, R"({"rows":[]})");
+    conflict = conflict || present != expected.at("ver").get<std::uint64_t>();
+    if (!absent) {
+      current.push_back(RowOf(it->first, it->second));
     }
   }
+  if (conflict) {
+    return net::JsonResponse(kConditionFailed,
+                             Json{ { "rows", std::move(current) } }.dump());
+  }
   ++m_version;
   for (const Json& write : aBody.at("writes")) {
     m_rows[KeyOf(write)] = { write.at("value").get<std::string>(),
--- a/tests/fakes/LeaderCell.h
+++ b/tests/fakes/LeaderCell.h
@@ -29,6 +29,12 @@
   LeaderCell(const LeaderCell&) = delete;
   LeaderCell& operator=(const LeaderCell&) = delete;
 
+  /// How long ended jobs are kept; takes effect before the leadership begins.
+  void SetStatusRetention(Duration aRetention)
+  {
+    m_settings.m_statusRetention = aRetention;
+  }
+
   /// Begins a leadership whose claim has the store's present version.
   void Lead(std::uint64_t aTerm = 2)
   {
