Give a restarted worker tasks only once its new entry is read

Cause: an inventory of a later incarnation began a new record with the description of the former one, while the entry with the true one is read every 400 ms. A record now knows which incarnation its entry describes, and a worker whose present one is not described takes no tasks.

The same cause on a related path: a start without an answer was sent again to the new incarnation. It is given up and stopped there now.

Tests, failing on: PoolWorkerRestarts.NewIncarnationGetsTasksOnlyOnceItsEntryIsRead, EdgeWorkerLinks.StartInDoubtIsNotRepeatedAtANewIncarnation. PoolLostOrders.NewIncarnationOfAWorkerFreesItsTasksAtOnce expected the restarted worker, the only one, to get its task again before its entry was read, which is this fault.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -222,6 +222,11 @@
     return;
   }
   const Time now = net::Loop::Now();
+  if (m_scheduler.IsForEarlierIncarnation(aStart)) {
+    m_scheduler.AbandonStart(now, aStart);
+    m_hooks.m_onChange();
+    return;
+  }
   const auto address = AddressOf(aStart.m_worker);
   const std::int64_t deadline =
     m_hooks.m_maySendCommands() ? m_scheduler.NextDeadline(now, aStart.m_worker)
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -157,6 +157,7 @@
       std::max(info.m_incarnation, worker.m_info.m_incarnation);
     worker.m_info = info;
     worker.m_info.m_incarnation = incarnation;
+    worker.m_describedIncarnation = info.m_incarnation;
     worker.m_listed = true;
   }
   std::erase_if(m_workers, [](const auto& aItem) {
@@ -185,6 +186,7 @@
   restarted.m_info = std::move(aWorker.m_info);
   restarted.m_restarted = restarted.m_info.m_incarnation != 0;
   restarted.m_info.m_incarnation = aIncarnation;
+  restarted.m_describedIncarnation = aWorker.m_describedIncarnation;
   restarted.m_slot = aWorker.m_slot;
   restarted.m_listed = aWorker.m_listed;
   restarted.m_recorded = aWorker.m_recorded;
@@ -449,6 +451,13 @@
   return placement != nullptr && placement->m_wasListed;
 }
 
+bool
+PoolScheduler::IsForEarlierIncarnation(const StartTask& aStart) const
+{
+  const Placement* placement = PlacementOf(aStart);
+  return placement != nullptr && placement->m_sentBeforeRestart;
+}
+
 bool
 PoolScheduler::IsWanted(const StopTask& aStop) const
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -191,6 +191,9 @@
   bool IsWanted(const StopTask& aStop) const;
   /// True if the worker has reported the run.
   bool IsListed(const StartTask& aStart) const;
+  /// True if the worker has restarted since the start was decided. The present
+  /// incarnation may not suit the task.
+  bool IsForEarlierIncarnation(const StartTask& aStart) const;
 
   const TrackedJob* FindJob(const JobId& aJob) const;
   /// The state that callers may be shown: a final one only once it is stored.
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -113,7 +113,7 @@
 bool
 WorkerRecord::CanAcceptTasks(Time aNow) const
 {
-  return m_listed && m_recorded && m_adopted && !m_silent &&
+  return m_listed && IsDescribed() && m_recorded && m_adopted && !m_silent &&
          !m_info.m_draining && aNow < m_lastResponse + kUnresponsiveAfter &&
          aNow >= m_avoidUntil && !HasUnknownRuns();
 }
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -132,7 +132,10 @@
 {
   WorkerInfo m_info;
   WorkerSlot m_slot = 0;
-  bool m_listed = true;   ///< the store lists it
+  bool m_listed = true; ///< the store lists it
+  /// Incarnation that the store's entry describes. The next one may have other
+  /// labels, resources and another service.
+  std::int64_t m_describedIncarnation = 0;
   bool m_adopted = false; ///< this incarnation has reported to this leader
   /// Its former incarnation was known here.
   bool m_restarted = false;
@@ -169,6 +172,11 @@
   /// True if it has not responded to this leader for `kWorkerTimeout`, or
   /// never.
   bool HasTimedOut(Time aNow) const;
+  /// True if the store's entry is that of its present incarnation.
+  bool IsDescribed() const
+  {
+    return m_describedIncarnation == m_info.m_incarnation;
+  }
   /// True if it can be given new tasks.
   bool CanAcceptTasks(Time aNow) const;
 };
--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -21,13 +21,19 @@
     , m_scheduler(net::Loop::Now(), 1, {}, net::Loop::Now())
   {
     OverrideWith([this](const net::HttpRequest& aRequest) {
+      if (aRequest.m_path != "/api/hold") {
+        m_commands.push_back(aRequest.m_path);
+        const bool stop = aRequest.m_path == "/api/run-stop";
+        return std::optional(net::JsonResponse(stop ? 200 : 500, "{}"));
+      }
       const auto body = nlohmann::json::parse(aRequest.m_body);
       m_acknowledged.push_back(body.at("last_seen").get<int>());
       m_leaseEnds.push_back(body.value("deadline_ms", 0));
       return std::optional(
         net::JsonResponse(m_answers ? 200 : 503,
-                          R"({"born":1,"clock_ms":5,"running":[],)"
-                          R"("ended":[[4,"job.0.0.0",1,"done",""]]})"));
+                          R"({"born":)" + std::to_string(m_incarnation) +
+                            R"(,"clock_ms":5,"running":[],)"
+                            R"("ended":[[4,"job.0.0.0",1,"done",""]]})"));
     });
     // The loop does not return while requests and responses are always ready.
     SetDelay(milliseconds(5));
@@ -55,9 +61,37 @@
     return RunUntil([&] { return m_acknowledged.size() >= until; });
   }
 
+  /// Sends the start of a task, which the worker leaves in doubt.
+  bool SendStart()
+  {
+    m_scheduler.SetConfig(net::Loop::Now(), PoolSample());
+    m_scheduler.AddJob(net::Loop::Now(),
+                       PoolJob("other", kPatientQueue, { PoolStep(1) }),
+                       {},
+                       {},
+                       false);
+    m_scheduler.SetRecordedWorkers(
+      m_scheduler.ListWorkersToRecord(net::Loop::Now()));
+    const auto starts = m_scheduler.Plan(net::Loop::Now()).m_starts;
+    if (starts.size() == 1) {
+      m_links->Start(starts[0]);
+    }
+    return RunUntil([this] { return !m_commands.empty(); });
+  }
+
+  /// Sends the stops that the scheduler has decided on.
+  void SendStops()
+  {
+    for (const auto& stop : m_scheduler.Plan(net::Loop::Now()).m_stops) {
+      m_links->Stop(stop);
+    }
+  }
+
   bool m_answers = true;
-  std::vector<int> m_acknowledged; ///< by each lease extension
-  std::vector<int> m_leaseEnds;    ///< likewise; 0 for none
+  std::int64_t m_incarnation = 1;
+  std::vector<std::string> m_commands; ///< paths of starts and stops
+  std::vector<int> m_acknowledged;     ///< by each lease extension
+  std::vector<int> m_leaseEnds;        ///< likewise; 0 for none
 
 private:
   observe::Log m_log;
@@ -99,6 +133,24 @@
   EXPECT_GT(cell.m_leaseEnds.back(), 0);
 }
 
+/// A start without an answer was sent again to a worker that had restarted
+/// meanwhile, perhaps as one of another kind.
+TEST(EdgeWorkerLinks, StartInDoubtIsNotRepeatedAtANewIncarnation)
+{
+  LinkCell cell;
+  ASSERT_TRUE(cell.RunExtensions(3));
+  ASSERT_TRUE(cell.SendStart());
+  cell.m_incarnation = 2;
+  ASSERT_TRUE(cell.RunExtensions(2));
+  cell.m_commands.clear();
+  const bool commanded = cell.RunUntil([&] {
+    cell.SendStops();
+    return !cell.m_commands.empty();
+  });
+  ASSERT_TRUE(commanded);
+  EXPECT_EQ(cell.m_commands.front(), "/api/run-stop");
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -117,6 +117,11 @@
   restarted.m_incarnation = 2;
   restarted.m_clockMs = 5;
   fixture.m_scheduler.OnInventory(fixture.m_now, start.m_worker, restarted);
+  EXPECT_FALSE(fixture.m_scheduler.IsWanted(start));
+  // The worker takes tasks again once its new entry is read.
+  EXPECT_TRUE(fixture.Plan().m_starts.empty());
+  fixture.m_workers[0].m_incarnation = 2;
+  fixture.m_scheduler.SetWorkers(fixture.m_now, fixture.m_workers);
   const auto again = fixture.Plan().m_starts;
   ASSERT_EQ(again.size(), 1U);
   EXPECT_GT(again[0].m_run, start.m_run);
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -138,6 +138,31 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// A worker came back as another kind under its id. Until the leader had read
+/// its new entry, it gave the worker tasks by the labels of the former one.
+TEST_F(PoolWorkerRestarts, NewIncarnationGetsTasksOnlyOnceItsEntryIsRead)
+{
+  m_fixture.ReportInventory(m_start.m_worker, { RunOf(m_start) }, {});
+  pool::StepSpec step = PoolStep(1);
+  step.m_requiredLabel = "a";
+  ReportRestarted({}, m_fixture.m_now);
+  const pool::WorkerRecord& worker = Scheduler().Workers().at(m_start.m_worker);
+  m_fixture.Record();
+  EXPECT_FALSE(worker.CanAcceptTasks(m_fixture.m_now));
+  // The list of all workers still has the entry of the former incarnation.
+  Scheduler().SetWorkers(m_fixture.m_now, m_fixture.m_workers);
+  EXPECT_FALSE(worker.CanAcceptTasks(m_fixture.m_now));
+  for (pool::WorkerInfo& info : m_fixture.m_workers) {
+    info.m_labels = { "b", "r1" };
+  }
+  ShowRestartInStore();
+  EXPECT_TRUE(worker.CanAcceptTasks(m_fixture.m_now));
+  m_fixture.Add(PoolJob("labelled", kPatientQueue, { step }));
+  for (const pool::StartTask& start : m_fixture.Plan().m_starts) {
+    EXPECT_NE(start.m_task.m_job, JobId("labelled"));
+  }
+}
+
 TEST_F(PoolWorkerRestarts, SilentWorkerGetsNeitherTasksNorALease)
 {
   Scheduler().OnNoAnswer(pool::WorkerId("w1"));
