Ask about free workers beside the full ones of valid tickets

What callers could see: a step that is not among the first ten that could be placed waits beside a free worker as long as its tickets are valid, if these are of full workers only and the free one came after its question.

A step now asks if no worker of its valid tickets has room and another one that may be permitted has; room includes the limit of tasks per worker.

PoolBlockedSteps.StepAsksAboutAFreeWorkerBesideItsFullOnes fails on the commit before and passes now.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -263,10 +263,14 @@
   void RequestAdvice(Time aNow,
                      const std::vector<Candidate>& aSteps,
                      Actions& aActions);
-  /// True if a worker that may be permitted has room for the step now; for a
-  /// gang, if such workers have room for all its members.
+  /// True if the workers have room for a task of the step now, or for all
+  /// members of a gang.
+  static bool HasRoomOn(const Candidate& aCandidate,
+                        const std::vector<WorkerRecord*>& aWorkers);
+  /// The same for all usable workers that are or may be permitted.
   bool HasRoom(const Candidate& aCandidate);
-  /// True if the step has never had advice, or could start now if it had it.
+  /// True if the step has never had advice, or could start on workers for which
+  /// it has no valid ticket.
   bool LacksOnlyAdvice(Time aNow, const Candidate& aCandidate);
   /// True if tickets of the step expire before a request made later would be
   /// answered, or if further workers should be asked about.
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -80,8 +80,9 @@
 PoolScheduler::LacksOnlyAdvice(Time aNow, const Candidate& aCandidate)
 {
   const StepRecord& step = aCandidate.Record();
-  if (step.m_adviceOpen || !MayRequestAdvice(aCandidate) ||
-      HasAdvice(aNow, aCandidate)) {
+  if (!aCandidate.m_queue->m_advice || step.m_adviceOpen ||
+      !MayRequestAdvice(aCandidate) ||
+      HasRoomOn(aCandidate, Eligible(aNow, aCandidate))) {
     return false;
   }
   const bool neverAsked = step.m_asked.empty();
@@ -143,18 +144,27 @@
     return false;
   }
   StepRecord& step = aCandidate.Record();
-  const auto hasRoom = [&](const WorkerRecord* aWorker) {
-    return aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
-           IsSuitable(aCandidate, *aWorker) &&
-           (!step.WasAsked(aWorker->m_slot) ||
-            step.FindTicket(aWorker->m_slot) != nullptr);
-  };
-  if (!aCandidate.Spec().m_gang) {
-    return std::ranges::any_of(m_usable, hasRoom);
-  }
   std::vector<WorkerRecord*> workers;
-  std::ranges::copy_if(m_usable, std::back_inserter(workers), hasRoom);
-  return RackForGang(aCandidate, workers).has_value();
+  std::ranges::copy_if(
+    m_usable, std::back_inserter(workers), [&](const WorkerRecord* aWorker) {
+      return aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
+             IsSuitable(aCandidate, *aWorker) &&
+             (!step.WasAsked(aWorker->m_slot) ||
+              step.FindTicket(aWorker->m_slot) != nullptr);
+    });
+  return HasRoomOn(aCandidate, workers);
+}
+
+bool
+PoolScheduler::HasRoomOn(const Candidate& aCandidate,
+                         const std::vector<WorkerRecord*>& aWorkers)
+{
+  if (aCandidate.Spec().m_gang) {
+    return RackForGang(aCandidate, aWorkers).has_value();
+  }
+  return std::ranges::any_of(aWorkers, [&](const WorkerRecord* aWorker) {
+    return TasksThatFitOn(*aWorker, aCandidate) > 0;
+  });
 }
 
 bool
--- a/tests/correctness/PoolTickets.cpp
+++ b/tests/correctness/PoolTickets.cpp
@@ -78,9 +78,10 @@
   static constexpr int kBlocked = 10;
   static constexpr int kRounds = 60;
 
-  static pool::PoolConfig Config()
+  static pool::PoolConfig Config(Duration aValidity = seconds(2))
   {
     pool::PoolConfig config = PoolSample();
+    config.m_queues.back().m_advice->m_validity = aValidity;
     config.m_teams.push_back({ Limited(), { "other" }, 1000, { 500, 0, 0 } });
     return config;
   }
@@ -91,6 +92,18 @@
     m_fixture.ReportAllIdle();
   }
 
+  /// Permits all workers that are asked about.
+  void Answer(const std::vector<pool::AdviceRequest>& aRequests)
+  {
+    for (const pool::AdviceRequest& request : aRequests) {
+      std::vector<pool::Permission> permitted;
+      for (const pool::WorkerId& worker : request.m_workers) {
+        permitted.push_back({ worker, "ticket" });
+      }
+      m_fixture.m_scheduler.OnAdvice(m_fixture.m_now, request, permitted);
+    }
+  }
+
   void AddBlocked(const TeamId& aTeam, std::int64_t aMillicores)
   {
     for (int number = 0; number < kBlocked; ++number) {
@@ -147,6 +160,37 @@
   EXPECT_TRUE(JobStarts());
 }
 
+/// A step behind ten that lack room had valid tickets of a full worker only. It
+/// never asked about a free worker that came later, as long as these lasted.
+TEST_F(PoolBlockedSteps, StepAsksAboutAFreeWorkerBesideItsFullOnes)
+{
+  m_fixture.m_scheduler.SetConfig(m_fixture.m_now, Config(seconds(600)));
+  m_fixture.Add(PoolJob("full", kPatientQueue, { PoolStep(1, 8000) }));
+  const auto running = m_fixture.Plan().m_starts;
+  ASSERT_EQ(running.size(), 1U);
+  AddBlocked(kTeam, 8000);
+  m_fixture.Add(PoolJob("job", kPolicyQueue, { PoolStep(1) }));
+  bool starts = false;
+  for (int round = 0; round < kRounds; ++round) {
+    if (round == kRounds / 2) {
+      m_fixture.m_workers.push_back(PoolWorker("w2", { 4000, 4000, 0 }));
+      m_fixture.m_scheduler.SetWorkers(m_fixture.m_now, m_fixture.m_workers);
+    }
+    const pool::Actions actions = m_fixture.Plan();
+    starts = starts || !actions.m_starts.empty();
+    Answer(actions.m_adviceRequests);
+    m_fixture.m_now += milliseconds(100);
+    for (const pool::WorkerInfo& worker : m_fixture.m_workers) {
+      const bool full = worker.m_id == running[0].m_worker;
+      m_fixture.ReportInventory(worker.m_id,
+                                full ? std::vector{ RunOf(running[0], round) }
+                                     : std::vector<pool::ReportedRun>(),
+                                {});
+    }
+  }
+  EXPECT_TRUE(starts);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
