Give process.full_slice ports of its own

cut_pair_link and full_slice both used the ports from 9100 on. CTest runs two process tests at once, so the two could meet; one of them would then fail to start its cell. Found by reading the list of base ports; it was not seen to happen.

--- a/tests/process/full_slice.sh
+++ b/tests/process/full_slice.sh
@@ -3,7 +3,7 @@
 # cancellations that do not find a job that has moved, and against tasks that start twice.
 set -euo pipefail
 BIN=$1
-BASE_PORT=9100
+BASE_PORT=9200
 source "$(dirname "$0")/../../scripts/process-test"
 start_cell
 configure_cell
