Show when a cancellation reaches the leader and how old its view is

Change: the row of a cancellation holds when it was requested; the leader writes a line 'cancellation' with source and age as it learns of it, and measures lacewing_cancellation_delay_seconds. Each answer of the watch of jobs measures lacewing_job_view_age_seconds, the 'pool' line shows job_view_age_ms, and 'dependency' tells when the watch falls silent. 'leader_not_told' tells what the leader was not told. Rows of earlier versions count as before. No change of what is decided.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -428,11 +428,17 @@
     *address,
     MakeRequest("POST", aPath, std::move(aBody)),
     kLeaderTimeout,
-    [this, aJob](const net::HttpOutcome& aOutcome) {
-      if (!aOutcome.m_response || aOutcome.m_response->m_status != kOk) {
-        m_context.m_log.Write(settings::LogLevel::Info,
-                              "leader_not_told",
-                              { { "request", aJob.Value() } });
+    [this, aPath, aJob](const net::HttpOutcome& aOutcome) {
+      const int status =
+        aOutcome.m_response ? aOutcome.m_response->m_status : 0;
+      if (status != kOk) {
+        const bool cancels = aPath.starts_with(kCancelPath);
+        m_context.m_log.Write(
+          settings::LogLevel::Info,
+          "leader_not_told",
+          { { "request", aJob.Value() },
+            { "about", std::string(cancels ? "cancellation" : "job") },
+            { "status", static_cast<std::int64_t>(status) } });
       }
     });
 }
@@ -493,19 +499,22 @@
 void
 CallerFront::StoreCancellation(const Call& aCall, pool::JobLocation aLocation)
 {
+  const pool::Cancellation cancellation{ UnixMilliseconds() };
+  const std::string row = pool::EncodeCancellation(cancellation);
   table::Commit commit;
-  commit.m_puts = { { pool::CancelKey(aCall.m_job, aLocation), "{}" } };
+  commit.m_puts = { { pool::CancelKey(aCall.m_job, aLocation), row } };
   m_context.m_store.Submit(
     commit,
     AttemptTimeout(TimeLeft(aCall)),
-    [this, aCall, aLocation](const table::CommitResult& aResult) {
+    [this, aCall, aLocation, cancellation, row](
+      const table::CommitResult& aResult) {
       if (aResult.m_state == table::CommitState::Committed) {
         if (const auto leader = m_leadership.Local()) {
-          leader->CancelJob(aCall.m_job);
+          leader->CancelJob(aCall.m_job, cancellation, JobSource::Front);
         } else {
           NotifyLeader(std::string(kCancelPath) + "/" + aCall.m_job.Value(),
                        aCall.m_job,
-                       "{}");
+                       row);
         }
         if (aCall.m_isUnknownJob) {
           Finish(aCall, kGone, "no_job");
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -256,7 +256,8 @@
   const std::string kind = aRequest.m_path.substr(0, slash);
   const JobId id(aRequest.m_path.substr(slash + 1));
   if (kind == kCancelPath) {
-    leader->CancelJob(id);
+    leader->CancelJob(
+      id, pool::DecodeCancellation(aRequest.m_body), JobSource::Front);
     aReply(net::JsonResponse(kOk, "{}"));
     return;
   }
--- a/src/edge/JobLoader.h
+++ b/src/edge/JobLoader.h
@@ -21,7 +21,7 @@
 struct LoadedJobs
 {
   std::vector<StoredJob> m_jobs;
-  std::set<JobId> m_cancelled;
+  std::map<JobId, pool::Cancellation> m_cancelled;
   std::size_t m_progressRows = 0;
   /// Changes of the job table after this version may be missing.
   RowVersion m_readFrom = 0;
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -126,6 +126,7 @@
 void
 PoolLeader::LoadJobs()
 {
+  m_jobsKnownUntil = net::Loop::Now();
   m_jobLoader = std::make_unique<JobLoader>(
     m_context.m_loop,
     m_context.m_store,
@@ -141,8 +142,8 @@
   for (const StoredJob& job : aLoaded.m_jobs) {
     Add(job, JobSource::Load);
   }
-  for (const JobId& id : aLoaded.m_cancelled) {
-    CancelJob(id);
+  for (const auto& [id, cancellation] : aLoaded.m_cancelled) {
+    CancelJob(id, cancellation, JobSource::Load);
   }
   m_jobsAfter = aLoaded.m_readFrom;
   m_context.m_log.Write(
@@ -162,6 +163,7 @@
 void
 PoolLeader::ReloadJobs()
 {
+  const Time beganAt = net::Loop::Now();
   m_jobReload = std::make_unique<JobTableScan>(
     m_context.m_loop,
     m_context.m_store,
@@ -169,8 +171,9 @@
     [this](const std::string& aKey, const table::Row& aRow) {
       ApplyJobRow(aKey, aRow, JobSource::Reload);
     },
-    [this](RowVersion aReadFrom) {
+    [this, beganAt](RowVersion aReadFrom) {
       m_jobsAfter = aReadFrom;
+      OnJobsWatched(beganAt);
       WatchJobs();
     });
   m_jobReload->Start();
@@ -280,7 +283,7 @@
                      aJob.m_progress,
                      !isNew || aSource == JobSource::LookUp);
   if (m_unappliedCancellations.erase(id) > 0) {
-    CancelJob(id);
+    m_scheduler.CancelJob(net::Loop::Now(), id);
   }
   m_planTimer.CallSoon();
 }
@@ -306,16 +309,51 @@
 }
 
 void
-PoolLeader::CancelJob(const JobId& aJob)
+PoolLeader::CancelJob(const JobId& aJob,
+                      const pool::Cancellation& aCancellation,
+                      JobSource aSource)
 {
-  if (!m_scheduler.CancelJob(net::Loop::Now(), aJob)) {
-    m_unappliedCancellations.emplace(aJob, net::Loop::Now());
+  const pool::TrackedJob* job = m_scheduler.FindJob(aJob);
+  if (job == nullptr) {
+    if (m_unappliedCancellations.emplace(aJob, net::Loop::Now()).second) {
+      LogCancellation(aJob, aCancellation, aSource);
+    }
     return;
   }
+  if (job->IsOver()) {
+    return; // a further report of an applied cancellation, or a late one
+  }
+  LogCancellation(aJob, aCancellation, aSource);
+  m_scheduler.CancelJob(net::Loop::Now(), aJob);
   m_planTimer.CallSoon();
   m_hooks.m_onUnsaved();
 }
 
+void
+PoolLeader::LogCancellation(const JobId& aJob,
+                            const pool::Cancellation& aCancellation,
+                            JobSource aSource)
+{
+  const bool isTimeKnown = aCancellation.m_requestedUnixMs > 0;
+  const std::int64_t age = std::clamp<std::int64_t>(
+    UnixMilliseconds() - aCancellation.m_requestedUnixMs, 0, kMaxAgeMs);
+  if (isTimeKnown) {
+    constexpr double kMillisecondsPerSecond = 1000;
+    m_context.m_metrics.Observe(observe::Metric::CancellationDelaySeconds,
+                                static_cast<double>(age) /
+                                  kMillisecondsPerSecond,
+                                { NameOf(aSource) });
+  }
+  m_context.m_log.Write(
+    settings::LogLevel::Info,
+    "cancellation",
+    { { "request", aJob.Value() },
+      { "term", static_cast<std::int64_t>(m_term) },
+      { "source", std::string(NameOf(aSource)) },
+      { "age_ms", isTimeKnown ? age : std::int64_t{ -1 } },
+      { "job", m_scheduler.FindJob(aJob) == nullptr ? "unknown" : "open" } });
+}
+
 std::optional<JobView>
 PoolLeader::ViewOf(const JobId& aJob) const
 {
@@ -326,19 +364,39 @@
   return JobView{ m_scheduler.ShownState(*job), job->Spec().m_team };
 }
 
+void
+PoolLeader::OnJobsWatched(Time aSentAt)
+{
+  const std::chrono::duration<double> age = net::Loop::Now() - m_jobsKnownUntil;
+  m_context.m_metrics.Observe(observe::Metric::JobViewAgeSeconds, age.count());
+  m_jobsKnownUntil = aSentAt;
+}
+
 void
 PoolLeader::WatchJobs()
 {
+  const Time sentAt = net::Loop::Now();
   m_context.m_store.ReadChanges(
     pool::kJobTable,
     m_jobsAfter,
     Duration::zero(),
     kReadTimeout,
-    [weak = weak_from_this()](const platform::Changes& aChanges) {
+    [weak = weak_from_this(), sentAt](const platform::Changes& aChanges) {
       const auto self = weak.lock();
       if (!self || self->m_closed) {
         return;
       }
+      self->m_context.m_log.WriteOnChange(
+        "watch of jobs",
+        aChanges.m_ok ? "answers" : "silent",
+        settings::LogLevel::Info,
+        "dependency",
+        { { "view_age_ms",
+            ToMilliseconds(net::Loop::Now() - self->m_jobsKnownUntil) },
+          { "read_ms", ToMilliseconds(net::Loop::Now() - sentAt) } });
+      if (aChanges.m_ok) {
+        self->OnJobsWatched(sentAt);
+      }
       for (const platform::ChangedRow& change : aChanges.m_rows) {
         if (!change.m_deleted) {
           self->ApplyJobRow(change.m_key, change.m_row, JobSource::Watch);
@@ -363,7 +421,7 @@
 {
   const pool::JobRowKey key = pool::ParseJobRowKey(aKey);
   if (key.m_cancellation) {
-    CancelJob(key.m_job);
+    CancelJob(key.m_job, pool::DecodeCancellation(aRow.m_value), aSource);
     return;
   }
   if (m_scheduler.FindJob(key.m_job) != nullptr) {
@@ -667,7 +725,9 @@
       { "waiting_tasks", static_cast<std::int64_t>(counts.m_waitingTasks) },
       { "open_jobs", static_cast<std::int64_t>(counts.m_openJobs) },
       { "used_cores", counts.m_usedMillicores / 1000 },
-      { "longest_plan_ms", ToMilliseconds(longestPlan) } });
+      { "longest_plan_ms", ToMilliseconds(longestPlan) },
+      { "job_view_age_ms",
+        ToMilliseconds(net::Loop::Now() - m_jobsKnownUntil) } });
 }
 
 } // namespace lacewing::edge
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -47,7 +47,7 @@
   std::function<void()> m_onUnsaved;
 };
 
-/// How the leader came to know a job.
+/// How the leader came to know a job or a cancellation.
 enum class JobSource : std::uint8_t
 {
   Load,   ///< the load at the begin of the leadership
@@ -82,7 +82,10 @@
   /// Adds an accepted job unless it is known. `aRowVersion` is the version of
   /// its row; 0 if that is not known.
   void AddJob(const pool::Job& aJob, RowVersion aRowVersion, JobSource aSource);
-  void CancelJob(const JobId& aJob);
+  /// Cancels the job, or will as soon as it becomes known.
+  void CancelJob(const JobId& aJob,
+                 const pool::Cancellation& aCancellation,
+                 JobSource aSource);
   /// Empty for an unknown job.
   std::optional<JobView> ViewOf(const JobId& aJob) const;
   std::map<pool::QueueId, std::size_t> WaitingJobs() const
@@ -113,6 +116,8 @@
   /// Begins to schedule once the jobs and the workers have been read.
   void BeginIfRead();
   void WatchJobs();
+  /// The store has answered a read of changes that was sent at that time.
+  void OnJobsWatched(Time aSentAt);
   void ApplyJobRow(const std::string& aKey,
                    const table::Row& aRow,
                    JobSource aSource);
@@ -121,6 +126,10 @@
   void UpdateWorkers();
   /// Logs if the entry is that of a later incarnation than the known one.
   void LogRestart(const pool::WorkerInfo& aWorker);
+  /// Records how long the cancellation took to reach this leader.
+  void LogCancellation(const JobId& aJob,
+                       const pool::Cancellation& aCancellation,
+                       JobSource aSource);
   void ExpireJobs();
   void Plan();
   /// Reads an unknown job and its progress, until it is found or is known not
@@ -163,6 +172,8 @@
   /// noticed. Their rows expire like those of ended jobs.
   std::map<JobId, Time> m_unappliedCancellations;
   RowVersion m_jobsAfter = 0;
+  /// All that was stored about jobs before this time is known here.
+  Time m_jobsKnownUntil{};
   RowVersion m_workersAfter = 0;
 
   WorkerDirectory m_directory;
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -57,6 +57,8 @@
   { Metric::LoopLagSeconds, "lacewing_loop_lag_seconds", Histogram, "seconds", "", "Delay of timers of the event loop.", "99th percentile above 0.05 s" },
   { Metric::TimelineDropped, "lacewing_timeline_dropped_total", Counter, "events", "", "Time line events dropped from the full ring.", "never; it shows the span of the ring" },
   { Metric::MetricSetsDropped, "lacewing_metric_sets_dropped_total", Counter, "values", "", "Values dropped because a metric has too many label sets.", "grows" },
+  { Metric::CancellationDelaySeconds, "lacewing_cancellation_delay_seconds", Histogram, "seconds", "source", "Time from a caller's cancellation until the pool's leader knows of it, by the clocks of both VMs; source is load, reload, watch or front.", "above 2 s" },
+  { Metric::JobViewAgeSeconds, "lacewing_job_view_age_seconds", Histogram, "seconds", "", "How old the leader's view of the stored jobs and cancellations was as the store's next answer renewed it.", "above 2 s" },
 };
 // clang-format on
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -38,6 +38,8 @@
   LoopLagSeconds,
   TimelineDropped,
   MetricSetsDropped,
+  CancellationDelaySeconds,
+  JobViewAgeSeconds,
 };
 
 enum class MetricType : std::uint8_t
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -180,6 +180,24 @@
                 { "renewal_grace_ms", ToMilliseconds(aRow.m_renewalGrace) } });
 }
 
+std::string
+EncodeCancellation(const Cancellation& aCancellation)
+{
+  return Dump({ { "requested_ms", aCancellation.m_requestedUnixMs } });
+}
+
+Cancellation
+DecodeCancellation(const std::string& aRow)
+{
+  const Json json = Json::parse(aRow, nullptr, false);
+  Cancellation result;
+  if (json.is_object() && json.contains("requested_ms") &&
+      json.at("requested_ms").is_number_integer()) {
+    result.m_requestedUnixMs = json.at("requested_ms").get<std::int64_t>();
+  }
+  return result;
+}
+
 Result<Job>
 DecodeJob(const JobId& aId, const std::string& aRow)
 {
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -78,6 +78,13 @@
   bool operator==(const TaskProgress&) const = default;
 };
 
+/// Content of a cancellation's row.
+struct Cancellation
+{
+  /// Wall clock of the daemon that received the request; 0 if not known.
+  std::int64_t m_requestedUnixMs = 0;
+};
+
 struct JobProgress
 {
   JobState m_state = JobState::Pending;
@@ -114,6 +121,8 @@
 EncodeProgress(const JobProgress& aProgress);
 std::string
 EncodeLeader(const LeaderRow& aRow);
+std::string
+EncodeCancellation(const Cancellation& aCancellation);
 
 /// Errors of all decoders: `BadInput`, with a description of what is wrong in
 /// the row.
@@ -123,5 +132,9 @@
 DecodeProgress(const std::string& aRow);
 Result<LeaderRow>
 DecodeLeader(const std::string& aRow);
+/// A cancellation counts whatever its row holds: from a row that cannot be
+/// decoded only the time is missing.
+Cancellation
+DecodeCancellation(const std::string& aRow);
 
 } // namespace lacewing::pool
--- a/tests/correctness/EdgeJobLoad.cpp
+++ b/tests/correctness/EdgeJobLoad.cpp
@@ -161,7 +161,7 @@
   m_cell.Hold("rows-");
   m_cell.PutJob(m_job);
   m_cell.Leader().AddJob(m_job, 0, edge::JobSource::Front);
-  m_cell.Leader().CancelJob(m_job.m_id);
+  m_cell.Leader().CancelJob(m_job.m_id, {}, edge::JobSource::Front);
   m_cell.Release();
   ASSERT_TRUE(IsShown(m_job.m_id));
   EXPECT_EQ(m_cell.Leader().ViewOf(m_job.m_id)->m_state,
--- a/tests/correctness/PoolRows.cpp
+++ b/tests/correctness/PoolRows.cpp
@@ -83,6 +83,19 @@
   }
 }
 
+/// Rows of earlier versions hold no time, and a row that cannot be read must
+/// not undo a confirmed cancellation.
+TEST(PoolRows, CancellationWithoutATimeIsStillACancellation)
+{
+  const pool::Cancellation written{ 1'764'900'000'123 };
+  EXPECT_EQ(pool::DecodeCancellation(pool::EncodeCancellation(written))
+              .m_requestedUnixMs,
+            written.m_requestedUnixMs);
+  for (const char* row : { "{}", "", "[1]", R"({"requested_ms":"x"})" }) {
+    EXPECT_EQ(pool::DecodeCancellation(row).m_requestedUnixMs, 0) << row;
+  }
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
