Start nothing by an old view of the stored jobs

Cause: the leader learns of a cancellation by one notice, which is given up after 500 ms, and by the watch of the job table.

Change: the scheduler knows until when the stored jobs are known, the time at which the last answered read was sent, and starts nothing once that is longer ago than cancel_ms of the settings less 1 s for the way of a start. A start in doubt is not repeated meanwhile either; stops go on. The watch reads every 800 ms, and again after 150 ms if a read has failed. This bounds the age of what a start rests on, whatever delays notices and reads.

--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -26,6 +26,9 @@
   Duration m_stopGrace{};       ///< from the stop signal to the kill
   Duration m_leaseMax{};        ///< longest lease that workers accept
   Duration m_statusRetention{}; ///< how long ended jobs stay visible
+  /// No task of a job starts later than this after its cancellation was
+  /// confirmed.
+  Duration m_cancelBound = seconds(3);
 };
 
 } // namespace lacewing::edge
--- a/src/edge/JobLoader.cpp
+++ b/src/edge/JobLoader.cpp
@@ -50,8 +50,8 @@
 {
   const pool::JobRowKey key = pool::ParseJobRowKey(aKey);
   if (key.m_cancellation) {
-    m_result.m_cancelled.emplace(
-      key.m_job, pool::DecodeCancellation(aRow.m_value));
+    m_result.m_cancelled.emplace(key.m_job,
+                                 pool::DecodeCancellation(aRow.m_value));
   } else {
     m_jobRows[key.m_job] = aRow;
   }
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -12,15 +12,20 @@
 namespace {
 
 constexpr Duration kReadTimeout = milliseconds(1000);
+/// Longest time from the decision to start a task until its worker has the
+/// command.
+constexpr Duration kStartDelivery = seconds(1);
+constexpr Duration kMinViewAge = milliseconds(500);
 /// Delay before a job whose rows could not be read is read again; it doubles
 /// with each failure.
 constexpr Duration kFirstLookUpDelay = milliseconds(100);
 constexpr Duration kLongestLookUpDelay = milliseconds(1600);
 /// Daemons send new jobs to the leader at once; the watch of the job table
 /// finds jobs whose message was lost.
-constexpr Duration kJobWatchPeriod = milliseconds(1000);
+constexpr Duration kJobWatchPeriod = milliseconds(800);
 /// Shorter for a while after a change of leader, since fronts still send new
-/// jobs to the previous one.
+/// jobs to the previous one, and after a read that failed, since nothing starts
+/// once the view is too old.
 constexpr Duration kFrequentJobWatchPeriod = milliseconds(150);
 constexpr Duration kFrequentWatchTime = seconds(3);
 /// Upper bound on the delay before a draining worker is noticed.
@@ -80,6 +85,8 @@
 {
   m_scheduler.SetConfig(net::Loop::Now(), aConfig);
   m_scheduler.SetLongestLease(aContext.m_settings.m_leaseMax);
+  m_scheduler.SetLongestViewAge(
+    std::max(aContext.m_settings.m_cancelBound - kStartDelivery, kMinViewAge));
 }
 
 void
@@ -126,7 +133,7 @@
 void
 PoolLeader::LoadJobs()
 {
-  m_jobsKnownUntil = net::Loop::Now();
+  SetJobsKnownUntil(net::Loop::Now());
   m_jobLoader = std::make_unique<JobLoader>(
     m_context.m_loop,
     m_context.m_store,
@@ -369,7 +376,14 @@
 {
   const std::chrono::duration<double> age = net::Loop::Now() - m_jobsKnownUntil;
   m_context.m_metrics.Observe(observe::Metric::JobViewAgeSeconds, age.count());
-  m_jobsKnownUntil = aSentAt;
+  SetJobsKnownUntil(aSentAt);
+}
+
+void
+PoolLeader::SetJobsKnownUntil(Time aUntil)
+{
+  m_jobsKnownUntil = aUntil;
+  m_scheduler.SetJobsKnownUntil(aUntil);
 }
 
 void
@@ -407,9 +421,10 @@
         self->ReloadJobs();
         return; // the watch restarts when the reload ends
       }
-      const bool first =
+      const bool frequent =
+        !aChanges.m_ok ||
         net::Loop::Now() < self->m_loadedAt + kFrequentWatchTime;
-      self->After(first ? kFrequentJobWatchPeriod : kJobWatchPeriod,
+      self->After(frequent ? kFrequentJobWatchPeriod : kJobWatchPeriod,
                   [self = self.get()] { self->WatchJobs(); });
     });
 }
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -116,6 +116,7 @@
   /// Begins to schedule once the jobs and the workers have been read.
   void BeginIfRead();
   void WatchJobs();
+  void SetJobsKnownUntil(Time aUntil);
   /// The store has answered a read of changes that was sent at that time.
   void OnJobsWatched(Time aSentAt);
   void ApplyJobRow(const std::string& aKey,
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -227,6 +227,12 @@
     m_hooks.m_onChange();
     return;
   }
+  if (!m_scheduler.MayStart(now)) {
+    // The job may have been cancelled; the run keeps its place until that is
+    // known.
+    StartLater(aStart, aInDoubt);
+    return;
+  }
   const auto address = AddressOf(aStart.m_worker);
   const std::int64_t deadline =
     m_hooks.m_maySendCommands() ? m_scheduler.NextDeadline(now, aStart.m_worker)
@@ -285,9 +291,15 @@
     m_hooks.m_onChange();
     return;
   }
-  m_loop.After(kRetryPause, [weak = weak_from_this(), aStart] {
+  StartLater(aStart, true);
+}
+
+void
+WorkerLinks::StartLater(const pool::StartTask& aStart, bool aInDoubt)
+{
+  m_loop.After(kRetryPause, [weak = weak_from_this(), aStart, aInDoubt] {
     if (const auto self = weak.lock(); self && !self->m_closed) {
-      self->SendStart(aStart, true);
+      self->SendStart(aStart, aInDoubt);
     }
   });
 }
--- a/src/edge/WorkerLinks.h
+++ b/src/edge/WorkerLinks.h
@@ -51,6 +51,7 @@
                        Time aSentAt,
                        const platform::LeaseExtensionResult& aResult);
   void SendStart(const pool::StartTask& aStart, bool aInDoubt);
+  void StartLater(const pool::StartTask& aStart, bool aInDoubt);
   void StopLater(const pool::StopTask& aStop);
   void OnStarted(const pool::StartTask& aStart,
                  bool aInDoubt,
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -9,6 +9,9 @@
 /// worker's lease has expired. A start whose outcome is unknown keeps its
 /// resources and its run number until the worker confirms it or the worker's
 /// lease has expired. Resources are released only when an end is reported.
+///
+/// Nothing starts by an old view of the stored jobs: a cancellation that is
+/// confirmed after that view would not end the starts in time.
 #pragma once
 
 #include "pool/PoolConfig.h"
@@ -130,6 +133,15 @@
   void OnLoaded(Time aNow);
   /// Longest lease that the workers accept; the leader sends no longer one.
   void SetLongestLease(Duration aLease) { m_longestLease = aLease; }
+  /// All that was stored about jobs before this time is known here.
+  void SetJobsKnownUntil(Time aUntil) { m_jobsKnownUntil = aUntil; }
+  /// Age of that view beyond which nothing starts.
+  void SetLongestViewAge(Duration aAge) { m_longestViewAge = aAge; }
+  /// False while the view of the stored jobs is too old to start tasks by it.
+  bool MayStart(Time aNow) const
+  {
+    return aNow - m_longestViewAge <= m_jobsKnownUntil;
+  }
   /// How many VMs can send requests to the policy service at the same time.
   void SetAskingVms(int aVms) { m_askingVms = aVms; }
   /// All leases of the previous leader have expired by this time.
@@ -411,6 +423,8 @@
   std::set<JobId> m_lookups;
   std::map<JobId, std::vector<HeldEnd>> m_heldEnds; ///< of unknown jobs
   Duration m_longestLease = kDefaultLongestLease;
+  Time m_jobsKnownUntil = Time::max();
+  Duration m_longestViewAge{};
   Time m_loadedAt = Time::max();
   Time m_began{};
   std::vector<StopTask> m_stops; ///< decided since the last plan
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -58,7 +58,7 @@
   ListUsable(aNow);
   actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
   m_lookups.clear();
-  if (AwaitsFirstInventories(aNow)) {
+  if (AwaitsFirstInventories(aNow) || !MayStart(aNow)) {
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
   }
--- a/tests/error/PlatformFormats.cpp
+++ b/tests/error/PlatformFormats.cpp
@@ -237,13 +237,15 @@
     "node: \"n\"\nzone: \"z\"\nregion: \"r\"\nnew_field: 1\n"
     "listen:\n  front: \"10.0.0.1:1\"\n  ready: \"10.0.0.1:2\"\n"
     "  control: \"10.0.0.1:3\"\n"
-    "bounds:\n  grace_s: 6\n  hold_max_ms: 6000\n  status_s: 1.5\n"
+    "bounds:\n  grace_s: 6\n  hold_max_ms: 6000\n  status_s: 1.5\n  cancel_ms: "
+    "4000\n"
     "platform:\n  address: \"10.0.0.2:1\"\nadvice: \"10.0.0.3:1\"\n";
   const auto settings =
     TryDecode<edge::EdgeSettings>([&] { return ParseSettings(text); });
   ASSERT_TRUE(settings.has_value());
   EXPECT_EQ(settings->m_peers.ToString(), "10.0.0.1:3");
   EXPECT_EQ(settings->m_statusRetention, milliseconds(1500));
+  EXPECT_EQ(settings->m_cancelBound, seconds(4));
   EXPECT_TRUE(settings->m_policyService.has_value());
   for (const char* broken : { "", "node: [", "node: x\n", "a: b: c" }) {
     EXPECT_FALSE(TryDecode<edge::EdgeSettings>([&] {
