Read the store's responses before other ready work

Cause: the event loop handled everything that was ready before it looked again, and libevent reads one block of a response for each turn. With some 6,000 connections a turn takes a good part of a second, so a response with the changes of a second, some 175 kB, took seconds to read, the next one was larger, and the leader's view of the jobs fell behind by 17 s in 21 s. No read failed, so nothing showed it.

Change: the loop has two priorities and looks for urgent work after 128 callbacks. What is urgent is little: a few calls a second.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -74,7 +74,8 @@
   , m_settings(aSettings)
   , m_log(LogOptionsOf(aSettings))
   , m_http(aLoop)
-  , m_store(m_http,
+  , m_storeHttp(aLoop, net::Priority::Urgent)
+  , m_store(m_storeHttp,
             aSettings.m_store,
             [this](const std::string& aTable, bool aAnswered) {
               OnStoreCall(aTable, aAnswered);
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -53,6 +53,8 @@
   observe::Log m_log;
   observe::Metrics m_metrics;
   net::HttpClient m_http;
+  /// What this daemon knows of the store must not wait behind its other work.
+  net::HttpClient m_storeHttp;
   StoreHealth m_storeHealth;
   platform::TableStore m_store;
   platform::WorkerClient m_workers;
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -120,14 +120,16 @@
 }
 
 void
-PoolLeader::After(Duration aDelay, Guarded aFunction)
+PoolLeader::After(Duration aDelay, Guarded aFunction, net::Priority aPriority)
 {
   m_context.m_loop.After(
-    aDelay, [weak = weak_from_this(), function = std::move(aFunction)] {
+    aDelay,
+    [weak = weak_from_this(), function = std::move(aFunction)] {
       if (const auto self = weak.lock(); self && !self->m_closed) {
         function();
       }
-    });
+    },
+    aPriority);
 }
 
 void
@@ -424,8 +426,10 @@
       const bool frequent =
         !aChanges.m_ok ||
         net::Loop::Now() < self->m_loadedAt + kFrequentWatchTime;
-      self->After(frequent ? kFrequentJobWatchPeriod : kJobWatchPeriod,
-                  [self = self.get()] { self->WatchJobs(); });
+      self->After(
+        frequent ? kFrequentJobWatchPeriod : kJobWatchPeriod,
+        [self = self.get()] { self->WatchJobs(); },
+        net::Priority::Urgent);
     });
 }
 
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -145,7 +145,9 @@
     const pool::AdviceRequest& aRequest,
     const std::optional<std::vector<pool::Permission>>& aPermissions);
   void Add(const StoredJob& aJob, JobSource aSource);
-  void After(Duration aDelay, Guarded aFunction);
+  void After(Duration aDelay,
+             Guarded aFunction,
+             net::Priority aPriority = net::Priority::Normal);
 
   LeaderContext m_context;
   LeaderHooks m_hooks;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -146,8 +146,9 @@
   }
 };
 
-HttpClient::HttpClient(Loop& aLoop)
+HttpClient::HttpClient(Loop& aLoop, Priority aPriority)
   : m_loop(aLoop)
+  , m_priority(aPriority)
   , m_exchanges(std::make_shared<Exchanges>())
 {
 }
@@ -219,7 +220,11 @@
         Exchange::OnResponse(nullptr, owned);
       }
     });
+    return;
   }
+  // A connection loses its priority as it gets its socket.
+  bufferevent_priority_set(evhttp_connection_get_bufferevent(handle),
+                           static_cast<int>(m_priority));
 }
 
 std::size_t
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -28,7 +28,7 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(Loop& aLoop);
+  explicit HttpClient(Loop& aLoop, Priority aPriority = Priority::Normal);
   /// Requests that are open are not called back.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
@@ -53,6 +53,7 @@
   using Exchanges = std::map<Exchange*, std::unique_ptr<Exchange>>;
 
   Loop& m_loop;
+  Priority m_priority;
   std::map<Address, std::vector<std::shared_ptr<Connection>>> m_pool;
   /// Open ones; evhttp holds plain pointers to them.
   std::shared_ptr<Exchanges> m_exchanges;
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -20,12 +20,44 @@
   return value;
 }
 
+constexpr int kPriorities = 2;
+
+event_base*
+MakeBase()
+{
+  const std::unique_ptr<event_config, decltype(&event_config_free)> config(
+    event_config_new(), &event_config_free);
+  if (!config) {
+    return nullptr;
+  }
+  // By default the loop serves all that is ready before it looks again. In a
+  // busy process that takes long, and a response of several segments takes as
+  // many turns.
+  event_config_set_max_dispatch_interval(config.get(),
+                                         nullptr,
+                                         kCallbacksBetweenPolls,
+                                         static_cast<int>(Priority::Normal));
+  event_base* base = event_base_new_with_config(config.get());
+  if (base != nullptr) {
+    event_base_priority_init(base, kPriorities);
+  }
+  return base;
+}
+
 } // namespace
 
 struct Loop::OneShot
 {
   Loop* m_loop = nullptr;
   std::function<void()> m_function;
+  event* m_source = nullptr;
+
+  ~OneShot()
+  {
+    if (m_source != nullptr) {
+      event_free(m_source);
+    }
+  }
 
   static void Run(evutil_socket_t, short, void* aArgument)
   {
@@ -54,7 +86,7 @@
 };
 
 Loop::Loop()
-  : m_base(event_base_new())
+  : m_base(MakeBase())
 {
   if (m_base == nullptr) {
     throw std::runtime_error("libevent could not create an event base");
@@ -99,16 +131,19 @@
 }
 
 void
-Loop::After(Duration aDelay, std::function<void()> aFunction)
+Loop::After(Duration aDelay,
+            std::function<void()> aFunction,
+            Priority aPriority)
 {
   const timeval delay = ToTimeval(aDelay);
   auto shot = std::make_unique<OneShot>();
+  OneShot* const key = shot.get();
   shot->m_loop = this;
   shot->m_function = std::move(aFunction);
-  OneShot* const key = shot.get();
-  if (event_base_once(m_base, -1, EV_TIMEOUT, OneShot::Run, key, &delay) == 0) {
-    m_oneShots.emplace(key, std::move(shot));
-  }
+  shot->m_source = event_new(m_base, -1, 0, OneShot::Run, key);
+  event_priority_set(shot->m_source, static_cast<int>(aPriority));
+  event_add(shot->m_source, &delay);
+  m_oneShots.emplace(key, std::move(shot));
 }
 
 void
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -4,6 +4,7 @@
 
 #include "core/Time.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -14,6 +15,18 @@
 
 namespace lacewing::net {
 
+/// Order in which the loop serves what is ready. What is urgent has to be
+/// little: it goes before everything else.
+enum class Priority : std::uint8_t
+{
+  Urgent,
+  Normal,
+};
+
+/// After this many callbacks the loop looks for urgent ones that have become
+/// ready meanwhile.
+inline constexpr int kCallbacksBetweenPolls = 128;
+
 class Loop
 {
 public:
@@ -33,7 +46,9 @@
   void Stop();
 
   /// Calls the function once after the delay, unless the loop ends before.
-  void After(Duration aDelay, std::function<void()> aFunction);
+  void After(Duration aDelay,
+             std::function<void()> aFunction,
+             Priority aPriority = Priority::Normal);
   /// Calls the function in every period until the loop ends.
   void Every(Duration aPeriod, std::function<void()> aFunction);
   /// Calls the function on each arrival of the signal.
