Do not repeat a start whose run is being stopped

A start without an answer was sent again every 150 ms for as long as its run was known, also once its job had been cancelled. If the stops did not reach the worker before a copy of the start did, the task of a cancelled job began (UNASKED).

Change: a start is not sent again once its run is to end. The worker refuses earlier copies after the stop.

Result: EdgeWorkerLinks.StartInDoubtIsNotRepeatedOnceItsJobIsCancelled fails before (starts between the stops) and passes.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -217,8 +217,10 @@
 WorkerLinks::SendStart(const pool::StartTask& aStart, bool aInDoubt)
 {
   // A start that an inventory has listed needs no answer; a further copy could
-  // be executed by the next incarnation of the worker.
-  if (!m_scheduler.IsWanted(aStart) || m_scheduler.IsListed(aStart)) {
+  // be executed by the next incarnation of the worker. A copy that reaches the
+  // worker before the stop does would run.
+  if (!m_scheduler.IsWanted(aStart) || m_scheduler.IsListed(aStart) ||
+      m_scheduler.IsBeingStopped(aStart)) {
     return;
   }
   const Time now = net::Loop::Now();
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -444,6 +444,13 @@
   return PlacementOf(aStart) != nullptr;
 }
 
+bool
+PoolScheduler::IsBeingStopped(const StartTask& aStart) const
+{
+  const Placement* placement = PlacementOf(aStart);
+  return placement != nullptr && placement->m_state == PlacementState::Stopping;
+}
+
 bool
 PoolScheduler::IsListed(const StartTask& aStart) const
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -201,6 +201,8 @@
   /// matters.
   bool IsWanted(const StartTask& aStart) const;
   bool IsWanted(const StopTask& aStop) const;
+  /// True if the run is to end, so that its start must not be sent again.
+  bool IsBeingStopped(const StartTask& aStart) const;
   /// True if the worker has reported the run.
   bool IsListed(const StartTask& aStart) const;
   /// True if the worker has restarted since the start was decided. The present
--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace lacewing::fakes {
 
 namespace {
@@ -24,7 +26,8 @@
       if (aRequest.m_path != "/api/hold") {
         m_commands.push_back(aRequest.m_path);
         const bool stop = aRequest.m_path == "/api/run-stop";
-        return std::optional(net::JsonResponse(stop ? 200 : 500, "{}"));
+        return std::optional(
+          net::JsonResponse(stop && m_acceptsStops ? 200 : 500, "{}"));
       }
       const auto body = nlohmann::json::parse(aRequest.m_body);
       m_acknowledged.push_back(body.at("last_seen").get<int>());
@@ -87,7 +90,13 @@
     }
   }
 
+  void CancelStarted()
+  {
+    m_scheduler.CancelJob(net::Loop::Now(), JobId("other"));
+  }
+
   bool m_answers = true;
+  bool m_acceptsStops = true;
   std::int64_t m_incarnation = 1;
   std::vector<std::string> m_commands; ///< paths of starts and stops
   std::vector<int> m_acknowledged;     ///< by each lease extension
@@ -151,6 +160,25 @@
   EXPECT_EQ(cell.m_commands.front(), "/api/run-stop");
 }
 
+/// A start without an answer was sent again while its run was being stopped:
+/// a task of a cancelled job started if no stop had reached its worker.
+TEST(EdgeWorkerLinks, StartInDoubtIsNotRepeatedOnceItsJobIsCancelled)
+{
+  LinkCell cell;
+  cell.m_acceptsStops = false;
+  ASSERT_TRUE(cell.RunExtensions(3));
+  ASSERT_TRUE(cell.SendStart());
+  cell.CancelStarted();
+  cell.SendStops();
+  cell.m_commands.clear();
+  const auto isStop = [](const std::string& aPath) {
+    return aPath == "/api/run-stop";
+  };
+  ASSERT_TRUE(cell.RunUntil(
+    [&] { return std::ranges::count_if(cell.m_commands, isStop) >= 4; }));
+  EXPECT_TRUE(std::ranges::all_of(cell.m_commands, isStop));
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
