Find the runs of a job that has become known without a walk

Cause: for each new job, and for each that was looked up in vain, the leader walked over all placements of all workers for runs of that job, though hardly ever a run is unknown.

Change: the unknown runs are kept in order of their tasks, so that the work is proportional to what is found. Which runs are taken over or stopped stays as it is; runs of one task on several workers are still met in the order of the workers.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -604,6 +604,9 @@
                             const Placement& aPlacement)
 {
   aWorker.m_placements[aTask] = aPlacement;
+  if (aPlacement.m_unknown) {
+    m_unknownRuns.emplace(aTask, aWorker.m_info.m_id);
+  }
   aWorker.m_used += aPlacement.m_resources;
   m_teamUse[aPlacement.m_team] += aPlacement.m_resources;
 }
@@ -617,6 +620,9 @@
   }
   const Placement placement = it->second;
   aWorker.m_placements.erase(it);
+  if (placement.m_unknown) {
+    m_unknownRuns.erase({ aTask, aWorker.m_info.m_id });
+  }
   aWorker.m_used -= placement.m_resources;
   m_teamUse[placement.m_team] -= placement.m_resources;
   TrackedJob* job = Find(aTask.m_job);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -384,6 +384,8 @@
                     WorkerRecord& aWorker);
   void OnReportedRun(Time aNow, WorkerRecord& aWorker, const ReportedRun& aRun);
   void Identify(Time aNow, WorkerRecord& aWorker, const ReportedRun& aRun);
+  std::vector<std::pair<TaskRef, WorkerId>> UnknownRunsOf(
+    const JobId& aJob) const;
   /// Takes over the runs of a job that has become known.
   void IdentifyRuns(Time aNow, const JobId& aJob);
   void DropMissingRuns(Time aNow,
@@ -423,6 +425,8 @@
     m_rateBudget; ///< jobs left of the guaranteed rate, by team
   std::set<JobId> m_dirty;
   std::set<JobId> m_lookups;
+  /// Runs on workers whose job is not known here.
+  std::set<std::pair<TaskRef, WorkerId>> m_unknownRuns;
   std::map<JobId, std::vector<HeldEnd>> m_heldEnds; ///< of unknown jobs
   Duration m_longestLease = kDefaultLongestLease;
   Time m_jobsKnownUntil = Time::max();
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -293,6 +293,7 @@
   const StepSpec& spec = job->Spec().m_steps[aRun.m_task.m_step];
   Placement& placement = aWorker.m_placements.at(aRun.m_task);
   placement.m_unknown = false;
+  m_unknownRuns.erase({ aRun.m_task, aWorker.m_info.m_id });
   placement.m_resources = spec.m_each;
   placement.m_team = job->Spec().m_team;
   aWorker.m_used += placement.m_resources;
@@ -314,19 +315,26 @@
   ++job->Step(aRun.m_task.m_step).m_placed;
 }
 
+std::vector<std::pair<TaskRef, WorkerId>>
+PoolScheduler::UnknownRunsOf(const JobId& aJob) const
+{
+  std::vector<std::pair<TaskRef, WorkerId>> result;
+  const std::pair first(TaskRef{ aJob, 0, 0 }, WorkerId());
+  for (auto it = m_unknownRuns.lower_bound(first);
+       it != m_unknownRuns.end() && it->first.m_job == aJob;
+       ++it) {
+    result.push_back(*it);
+  }
+  return result;
+}
+
 void
 PoolScheduler::IdentifyRuns(Time aNow, const JobId& aJob)
 {
-  for (auto& [id, worker] : m_workers) {
-    std::vector<ReportedRun> unknown;
-    for (const auto& [task, placement] : worker.m_placements) {
-      if (placement.m_unknown && task.m_job == aJob) {
-        unknown.push_back({ task, placement.m_run, {}, placement.m_percent });
-      }
-    }
-    for (const ReportedRun& run : unknown) {
-      Identify(aNow, worker, run);
-    }
+  for (const auto& [task, id] : UnknownRunsOf(aJob)) {
+    WorkerRecord& worker = m_workers.at(id);
+    const Placement& placement = worker.m_placements.at(task);
+    Identify(aNow, worker, { task, placement.m_run, {}, placement.m_percent });
   }
 }
 
@@ -337,16 +345,8 @@
     return; // it was accepted after the read
   }
   DiscardHeldEnds(aJob);
-  for (auto& [id, worker] : m_workers) {
-    std::vector<TaskRef> unknown;
-    for (const auto& [task, placement] : worker.m_placements) {
-      if (placement.m_unknown && task.m_job == aJob) {
-        unknown.push_back(task);
-      }
-    }
-    for (const TaskRef& task : unknown) {
-      Stop(aNow, worker, task, StopReason::Unknown);
-    }
+  for (const auto& [task, id] : UnknownRunsOf(aJob)) {
+    Stop(aNow, m_workers.at(id), task, StopReason::Unknown);
   }
 }
 
