Look for room without copying the list of workers

Change: for steps that are no gangs the search ends at the first worker with room. The result is the same.

--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -144,14 +144,20 @@
     return false;
   }
   StepRecord& step = aCandidate.Record();
-  std::vector<WorkerRecord*> workers;
-  std::ranges::copy_if(
-    m_usable, std::back_inserter(workers), [&](const WorkerRecord* aWorker) {
-      return aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
-             IsSuitable(aCandidate, *aWorker) &&
-             (!step.WasAsked(aWorker->m_slot) ||
-              step.FindTicket(aWorker->m_slot) != nullptr);
+  const auto mayTakeOne = [&](const WorkerRecord* aWorker) {
+    return aCandidate.Spec().m_each.FitsIn(aWorker->Free()) &&
+           IsSuitable(aCandidate, *aWorker) &&
+           (!step.WasAsked(aWorker->m_slot) ||
+            step.FindTicket(aWorker->m_slot) != nullptr);
+  };
+  if (!aCandidate.Spec().m_gang) {
+    // Mostly one of the first workers has room; the others are not looked at.
+    return std::ranges::any_of(m_usable, [&](const WorkerRecord* aWorker) {
+      return mayTakeOne(aWorker) && TasksThatFitOn(*aWorker, aCandidate) > 0;
     });
+  }
+  std::vector<WorkerRecord*> workers;
+  std::ranges::copy_if(m_usable, std::back_inserter(workers), mayTakeOne);
   return HasRoomOn(aCandidate, workers);
 }
 
