Show the lag of the leader, the speed of its processor and what each daemon admits

Change: standing_lag_ms and slowdown_percent in the pool lines, and a line admitted_percent of each daemon when the share that it applies changes.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -4,6 +4,8 @@
 #include "pool/JobRows.h"
 
 #include <algorithm>
+#include <cmath>
+#include <string>
 
 namespace lacewing::edge {
 
@@ -73,6 +75,9 @@
                {})
   , m_timer(aContext.m_loop, kTickPeriod, [this] { Advance(); })
   , m_lagProbe(aContext.m_loop, [this](Duration aLag) { OnLoopLag(aLag); })
+  , m_processorProbe(aContext.m_loop, [this](Duration aTaken) {
+    m_speed.OnProbe(net::Loop::Now(), aTaken);
+  })
 {
 }
 
@@ -83,6 +88,7 @@
   m_context.m_loop.Every(kProbePeriod, [this] {
     ProbeLeader();
     AskSeed();
+    LogAdmission();
   });
 }
 
@@ -213,7 +219,8 @@
     return;
   }
   m_admission.OnLag(net::Loop::Now(), aLag);
-  leader->SetLoad(m_admission.StandingLag(), m_admission.AdmittedShare());
+  leader->SetLoad(
+    m_admission.StandingLag(), m_admission.AdmittedShare(), m_speed.Slowdown());
 }
 
 double
@@ -228,6 +235,26 @@
   return isRecent ? m_remoteShare : 1;
 }
 
+void
+Leadership::LogAdmission() const
+{
+  // Tenths, so that few lines show the course of the share.
+  constexpr double kTenths = 10;
+  constexpr std::int64_t kPercentsOfTenth = 10;
+  const auto tenths =
+    static_cast<std::int64_t>(std::ceil(AdmittedShare() * kTenths));
+  m_context.m_log.WriteOnChange(
+    "admission",
+    std::to_string(tenths * kPercentsOfTenth),
+    settings::LogLevel::Info,
+    "admitted_percent",
+    { { "leads", Local() != nullptr },
+      { "leader_age_ms",
+        m_remoteShareAt == Time::min()
+          ? std::int64_t{ -1 }
+          : ToMilliseconds(net::Loop::Now() - m_remoteShareAt) } });
+}
+
 void
 Leadership::Advance()
 {
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -6,8 +6,10 @@
 #include "edge/PoolLeader.h"
 #include "net/LoopLagProbe.h"
 #include "net/PacedTimer.h"
+#include "net/ProcessorProbe.h"
 #include "pool/AdmissionControl.h"
 #include "pool/LeaderElection.h"
+#include "pool/ProcessorSpeed.h"
 
 #include <memory>
 
@@ -60,6 +62,7 @@
   void Advance();
   void MeasureLoopLag();
   void OnLoopLag(Duration aLag);
+  void LogAdmission() const;
   void ReadRow();
   void Write(const pool::ElectionAction& aAction);
   void OnWritten(const pool::ElectionAction& aAction,
@@ -105,6 +108,8 @@
   bool m_probePending = false;
   std::size_t m_nextSeed = 0;
   net::LoopLagProbe m_lagProbe;
+  pool::ProcessorSpeed m_speed;
+  net::ProcessorProbe m_processorProbe;
 };
 
 } // namespace lacewing::edge
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -729,19 +729,27 @@
 }
 
 void
-PoolLeader::SetLoad(Duration aStandingLag, double aAdmittedShare)
+PoolLeader::SetLoad(Duration aStandingLag,
+                    double aAdmittedShare,
+                    double aSlowdown)
 {
+  m_slowdown = aSlowdown;
   m_pacer.SetStandingLag(aStandingLag);
   m_leastAdmitted = std::min(m_leastAdmitted, aAdmittedShare);
+  if (aStandingLag != Duration::max()) {
+    m_longestLag = std::max(m_longestLag, aStandingLag);
+  }
 }
 
 void
 PoolLeader::LogState()
 {
   constexpr double kPercent = 100;
+  const Time now = net::Loop::Now();
   const Duration longestPlan = std::exchange(m_longestPlan, {});
+  const Duration longestLag = std::exchange(m_longestLag, {});
   const double leastAdmitted = std::exchange(m_leastAdmitted, 1);
-  const pool::PoolCounts counts = m_scheduler.Counts(net::Loop::Now());
+  const pool::PoolCounts counts = m_scheduler.Counts(now);
   m_context.m_log.Write(
     settings::LogLevel::Info,
     "pool",
@@ -755,10 +763,11 @@
       { "longest_turn_ms", ToMilliseconds(counts.m_longestTurn) },
       { "longest_plan_ms", ToMilliseconds(longestPlan) },
       { "plan_steps", static_cast<std::int64_t>(m_pacer.Steps()) },
+      { "standing_lag_ms", ToMilliseconds(longestLag) },
+      { "slowdown_percent", static_cast<std::int64_t>(m_slowdown * kPercent) },
       { "admitted_percent",
         static_cast<std::int64_t>(leastAdmitted * kPercent) },
-      { "job_view_age_ms",
-        ToMilliseconds(net::Loop::Now() - m_jobsKnownUntil) } });
+      { "job_view_age_ms", ToMilliseconds(now - m_jobsKnownUntil) } });
 }
 
 } // namespace lacewing::edge
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -97,9 +97,10 @@
   /// requests.
   void OnPeerStatusRequest(const VmId& aVm, const net::Address& aAddress);
 
-  /// How late the event loop has been all the time recently, and which part of
-  /// the new jobs is accepted.
-  void SetLoad(Duration aStandingLag, double aAdmittedShare);
+  /// How late the event loop has been all the time recently, which part of the
+  /// new jobs is accepted, and how many times as long as usual the processor
+  /// takes for the same work.
+  void SetLoad(Duration aStandingLag, double aAdmittedShare, double aSlowdown);
 
   pool::PoolScheduler& Scheduler() { return m_scheduler; }
   JobExpiry& Expiry() { return *m_expiry; }
@@ -165,7 +166,9 @@
   net::PacedTimer m_planTimer;
   pool::PlanPacer m_pacer;
   Duration m_longestPlan{};   ///< since the last state was logged
+  Duration m_longestLag{};    ///< likewise, standing lag of the event loop
   double m_leastAdmitted = 1; ///< likewise, part of the new jobs
+  double m_slowdown = 1;      ///< of the processor at present
   std::vector<std::string> m_previousWorkers;
 
   std::unique_ptr<JobLoader> m_jobLoader;
