Add a failing test of SHORT: a daemon that hears nothing accepts everything

EdgeSilentLeader.DaemonThatHearsNothingRefusesMostNewJobs fails on the present code: 40 of 40 jobs are accepted after 5 s of silence.

--- a/tests/correctness/EdgeOverload.cpp
+++ b/tests/correctness/EdgeOverload.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 namespace lacewing::fakes {
 
@@ -91,6 +93,43 @@
   EXPECT_EQ(m_cell.RowsOf(pool::kJobTable), 1U);
 }
 
+/// Guards against daemons that accept everything once they no longer hear from
+/// the leader, although nobody starts anything.
+TEST(EdgeSilentLeader, DaemonThatHearsNothingRefusesMostNewJobs)
+{
+  FrontCell cell;
+  std::vector<net::HttpReply> held; // requests of the status without a response
+  int answered = 0;
+  const bool started =
+    cell.Start([&](const auto& aRequest, const auto& aReply) {
+      if (aRequest.m_path != edge::kStatusPath || answered >= 2) {
+        held.push_back(aReply);
+        return;
+      }
+      ++answered;
+      edge::LeaderStatus status;
+      status.m_leads = true;
+      status.m_term = 1;
+      status.m_incarnation = FrontCell::kLeaderIncarnation;
+      aReply(net::JsonResponse(200, edge::EncodeStatus(status)));
+    });
+  ASSERT_TRUE(started);
+  ASSERT_TRUE(cell.RunUntil([&] { return answered >= 2; }));
+  constexpr Duration kSilence = seconds(5);
+  const Time silentUntil = net::Loop::Now() + kSilence;
+  cell.RunUntil([&] { return net::Loop::Now() >= silentUntil; });
+  constexpr int kJobs = 40;
+  int accepted = 0;
+  for (int number = 0; number < kJobs; ++number) {
+    const std::string path =
+      "/patient/00000000000000" + std::to_string(10 + number);
+    const auto response = cell.Call("POST", path, kDeadline, kBody);
+    ASSERT_TRUE(response.has_value());
+    accepted += response->m_status == 200 ? 1 : 0;
+  }
+  EXPECT_LT(accepted, kJobs / 2);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
