Let the share of new jobs fall while nothing is heard from the leader

All daemons hear nothing when the leader is overloaded, so the overload fed itself.

Change: HeardAdmission keeps the last answer; half a second after it the share falls by a tenth each quarter of a second, as the leader's own share does while its loop is late, to a tenth at least. A leader that still loads the stored jobs reports that share in place of 1.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -31,8 +31,6 @@
 /// A daemon asks the leader for the counts at most this often; callers are
 /// shown counts of up to 1.8 s of age.
 constexpr Duration kRemoteCountPeriod = milliseconds(900);
-/// How long a share of new jobs counts that the leader has reported.
-constexpr Duration kRemoteShareValidity = seconds(3);
 /// The leader lists the workers to record at most this often.
 constexpr Duration kRecordPeriod = milliseconds(100);
 /// A connection that fails within this time was refused: no process listens on
@@ -74,6 +72,7 @@
                                 {} },
                {})
   , m_timer(aContext.m_loop, kTickPeriod, [this] { Advance(); })
+  , m_heard(net::Loop::Now())
   , m_lagProbe(aContext.m_loop, [this](Duration aLag) { OnLoopLag(aLag); })
   , m_processorProbe(aContext.m_loop, [this](Duration aTaken) {
     m_speed.OnProbe(net::Loop::Now(), aTaken);
@@ -135,7 +134,8 @@
   status.m_storeWorks =
     net::Loop::Now() < m_election.LastRenewal() + kStoreFailedAfter;
   status.m_loopLag = m_loopLag;
-  status.m_admittedShare = m_admission.AdmittedShare();
+  // A leader that loads the jobs starts nothing yet.
+  status.m_admittedShare = AdmittedShare();
   if (aWithCounts && Local()) {
     status.m_waitingJobs = WaitingJobs().m_jobs;
   }
@@ -218,7 +218,10 @@
     m_admission = {};
     return;
   }
-  m_admission.OnLag(net::Loop::Now(), aLag);
+  const Time now = net::Loop::Now();
+  m_admission.OnLag(now, aLag);
+  // What holds from the moment on in which it no longer leads.
+  m_heard.OnAnswer(now, m_admission.AdmittedShare());
   leader->SetLoad(
     m_admission.StandingLag(), m_admission.AdmittedShare(), m_speed.Slowdown());
 }
@@ -229,10 +232,7 @@
   if (Local()) {
     return m_admission.AdmittedShare();
   }
-  // A busy leader may miss some probes.
-  const bool isRecent =
-    net::Loop::Now() - kRemoteShareValidity <= m_remoteShareAt;
-  return isRecent ? m_remoteShare : 1;
+  return m_heard.AdmittedShare(net::Loop::Now());
 }
 
 void
@@ -249,10 +249,7 @@
     settings::LogLevel::Info,
     "admitted_percent",
     { { "leads", Local() != nullptr },
-      { "leader_age_ms",
-        m_remoteShareAt == Time::min()
-          ? std::int64_t{ -1 }
-          : ToMilliseconds(net::Loop::Now() - m_remoteShareAt) } });
+      { "leader_age_ms", ToMilliseconds(m_heard.Age(net::Loop::Now())) } });
 }
 
 void
@@ -610,8 +607,7 @@
       probeResult = status->m_storeWorks ? LeaderProbeResult::Leads
                                          : LeaderProbeResult::StoreFailed;
       m_leaderLag = status->m_loopLag;
-      m_remoteShare = status->m_admittedShare;
-      m_remoteShareAt = now;
+      m_heard.OnAnswer(now, status->m_admittedShare);
       if (status->m_waitingJobs) {
         m_lastWaiting = { *status->m_waitingJobs, now };
       }
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -102,8 +102,7 @@
   Duration m_loopLag{};   ///< of the event loop, as seen by the ticks
   Duration m_leaderLag{}; ///< likewise of a remote leader, as last reported
   pool::AdmissionControl m_admission; ///< of the leader in this process
-  double m_remoteShare = 1;           ///< as a remote leader reported it
-  Time m_remoteShareAt = Time::min();
+  pool::HeardAdmission m_heard;       ///< of a remote leader
   WaitingCount m_lastWaiting; ///< own, or of the last probe of the leader
   bool m_probePending = false;
   std::size_t m_nextSeed = 0;
--- a/src/pool/AdmissionControl.cpp
+++ b/src/pool/AdmissionControl.cpp
@@ -21,6 +21,17 @@
 constexpr double kIncrease = 0.025;
 /// Shows whether the leader keeps up again.
 constexpr double kLeastShare = 0.1;
+/// An answer may be that old while the leader keeps up: it is asked once in a
+/// period, and the answer passes its event loop.
+constexpr Duration kUsualAge = kPeriod * 2;
+
+/// The share after several periods of decrease.
+double
+Decreased(double aShare, Duration aTime)
+{
+  const auto periods = static_cast<double>(aTime / kPeriod);
+  return std::max(kLeastShare, aShare * std::pow(kDecrease, periods));
+}
 
 } // namespace
 
@@ -42,8 +53,22 @@
     return;
   }
   // One turn of a very busy loop lasts for several periods.
-  const auto periods = static_cast<double>(length / kPeriod);
-  m_share = std::max(kLeastShare, m_share * std::pow(kDecrease, periods));
+  m_share = Decreased(m_share, length);
+}
+
+void
+HeardAdmission::OnAnswer(Time aNow, double aShare)
+{
+  m_share = aShare;
+  m_answeredAt = aNow;
+}
+
+double
+HeardAdmission::AdmittedShare(Time aNow) const
+{
+  const Duration late = Age(aNow) - kUsualAge;
+  return late <= Duration::zero() ? m_share
+                                  : std::min(m_share, Decreased(m_share, late));
 }
 
 bool
--- a/src/pool/AdmissionControl.h
+++ b/src/pool/AdmissionControl.h
@@ -29,6 +29,28 @@
   double m_share = 1;
 };
 
+/// The share as another daemon knows it. A leader that does not answer starts
+/// nothing as far as anybody can tell, so the share falls with the age of its
+/// last answer.
+class HeardAdmission
+{
+public:
+  /// All jobs are accepted until an answer is due.
+  explicit HeardAdmission(Time aNow)
+    : m_answeredAt(aNow)
+  {
+  }
+
+  void OnAnswer(Time aNow, double aShare);
+  double AdmittedShare(Time aNow) const;
+  /// Time since the last answer.
+  Duration Age(Time aNow) const { return aNow - m_answeredAt; }
+
+private:
+  double m_share = 1; ///< as last heard
+  Time m_answeredAt;
+};
+
 /// True if the job belongs to the share. It does in each daemon or in none, so
 /// that a caller gets the same answer from all of them.
 bool
--- a/tests/correctness/EdgeOverload.cpp
+++ b/tests/correctness/EdgeOverload.cpp
@@ -115,9 +115,13 @@
     });
   ASSERT_TRUE(started);
   ASSERT_TRUE(cell.RunUntil([&] { return answered >= 2; }));
-  constexpr Duration kSilence = seconds(5);
-  const Time silentUntil = net::Loop::Now() + kSilence;
-  cell.RunUntil([&] { return net::Loop::Now() >= silentUntil; });
+  // It renews its row all the while, so that nobody takes over.
+  constexpr int kRenewals = 12;
+  constexpr Duration kRenewPeriod = milliseconds(400);
+  for (int renewal = 0; renewal < kRenewals; ++renewal) {
+    cell.RenewLeader();
+    cell.RunUntil([] { return false; }, kRenewPeriod);
+  }
   constexpr int kJobs = 40;
   int accepted = 0;
   for (int number = 0; number < kJobs; ++number) {
--- a/tests/correctness/PoolAdmissionControl.cpp
+++ b/tests/correctness/PoolAdmissionControl.cpp
@@ -106,6 +106,30 @@
   EXPECT_LT(control.AdmittedShare(), 0.2);
 }
 
+/// Guards against a silent leader that counts as one that keeps up, and against
+/// refusals because one answer is missing.
+TEST(PoolAdmissionControl, ShareFallsWithTheAgeOfTheLastAnswer)
+{
+  HeardAdmission heard(kStart);
+  EXPECT_EQ(heard.AdmittedShare(kStart + milliseconds(500)), 1.0);
+  heard.OnAnswer(kStart + seconds(1), 0.8);
+  EXPECT_EQ(heard.AdmittedShare(kStart + milliseconds(1500)), 0.8);
+  EXPECT_LT(heard.AdmittedShare(kStart + seconds(4)), 0.4);
+  // Some jobs show whether the leader answers again.
+  EXPECT_GT(heard.AdmittedShare(kStart + seconds(60)), 0.0);
+  EXPECT_LT(heard.AdmittedShare(kStart + seconds(60)), 0.2);
+  heard.OnAnswer(kStart + seconds(61), 1.0);
+  EXPECT_EQ(heard.AdmittedShare(kStart + seconds(61)), 1.0);
+}
+
+/// Guards against a share that is raised because the leader does not answer.
+TEST(PoolAdmissionControl, SilenceNeverRaisesTheShare)
+{
+  HeardAdmission heard(kStart);
+  heard.OnAnswer(kStart, 0.05);
+  EXPECT_EQ(heard.AdmittedShare(kStart + seconds(10)), 0.05);
+}
+
 /// Guards against shares that hit other jobs in each daemon, or more or fewer
 /// jobs than they should.
 TEST(PoolAdmissionControl, ShareIsMetAndContainsEachSmallerOne)
--- a/tests/fakes/FrontCell.h
+++ b/tests/fakes/FrontCell.h
@@ -46,16 +46,27 @@
     m_atLeader = std::move(aAtLeader);
     // The loop does not return while requests and responses are always ready.
     SetDelay(milliseconds(5));
-    const net::Address address = FreeAddress();
     leaf::try_handle_all(
-      [&]() -> Result<void> { return m_leaderServer.Listen(address); }, [] {});
+      [&]() -> Result<void> { return m_leaderServer.Listen(m_leaderAddress); },
+      [] {});
     Put({ { platform::kConfigKey, ConfigDocument() } });
-    Put({ { pool::LeaderKey(),
-            pool::EncodeLeader(
-              { "leader", address.ToString(), kLeaderIncarnation, 1, {} }) } });
+    RenewLeader();
     m_config.Start();
     m_leadership.Start();
-    return RunUntil([&] { return m_leadership.LeaderAddress() == address; });
+    return RunUntil(
+      [&] { return m_leadership.LeaderAddress() == m_leaderAddress; });
+  }
+
+  /// Writes the leader's row again. The daemon claims it if it does not change
+  /// and the leader does not answer either.
+  void RenewLeader()
+  {
+    Put({ { pool::LeaderKey(),
+            pool::EncodeLeader({ "leader",
+                                 m_leaderAddress.ToString(),
+                                 kLeaderIncarnation,
+                                 1,
+                                 {} }) } });
   }
 
   /// Sends a request of a caller and returns the response.
@@ -120,6 +131,7 @@
   edge::ConfigWatch m_config;
   edge::Leadership m_leadership;
   edge::CallerFront m_front;
+  const net::Address m_leaderAddress = FreeAddress();
   net::HttpHandler m_atLeader;
   net::HttpServer m_leaderServer;
 };
