Do not take the lateness of the leader's event loop for silence of its workers

It counted workers as silent after 1.6 s, gave them neither leases nor tasks, let their tasks lapse, opened new connections and sent its commands again, which made the loop later still.

Change: the scheduler knows the standing lag. A start in doubt to a worker that can get no lease waits without a line in the log.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -736,8 +736,9 @@
   m_slowdown = aSlowdown;
   m_pacer.SetStandingLag(aStandingLag);
   m_leastAdmitted = std::min(m_leastAdmitted, aAdmittedShare);
-  if (aStandingLag != Duration::max()) {
+  if (aStandingLag != Duration::max()) { // known
     m_longestLag = std::max(m_longestLag, aStandingLag);
+    m_scheduler.SetStandingLag(aStandingLag);
   }
 }
 
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -114,18 +114,19 @@
   extension.m_deadlineMs = m_scheduler.NextDeadline(net::Loop::Now(), aWorker);
   // Without a lease the worker has to respond at once, so that the lease can be
   // extended.
-  extension.m_wait =
-    extension.m_deadlineMs == 0 ? Duration::zero() : kLeaseExtensionWait;
+  extension.m_wait = extension.m_deadlineMs == 0
+                       ? Duration::zero()
+                       : kLeaseExtensionWait + m_scheduler.ExtensionPause();
   const Time sentAt = net::Loop::Now();
-  m_client.ExtendLease(extension,
-                       extension.m_wait + kLeaseExtensionTimeout,
-                       [weak = weak_from_this(), aWorker, sentAt](
-                         const platform::LeaseExtensionResult& aResult) {
-                         if (const auto self = weak.lock();
-                             self && !self->m_closed) {
-                           self->OnLeaseExtended(aWorker, sentAt, aResult);
-                         }
-                       });
+  m_client.ExtendLease(
+    extension,
+    extension.m_wait + kLeaseExtensionTimeout + m_scheduler.CommandAllowance(),
+    [weak = weak_from_this(), aWorker, sentAt](
+      const platform::LeaseExtensionResult& aResult) {
+      if (const auto self = weak.lock(); self && !self->m_closed) {
+        self->OnLeaseExtended(aWorker, sentAt, aResult);
+      }
+    });
 }
 
 void
@@ -240,22 +241,25 @@
     m_hooks.m_maySendCommands() ? m_scheduler.NextDeadline(now, aStart.m_worker)
                                 : 0;
   if (!address || deadline == 0) {
+    if (aInDoubt) {
+      StartLater(aStart, true);
+      return;
+    }
     platform::StartResult result;
     result.m_state = platform::CommandState::NotSent;
     result.m_outcome = pool::StartOutcome::NotSent;
-    m_loop.After(Duration::zero(),
-                 [weak = weak_from_this(), aStart, aInDoubt, result] {
-                   if (const auto self = weak.lock(); self && !self->m_closed) {
-                     self->OnStarted(aStart, aInDoubt, result);
-                   }
-                 });
+    m_loop.After(Duration::zero(), [weak = weak_from_this(), aStart, result] {
+      if (const auto self = weak.lock(); self && !self->m_closed) {
+        self->OnStarted(aStart, false, result);
+      }
+    });
     return;
   }
   m_client.Start(*address,
                  aStart,
                  m_term,
                  deadline,
-                 kCommandTimeout,
+                 kCommandTimeout + m_scheduler.CommandAllowance(),
                  [weak = weak_from_this(), aStart, aInDoubt](
                    const platform::StartResult& aResult) {
                    if (const auto self = weak.lock(); self && !self->m_closed) {
@@ -321,7 +325,7 @@
     *address,
     aStop,
     m_term,
-    kCommandTimeout,
+    kCommandTimeout + m_scheduler.CommandAllowance(),
     [weak = weak_from_this(), aStop](platform::CommandState aState) {
       const auto self = weak.lock();
       if (!self || self->m_closed) {
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -15,6 +15,12 @@
 /// After a change of the leader, fronts may report new jobs to the previous
 /// leader for this long.
 constexpr Duration kPreviousLeaderGrace = seconds(1);
+/// A command passes the event loop that often: its connection is opened, it is
+/// written, and its response is read.
+constexpr int kTurnsOfACommand = 3;
+/// Leases are extended before they end, also with both of these.
+constexpr Duration kMostAllowance = milliseconds(1500);
+constexpr Duration kMostExtensionPause = seconds(1);
 
 /// False if the run has ended with the previous incarnation of its worker.
 bool
@@ -406,6 +412,13 @@
   MarkDirty(*job);
 }
 
+void
+PoolScheduler::SetStandingLag(Duration aLag)
+{
+  m_commandAllowance = std::min(aLag * kTurnsOfACommand, kMostAllowance);
+  m_extensionPause = std::min(m_commandAllowance, kMostExtensionPause);
+}
+
 std::int64_t
 PoolScheduler::NextDeadline(Time aNow, const WorkerId& aWorker)
 {
@@ -414,7 +427,9 @@
     return 0;
   }
   WorkerRecord& worker = it->second;
-  if (aNow > worker.m_lastResponse + kUnresponsiveAfter || !worker.m_listed) {
+  const Time silentFrom =
+    worker.m_lastResponse + kUnresponsiveAfter + ResponseAllowance();
+  if (aNow > silentFrom || !worker.m_listed) {
     // The lease of a worker that does not respond or is not in the store any
     // more must expire, so that its tasks can start elsewhere.
     return 0;
@@ -523,7 +538,8 @@
   PoolCounts counts;
   counts.m_openJobs = m_open.size();
   for (const auto& [id, worker] : m_workers) {
-    counts.m_workers += worker.CanAcceptTasks(aNow) ? 1 : 0;
+    counts.m_workers +=
+      worker.CanAcceptTasks(aNow, ResponseAllowance()) ? 1 : 0;
     counts.m_running += worker.m_placements.size();
     counts.m_usedMillicores += worker.m_used.m_millicores;
   }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -138,6 +138,14 @@
   void OnJobNotFound(Time aNow, const JobId& aJob);
   /// The stored jobs are loaded; workers are asked for their inventories.
   void OnLoaded(Time aNow);
+  /// How late this process's event loop is all the time. Responses are read
+  /// late by several times as much, which must not count as a worker's silence.
+  void SetStandingLag(Duration aLag);
+  /// Time by which a response to a command may be read late.
+  Duration CommandAllowance() const { return m_commandAllowance; }
+  /// Time by which leases are extended less often, so that less waits for the
+  /// event loop.
+  Duration ExtensionPause() const { return m_extensionPause; }
   /// Longest lease that the workers accept; the leader sends no longer one.
   void SetLongestLease(Duration aLease) { m_longestLease = aLease; }
   /// All that was stored about jobs before this time is known here.
@@ -475,6 +483,11 @@
   void DropAllPlacements(WorkerRecord& aWorker);
   void MarkDirty(TrackedJob& aJob);
   TrackedJob* Find(const JobId& aJob);
+  /// Time by which a worker's next response may be late without its fault.
+  Duration ResponseAllowance() const
+  {
+    return m_commandAllowance + m_extensionPause;
+  }
   /// Null if the run is not on the worker any more.
   const Placement* PlacementOf(const StartTask& aStart) const;
 
@@ -500,6 +513,8 @@
   std::set<std::pair<TaskRef, WorkerId>> m_unknownRuns;
   std::map<JobId, std::vector<HeldEnd>> m_heldEnds; ///< of unknown jobs
   Duration m_longestLease = kDefaultLongestLease;
+  Duration m_commandAllowance{};
+  Duration m_extensionPause{};
   Time m_jobsKnownUntil = Time::max();
   Duration m_longestViewAge{};
   Time m_loadedAt = Time::max();
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -310,7 +310,7 @@
   m_mostFree = {};
   m_largest.clear();
   for (auto& [id, worker] : m_workers) {
-    if (worker.CanAcceptTasks(aNow)) {
+    if (worker.CanAcceptTasks(aNow, ResponseAllowance())) {
       m_usable.push_back(&worker);
       m_usableBySlot[worker.m_slot] = &worker;
       m_mostFree = Larger(m_mostFree, worker.Free());
@@ -642,7 +642,8 @@
   }
   m_nextStuckCheck = aNow + kStuckCheckPeriod;
   for (auto& [id, worker] : m_workers) {
-    if (aNow >= worker.m_lastResponse + kUnresponsiveAfter) {
+    if (aNow >=
+        worker.m_lastResponse + kUnresponsiveAfter + ResponseAllowance()) {
       continue;
     }
     std::vector<TaskRef> stuck;
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -104,10 +104,11 @@
 }
 
 bool
-WorkerRecord::CanAcceptTasks(Time aNow) const
+WorkerRecord::CanAcceptTasks(Time aNow, Duration aAllowance) const
 {
   return m_listed && IsDescribed() && m_recorded && m_adopted && !m_silent &&
-         !m_info.m_draining && aNow < m_lastResponse + kUnresponsiveAfter &&
+         !m_info.m_draining &&
+         aNow < m_lastResponse + kUnresponsiveAfter + aAllowance &&
          aNow >= m_avoidUntil && m_unknownRuns == 0;
 }
 
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -176,8 +176,9 @@
   {
     return m_describedIncarnation == m_info.m_incarnation;
   }
-  /// True if it can be given new tasks.
-  bool CanAcceptTasks(Time aNow) const;
+  /// True if it can be given new tasks. `aAllowance` is the time by which this
+  /// process may read responses late.
+  bool CanAcceptTasks(Time aNow, Duration aAllowance = Duration::zero()) const;
 };
 
 /// How many tasks of that size fit in the capacity.
@@ -209,7 +210,8 @@
 inline constexpr Duration kWorkerTimeout = seconds(6);
 
 /// The leader sends no new tasks to a worker that has not responded for this
-/// long. A worker responds at least once a second.
+/// long. A worker responds at least once a second, or less often to a leader
+/// whose event loop is late.
 inline constexpr Duration kUnresponsiveAfter = milliseconds(1600);
 
 } // namespace lacewing::pool
