Compare the processor's speed by medians

Now the median of five or more times is compared with the least median. OneShortTimeIsNoMeasureForTheOthers fails before.

--- a/src/pool/ProcessorSpeed.h
+++ b/src/pool/ProcessorSpeed.h
@@ -7,6 +7,8 @@
 
 #include "core/Time.h"
 
+#include <vector>
+
 namespace lacewing::pool {
 
 class ProcessorSpeed
@@ -14,14 +16,15 @@
 public:
   /// The calculation has taken that long.
   void OnProbe(Time aNow, Duration aTaken);
-  /// The least time of the last period as a multiple of the least time ever; 1
-  /// before the first period ends. Interruptions do not raise it.
+  /// The median time of the last period as a multiple of the least median ever;
+  /// 1 before the first period ends. Single times do not change it much: a
+  /// probe may be interrupted, and a clock may stand still.
   double Slowdown() const { return m_slowdown; }
 
 private:
+  std::vector<Duration> m_times; ///< of this period
   Time m_periodBegin = Time::min();
-  Duration m_leastOfPeriod = Duration::max();
-  Duration m_leastEver = Duration::max();
+  Duration m_leastMedian = Duration::max();
   double m_slowdown = 1;
 };
 
--- a/tests/correctness/PoolProcessorSpeed.cpp
+++ b/tests/correctness/PoolProcessorSpeed.cpp
@@ -43,6 +43,18 @@
   EXPECT_DOUBLE_EQ(speed.Slowdown(), 1);
 }
 
+/// Guards against a processor that counts as slow for ever after one time that
+/// was measured too short.
+TEST(PoolProcessorSpeed, OneShortTimeIsNoMeasureForTheOthers)
+{
+  ProcessorSpeed speed;
+  Time now = kStart;
+  Probe(speed, now, microseconds(60), microseconds(60));
+  speed.OnProbe(now, microseconds(5));
+  Probe(speed, now, microseconds(60), microseconds(60));
+  EXPECT_DOUBLE_EQ(speed.Slowdown(), 1);
+}
+
 /// A clock that does not advance during a probe must not make each later one
 /// look slow.
 TEST(PoolProcessorSpeed, TimesBelowTheClocksResolutionCountAsEqual)
