Bound a plan by its steps and starts together

A plan was bounded by its steps, 60 at least, whatever they started: steps of 25 tasks made it take 0.3 s, the next one began 1.5 s later, and interactive jobs came too late by then and went behind them.

Change: PlanPacer counts steps and starts as operations, whose mean time gives how many a plan of 10 ms may have. The head of the order has three quarters of them, steps behind it the rest; a step that is cut off is in the next plan. A step that waits for the answer to its question, without a valid ticket, takes no place in a plan: nothing can be done for it, and its answer puts it into the next one.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -589,9 +589,10 @@
     return;
   }
   m_scheduler.SetPlanSteps(m_pacer.Steps());
+  m_scheduler.SetPlanOperations(m_pacer.Operations());
   const pool::Actions actions = m_scheduler.Plan(begin);
   const Time end = net::Loop::Now();
-  m_pacer.OnPlan(begin, end, actions.m_considered);
+  m_pacer.OnPlan(begin, end, actions.m_considered, actions.m_starts.size());
   m_longestPlan = std::max(m_longestPlan, end - begin);
   for (const pool::StopTask& stop : actions.m_stops) {
     m_links->Stop(stop);
--- a/src/pool/PlanPacer.cpp
+++ b/src/pool/PlanPacer.cpp
@@ -1,7 +1,5 @@
 #include "pool/PlanPacer.h"
 
-#include <algorithm>
-
 namespace lacewing::pool {
 
 namespace {
@@ -14,26 +12,28 @@
 constexpr int kBusyDivisor = 5;
 /// The same while no other work waits.
 constexpr int kIdleDivisor = 2;
-/// Weight of one plan in the mean time for each step; a plan may have been
-/// interrupted.
+/// Weight of one plan in the mean time for each step and start; a plan may have
+/// been interrupted.
 constexpr double kPlanWeight = 0.2;
 
 } // namespace
 
 void
-PlanPacer::OnPlan(Time aBegin, Time aEnd, std::size_t aConsidered)
+PlanPacer::OnPlan(Time aBegin,
+                  Time aEnd,
+                  std::size_t aConsidered,
+                  std::size_t aStarts)
 {
   const Duration taken = aEnd - aBegin;
   const bool isBusy = m_standingLag > kPlanTime;
   m_nextPlan = aBegin + taken * (isBusy ? kBusyDivisor : kIdleDivisor);
-  if (aConsidered < kFewestSteps) {
+  if (aConsidered + aStarts < kFewestSteps) {
     return; // mostly the time that a plan takes without any step
   }
-  const Duration perStep = taken / static_cast<int>(aConsidered);
-  m_perStep += Scale(perStep - m_perStep, kPlanWeight);
-  const auto affordable = static_cast<std::size_t>(
-    kPlanTime / std::max<Duration>(m_perStep, Duration(1)));
-  m_steps = std::clamp(affordable, kFewestSteps, kMostSteps);
+  const Duration each = taken / static_cast<int>(aConsidered + aStarts);
+  m_each += Scale(each - m_each, kPlanWeight);
+  m_affordable = static_cast<std::size_t>(
+    kPlanTime / std::max<Duration>(m_each, Duration(1)));
 }
 
 } // namespace lacewing::pool
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -197,6 +197,13 @@
   /// backlog of thousands of steps must not make plans slower, or it would
   /// grow.
   void SetPlanSteps(std::size_t aSteps) { m_planSteps = aSteps; }
+  /// Steps that a plan places and tasks that it starts at most, together, but
+  /// for the rest of a gang: steps of many tasks must not make plans long
+  /// either.
+  void SetPlanOperations(std::size_t aOperations)
+  {
+    m_planOperations = aOperations;
+  }
   /// Decides what can be decided now.
   Actions Plan(Time aNow);
 
@@ -304,6 +311,10 @@
   /// Adds the steps that have to be in this plan.
   static void AddNext(std::vector<Candidate>& aReady,
                       std::vector<Candidate*>& aOrder);
+  /// True if this plan may go on with the step. Steps behind the head of the
+  /// order have a part of the operations for them.
+  bool HasOperationsFor(const Candidate& aCandidate,
+                        const Actions& aActions) const;
   /// Places the tasks that fit.
   void PlanStep(Time aNow,
                 const Candidate& aCandidate,
@@ -313,6 +324,9 @@
   void ListUsable(Time aNow);
   /// True if the step needs no advice or has a valid ticket of a usable worker.
   bool HasAdvice(Time aNow, const Candidate& aCandidate) const;
+  /// True if a plan can do nothing for the step until its open request is
+  /// answered.
+  bool AwaitsAdvice(Time aNow, const Candidate& aCandidate) const;
   /// Requests advice for steps without valid tickets that could start, and then
   /// renews the tickets of steps at the head of the order.
   void RequestAdvice(Time aNow,
@@ -530,6 +544,8 @@
   int m_askingVms = 1; ///< VMs that send advice requests
   WorkerSlot m_nextSlot = 0;
   std::size_t m_planSteps = PlanPacer::kMostSteps;
+  std::size_t m_planOperations = PlanPacer::kMostOperations;
+  std::size_t m_placedSteps = 0;             ///< in this plan
   std::pair<JobId, std::uint32_t> m_turn;    ///< step that had the last turn
   std::vector<WorkerRecord*> m_usable;       ///< in this plan
   std::vector<WorkerRecord*> m_usableBySlot; ///< null for the others
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -50,6 +50,13 @@
     });
 }
 
+bool
+PoolScheduler::AwaitsAdvice(Time aNow, const Candidate& aCandidate) const
+{
+  return aCandidate.m_queue->m_advice && aCandidate.Record().m_adviceOpen &&
+         !HasAdvice(aNow, aCandidate);
+}
+
 void
 PoolScheduler::RequestAdvice(Time aNow,
                              const std::vector<Candidate>& aSteps,
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -69,13 +69,18 @@
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
   }
-  const std::vector<Candidate> steps = ConsideredSteps(aNow);
-  actions.m_considered = steps.size();
+  std::vector<Candidate> placed;
   Reservation reservation;
-  for (const Candidate& step : steps) {
-    PlanStep(aNow, step, reservation, actions);
+  m_placedSteps = 0;
+  for (const Candidate& step : ConsideredSteps(aNow)) {
+    if (HasOperationsFor(step, actions)) {
+      ++m_placedSteps;
+      PlanStep(aNow, step, reservation, actions);
+      placed.push_back(step);
+    }
   }
-  RequestAdvice(aNow, steps, actions);
+  actions.m_considered = m_placedSteps;
+  RequestAdvice(aNow, placed, actions);
   actions.m_stops = std::exchange(m_stops, {});
   return actions;
 }
@@ -160,6 +165,16 @@
   }
 }
 
+bool
+PoolScheduler::HasOperationsFor(const Candidate& aCandidate,
+                                const Actions& aActions) const
+{
+  const std::size_t most = aCandidate.m_atHead
+                             ? m_planOperations - m_planOperations / kTurnShare
+                             : m_planOperations;
+  return m_placedSteps + aActions.m_starts.size() < most;
+}
+
 void
 PoolScheduler::PlanStep(Time aNow,
                         const Candidate& aCandidate,
@@ -276,6 +291,10 @@
       candidate.m_interactive = rule->second.m_priority == 0;
       candidate.m_latestStart = job.LatestStart(step);
       candidate.m_wasNext = job.Step(step).m_inNextPlan;
+      if (AwaitsAdvice(aNow, candidate)) {
+        job.Step(step).m_consideredAt = aNow;
+        continue;
+      }
       if (job.m_beyondShare || aNow > job.LatestUsefulEnd()) {
         candidate.m_tier = Tier::BestEffort;
       } else if (aNow > candidate.m_latestStart) {
@@ -444,6 +463,10 @@
     if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
       return;
     }
+    if (!HasOperationsFor(aCandidate, aActions)) {
+      aCandidate.Record().m_inNextPlan = true;
+      return;
+    }
     const auto best =
       std::ranges::min_element(options, {}, [&](const PlacementOption& aOne) {
         const bool failed = !task.m_lastFailure.empty() &&
--- a/tests/correctness/PoolGrownLoad.cpp
+++ b/tests/correctness/PoolGrownLoad.cpp
@@ -69,6 +69,22 @@
   EXPECT_LE(load.WaitOf(kUrgentQueue, 0.9, kAfterDraining), milliseconds(250));
 }
 
+/// The same where starts cost more than a fifth of the processor and the event
+/// loop is busy, so that the daily load alone takes nearly all that plans may:
+/// steps of many tasks made plans so long that interactive jobs came too late,
+/// and once late they went behind these steps.
+TEST(PoolGrownLoad, InteractiveJobsStartWherePlansHaveAFifthOfTheTime)
+{
+  PoolLoadOptions options;
+  options.m_kinds = GrownLoad(1);
+  options.m_burst = { 2, seconds(4), seconds(8) };
+  options.m_planCost = { microseconds(100), microseconds(200) };
+  PoolLoad load(options);
+  load.Run();
+  constexpr Duration kAfterDraining = seconds(14);
+  EXPECT_LE(load.WaitOf(kUrgentQueue, 0.9, kAfterDraining), milliseconds(250));
+}
+
 /// The same where starts cost more than a fifth of the processor, while nothing
 /// else needs the rest of it.
 TEST(PoolGrownLoad, BacklogOfABurstDrainsWherePlansMayTakeTheIdleTime)
--- a/tests/correctness/PoolPlanPacer.cpp
+++ b/tests/correctness/PoolPlanPacer.cpp
@@ -17,7 +17,7 @@
   Duration taken{};
   for (int plan = 0; plan < 100; ++plan) {
     taken = aPerStep * static_cast<int>(aPacer.Steps());
-    aPacer.OnPlan(now, now + taken, aPacer.Steps());
+    aPacer.OnPlan(now, now + taken, aPacer.Steps(), 0);
     now = aPacer.NextPlan();
   }
   return taken;
@@ -39,12 +39,30 @@
   EXPECT_EQ(pacer.Steps(), PlanPacer::kMostSteps);
 }
 
+/// Guards against plans that hold up the event loop because few steps have many
+/// tasks.
+TEST(PoolPlanPacer, SlowStartsMakePlansStartFewer)
+{
+  constexpr std::size_t kSteps = 10;
+  constexpr Duration kEach = microseconds(150);
+  PlanPacer pacer;
+  Time now{ seconds(1000) };
+  Duration taken{};
+  for (int plan = 0; plan < 100; ++plan) {
+    const std::size_t starts = pacer.Operations() - kSteps;
+    taken = kEach * static_cast<int>(kSteps + starts);
+    pacer.OnPlan(now, now + taken, kSteps, starts);
+    now = pacer.NextPlan();
+  }
+  EXPECT_LE(taken, milliseconds(11));
+}
+
 /// Guards against plans that take the processor time of the calls to workers.
 TEST(PoolPlanPacer, PlansLeaveFourFifthsOfTheTimeToOtherWork)
 {
   PlanPacer pacer;
   const Time begin{ seconds(1000) };
-  pacer.OnPlan(begin, begin + milliseconds(30), 100);
+  pacer.OnPlan(begin, begin + milliseconds(30), 100, 0);
   EXPECT_EQ(pacer.NextPlan(), begin + milliseconds(150));
 }
 
@@ -55,10 +73,10 @@
   PlanPacer pacer;
   const Time begin{ seconds(1000) };
   pacer.SetStandingLag(milliseconds(2));
-  pacer.OnPlan(begin, begin + milliseconds(30), 100);
+  pacer.OnPlan(begin, begin + milliseconds(30), 100, 0);
   EXPECT_EQ(pacer.NextPlan(), begin + milliseconds(60));
   pacer.SetStandingLag(milliseconds(40));
-  pacer.OnPlan(begin, begin + milliseconds(30), 100);
+  pacer.OnPlan(begin, begin + milliseconds(30), 100, 0);
   EXPECT_EQ(pacer.NextPlan(), begin + milliseconds(150));
 }
 
--- a/tests/fakes/PoolLoad.h
+++ b/tests/fakes/PoolLoad.h
@@ -227,6 +227,7 @@
     }
     m_scheduler.SetRecordedWorkers(m_scheduler.ListWorkersToRecord(m_now));
     m_scheduler.SetPlanSteps(m_pacer.Steps());
+    m_scheduler.SetPlanOperations(m_pacer.Operations());
     const auto begin = std::chrono::steady_clock::now();
     const pool::Actions actions = m_scheduler.Plan(m_now);
     m_decisionTime += std::chrono::steady_clock::now() - begin;
@@ -234,7 +235,7 @@
     const Time end =
       m_now + cost.m_perStep * static_cast<int>(actions.m_considered) +
       cost.m_perStart * static_cast<int>(actions.m_starts.size());
-    m_pacer.OnPlan(m_now, end, actions.m_considered);
+    m_pacer.OnPlan(m_now, end, actions.m_considered, actions.m_starts.size());
     for (const auto& start : actions.m_starts) {
       At(end + milliseconds(2), [this, start] { Started(start); });
     }
