Refuse jobs from a lag of 25 ms on

At 50 ms of lag the ten turns of the event loop that a job passes take all of the half second that interactive jobs have beside their work, so that nearly all of what was accepted came late.

--- a/src/pool/AdmissionControl.cpp
+++ b/src/pool/AdmissionControl.cpp
@@ -13,9 +13,10 @@
 
 /// The other daemons learn of the share about that often.
 constexpr Duration kPeriod = milliseconds(250);
-/// A job passes several turns of the leader's event loop before it starts.
-/// Above this lag they take a good part of the time that interactive jobs have.
-constexpr Duration kLongestLag = milliseconds(50);
+/// A job passes some ten turns of the leader's event loop until it is shown as
+/// done. At this lag they take half of the half second that interactive jobs
+/// have beside their work.
+constexpr Duration kLongestLag = milliseconds(25);
 /// Factor of the share after each period above that lag, and its increase after
 /// each other one: halved within two seconds, and back within ten.
 constexpr double kDecrease = 0.9;
