--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -424,6 +424,9 @@
 PoolScheduler::OnAdviceFailed(Time, const AdviceRequest& aRequest)
 {
   CloseAdviceRequest(aRequest);
+  if (TrackedJob* job = Find(aRequest.m_job); job != nullptr) {
+    job->Step(aRequest.m_step).m_inNextPlan = true;
+  }
 }
 
 void
--- a/tests/correctness/PoolBacklog.cpp
+++ b/tests/correctness/PoolBacklog.cpp
@@ -244,6 +244,22 @@
   EXPECT_EQ(fixture.Plan().m_adviceRequests.size(), 1U);
 }
 
+/// Guards against a step whose question has failed and that then waits for its
+/// turn behind thousands.
+TEST(PoolBacklog, StepWhoseQuestionHasFailedAsksInTheNextPlan)
+{
+  LargePool fixture(2, kWorkerCapacity);
+  fixture.Add(PoolJob("small", kPolicyQueue, { PoolStep(1) }));
+  std::vector<pool::AdviceRequest> requests;
+  while (requests.empty()) {
+    requests = fixture.Plan().m_adviceRequests;
+  }
+  fixture.m_scheduler.OnAdviceFailed(fixture.m_now, requests.front());
+  const pool::Actions next = fixture.Plan();
+  ASSERT_EQ(next.m_adviceRequests.size(), 1U);
+  EXPECT_EQ(next.m_adviceRequests.front().m_job, JobId("small"));
+}
+
 /// Guards against results that are stored late for ever under a lasting load,
 /// because those of jobs with lower ids went first.
 TEST(PoolBacklog, ProgressIsStoredInTheOrderOfItsChanges)
