Count one missing answer as usual before the share falls

A request for the status fails after 0.4 s and is repeated within 0.25 s, so half a second without an answer is one missing answer. The share falls from one second on.

--- a/src/pool/AdmissionControl.cpp
+++ b/src/pool/AdmissionControl.cpp
@@ -23,9 +23,8 @@
 constexpr double kIncrease = 0.025;
 /// Shows whether the leader keeps up again.
 constexpr double kLeastShare = 0.1;
-/// An answer may be that old while the leader keeps up: it is asked once in a
-/// period, and the answer passes its event loop.
-constexpr Duration kUsualAge = kPeriod * 2;
+/// Up to this age no more than one answer in a row is missing.
+constexpr Duration kUsualAge = kPeriod * 4;
 
 /// Where the job lies between 0 and 1. The same in each build, since daemons of
 /// one cell may come from different ones.
