--- a/src/pool/PlanPacer.h
+++ b/src/pool/PlanPacer.h
@@ -1,7 +1,6 @@
 /// How many steps a plan considers, how many tasks it starts, and when the next
-/// one begins, so that plans
-/// are short and frequent also under a backlog and leave the process time for
-/// the workers' responses while these wait for it.
+/// one begins, so that plans are short and frequent also under a backlog and
+/// leave the process time for the workers' responses while these wait for it.
 #pragma once
 
 #include "core/Time.h"
