Let other daemons call the workers in place of the leader

Change: daemons offer themselves as relays with their requests for the status; the leader connects to those that RelayChoice takes, sends orders in frames and gets the answers in frames. Decisions, terms, ends of leases and stored rows stay with the leader. A call of a lost or silent relay is in doubt, as one without an answer is today, and the next calls to its workers are made by the leader itself. Lease ends are times on the worker's clock that the leader has set, so a relay lengthens no lease.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -90,6 +90,12 @@
              [this](const pool::PoolConfig& aConfig) { OnConfig(aConfig); })
   , m_leadership(m_context, NewIncarnation())
   , m_front(m_context, m_config, m_leadership)
+  , m_relayServer(aLoop,
+                  m_workers,
+                  m_log,
+                  m_metrics,
+                  { [this] { return m_leadership.KnownTerm(); },
+                    [this] { return m_leadership.LoopLag(); } })
   , m_callerServer(aLoop,
                    CallerLimits(),
                    [this](const auto& aRequest, const auto& aReply) {
@@ -112,6 +118,9 @@
   BOOST_LEAF_CHECK(m_peerServer.Listen(m_settings.m_peers));
   BOOST_LEAF_CHECK(m_probeServer.Listen(m_settings.m_readiness));
   BOOST_LEAF_CHECK(m_callerServer.Listen(m_settings.m_callers));
+  if (m_settings.m_relay) {
+    BOOST_LEAF_CHECK(m_relayServer.Listen(*m_settings.m_relay));
+  }
   m_config.Start();
   m_leadership.Start();
   m_loop.Every(kStatePeriod, [this] { LogState(); });
@@ -224,6 +233,9 @@
     [&] { return net::ParseAddress(aRequest.Query("address")); });
   if (leader && address) {
     leader->OnPeerStatusRequest(VmId(aRequest.Query("vm")), *address);
+    if (const auto relay = OfferedRelay(aRequest)) {
+      leader->OnRelaySeen(*relay);
+    }
   }
   aReply(net::JsonResponse(kOk, EncodeStatus(status)));
 }
@@ -292,6 +304,7 @@
   // The caller's next request reaches another daemon.
   m_callerServer.BeginClose(m_drainStart);
   m_leadership.Resign();
+  m_relayServer.BeginStop();
   m_loop.Every(kDrainTick, [this] { TickDrain(); });
 }
 
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -7,6 +7,7 @@
 #include "edge/ConfigWatch.h"
 #include "edge/EdgeSettings.h"
 #include "edge/Leadership.h"
+#include "edge/RelayServer.h"
 #include "net/HttpServer.h"
 
 #include <memory>
@@ -61,6 +62,7 @@
   ConfigWatch m_config;
   Leadership m_leadership;
   CallerFront m_front;
+  RelayServer m_relayServer;
   net::HttpServer m_callerServer;
   net::HttpServer m_probeServer;
   net::HttpServer m_peerServer;
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -16,9 +16,12 @@
   VmId m_vm;
   DomainId m_domain;
   RegionId m_region;
-  net::Address m_callers;            ///< listen address for callers
-  net::Address m_readiness;          ///< for the load balancer's probe
-  net::Address m_peers;              ///< for other edge daemons and metrics
+  net::Address m_callers;   ///< listen address for callers
+  net::Address m_readiness; ///< for the load balancer's probe
+  net::Address m_peers;     ///< for other edge daemons and metrics
+  /// On which it takes orders of the leader for workers; none if it can't be a
+  /// relay.
+  std::optional<net::Address> m_relay;
   std::vector<net::Address> m_seeds; ///< some daemons; may be outdated
   net::Address m_store;
   std::optional<net::Address> m_policyService;
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -185,6 +185,7 @@
 void
 Leadership::Resign()
 {
+  m_stopping = true;
   if (m_leader) {
     m_context.m_log.Write(
       settings::LogLevel::Info,
@@ -547,6 +548,9 @@
   std::string path = std::string(kStatusPath) +
                      "?vm=" + m_context.m_settings.m_vm.Value() +
                      "&address=" + m_context.m_settings.m_peers.ToString();
+  if (!m_stopping) {
+    path += RelayOffer(m_context.m_settings);
+  }
   if (sentAt >= m_lastWaiting.m_at + kRemoteCountPeriod) {
     path += std::string("&") + kCountsQuery + "=1";
   }
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -45,6 +45,10 @@
   WaitingCount WaitingJobs();
   /// How late the event loop of the remote leader was when it last answered.
   Duration LeaderLag() const { return m_leaderLag; }
+  /// How late the event loop of this process is.
+  Duration LoopLag() const { return m_loopLag; }
+  /// Highest term that this daemon has heard of.
+  std::uint64_t KnownTerm() const { return m_election.Term(); }
   /// Part of the new jobs that the leader can take at present.
   double AdmittedShare() const;
   /// True while a row of this process is being written.
@@ -93,6 +97,7 @@
   /// The row that this daemon's claim replaced.
   pool::LeaderRow m_previousLeader;
   bool m_writing = false;
+  bool m_stopping = false; ///< this process is about to end
   /// Set after a transaction with unknown outcome, which may still be applied:
   /// the leader's row must be rewritten before progress is written again.
   bool m_renewFirst = false;
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -6,6 +6,7 @@
 #include "core/JsonFields.h"
 
 #include <cmath>
+#include <cstdlib>
 
 namespace lacewing::edge {
 
@@ -16,6 +17,8 @@
 /// Lags above one hour are not believed.
 constexpr std::int64_t kMaxLoopLagMs = 3'600'000;
 constexpr int kPermille = 1000;
+/// More cores of a VM are not believed.
+constexpr double kMostCores = 1024;
 
 Json
 ToJson(const pool::LeaderRow& aLeader)
@@ -179,6 +182,37 @@
          "=" + std::to_string(aRowVersion);
 }
 
+std::string
+RelayOffer(const EdgeSettings& aSettings)
+{
+  if (!aSettings.m_relay) {
+    return {};
+  }
+  return std::string("&") + kRelayQuery + "=" + aSettings.m_relay->ToString() +
+         "&" + kCoresQuery + "=" + std::to_string(aSettings.m_cores) + "&" +
+         kDomainQuery + "=" + aSettings.m_domain.Value();
+}
+
+std::optional<relay::RelayPeer>
+OfferedRelay(const net::HttpRequest& aRequest)
+{
+  const std::string text = aRequest.Query(kRelayQuery);
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  const auto address =
+    TryDecode<net::Address>([&] { return net::ParseAddress(text); });
+  const double cores =
+    std::strtod(aRequest.Query(kCoresQuery).c_str(), nullptr);
+  if (!address || !(cores > 0 && cores <= kMostCores)) {
+    return std::nullopt;
+  }
+  return relay::RelayPeer{ VmId(aRequest.Query("vm")),
+                           DomainId(aRequest.Query(kDomainQuery)),
+                           *address,
+                           cores };
+}
+
 net::HttpRequest
 MakeRequest(std::string aMethod, std::string aPath, std::string aBody)
 {
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "core/Verdict.h"
+#include "edge/EdgeSettings.h"
 #include "net/HttpClient.h"
 #include "net/HttpMessage.h"
 #include "pool/PoolScheduler.h"
+#include "relay/RelayChoice.h"
 
 #include <map>
 #include <optional>
@@ -16,6 +18,11 @@
 inline constexpr const char* kStatusPath = "/v1/pool/status";
 /// Query of a status request: 1 to include the counts of waiting jobs.
 inline constexpr const char* kCountsQuery = "counts";
+/// Queries of a status request of a daemon that can be a relay: where it takes
+/// orders, the processor of its VM in cores, and its failure domain.
+inline constexpr const char* kRelayQuery = "relay";
+inline constexpr const char* kCoresQuery = "cores";
+inline constexpr const char* kDomainQuery = "domain";
 inline constexpr const char* kJobsPath = "/v1/pool/jobs";
 /// A job or a cancellation that the sender could not store itself.
 inline constexpr const char* kStoreJobPath = "/v1/pool/stored_jobs";
@@ -78,6 +85,14 @@
 JobPath(const JobId& aJob, RowVersion aRowVersion);
 inline constexpr const char* kRowVersionQuery = "row_version";
 
+/// The part of a status request's path that offers the daemon as a relay; empty
+/// if it can't be one.
+std::string
+RelayOffer(const EdgeSettings& aSettings);
+/// The daemon that a status request offers as a relay, if it does.
+std::optional<relay::RelayPeer>
+OfferedRelay(const net::HttpRequest& aRequest);
+
 /// Makes a request with a JSON body, or without a body if it is empty.
 net::HttpRequest
 MakeRequest(std::string aMethod, std::string aPath, std::string aBody = {});
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -4,6 +4,7 @@
 #include "platform/Documents.h"
 #include "pool/JobRows.h"
 #include "pool/LeaderElection.h"
+#include "relay/OrderGate.h"
 
 #include <algorithm>
 
@@ -35,8 +36,10 @@
 /// Plans are made at least this often, to act on expired leases and tickets.
 constexpr Duration kIdlePlanPeriod = milliseconds(100);
 /// By this time after its last command, no lease of the previous leader is
-/// valid any more, also on the slowest clock of a worker.
-constexpr Duration kPreviousLeaseTime = milliseconds(5200);
+/// valid any more, also on the slowest clock of a worker and if a relay has
+/// passed the command on late.
+constexpr Duration kPreviousLeaseTime =
+  milliseconds(5200) + relay::kOrderLifetime;
 constexpr Duration kExpiryPeriod = seconds(2);
 /// Ended jobs are kept longer than the status retention by this factor.
 constexpr double kRetentionMargin = 1.5;
@@ -93,13 +96,16 @@
   hooks.m_onChange = [this] { m_planTimer.CallSoon(); };
   hooks.m_onFenced = m_hooks.m_onFenced;
   hooks.m_maySendCommands = m_hooks.m_maySendCommands;
-  m_links = std::make_shared<WorkerLinks>(m_context.m_loop,
-                                          m_context.m_workers,
-                                          m_context.m_log,
-                                          m_context.m_metrics,
-                                          m_scheduler,
-                                          m_term,
-                                          std::move(hooks));
+  m_relays = std::make_unique<RelayLinks>(
+    m_context.m_loop, m_context.m_log, m_context.m_settings.m_vm, m_term);
+  m_links = std::make_shared<WorkerLinks>(
+    m_context.m_loop,
+    WorkerCalls(m_context.m_workers, m_relays.get()),
+    m_context.m_log,
+    m_context.m_metrics,
+    m_scheduler,
+    m_term,
+    std::move(hooks));
   LoadJobs();
   LoadWorkers();
 }
@@ -531,6 +537,11 @@
     LogRestart(worker);
   }
   m_scheduler.SetWorkers(now, workers);
+  relay::WorkerCounts counts;
+  for (const pool::WorkerInfo& worker : workers) {
+    ++counts[worker.m_domain];
+  }
+  m_relays->SetWorkers(std::move(counts));
   if (m_loaded) {
     m_links->Update();
     m_hooks.m_onUnsaved();
@@ -550,6 +561,12 @@
   m_advice.OnPeerSeen(net::Loop::Now(), aVm, aAddress);
 }
 
+void
+PoolLeader::OnRelaySeen(const relay::RelayPeer& aPeer)
+{
+  m_relays->OnPeerSeen(net::Loop::Now(), aPeer);
+}
+
 std::vector<std::string>
 PoolLeader::WorkersToRecord()
 {
@@ -740,6 +757,7 @@
   if (aStandingLag != Duration::max()) { // known
     m_longestLag = std::max(m_longestLag, aStandingLag);
     m_scheduler.SetStandingLag(aStandingLag);
+    m_relays->SetStandingLag(aStandingLag);
   }
 }
 
@@ -765,6 +783,7 @@
       { "longest_turn_ms", ToMilliseconds(counts.m_longestTurn) },
       { "longest_plan_ms", ToMilliseconds(longestPlan) },
       { "plan_steps", static_cast<std::int64_t>(m_pacer.Steps()) },
+      { "relays", static_cast<std::int64_t>(m_relays->UsableCount()) },
       { "standing_lag_ms", ToMilliseconds(longestLag) },
       { "slowdown_percent", static_cast<std::int64_t>(m_slowdown * kPercent) },
       { "admitted_percent",
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -9,6 +9,7 @@
 #include "edge/JobFinder.h"
 #include "edge/JobLoader.h"
 #include "edge/PeerProtocol.h"
+#include "edge/RelayLinks.h"
 #include "edge/StoreHealth.h"
 #include "edge/WorkerDirectory.h"
 #include "edge/WorkerLinks.h"
@@ -96,6 +97,8 @@
   /// Another daemon requested the leader's status, so it can serve advice
   /// requests.
   void OnPeerStatusRequest(const VmId& aVm, const net::Address& aAddress);
+  /// The daemon can call workers in place of this one.
+  void OnRelaySeen(const relay::RelayPeer& aPeer);
 
   /// How late the event loop has been all the time recently, which part of the
   /// new jobs is accepted, and how many times as long as usual the processor
@@ -160,6 +163,7 @@
   std::uint64_t m_term;
   RowVersion m_claimVersion;
   pool::PoolScheduler m_scheduler;
+  std::unique_ptr<RelayLinks> m_relays;
   std::shared_ptr<WorkerLinks> m_links;
   AdviceBalancer m_advice;
   std::shared_ptr<JobExpiry> m_expiry;
--- /dev/null
+++ b/src/edge/RelayLinks.cpp
@@ -0,0 +1,277 @@
+#include "edge/RelayLinks.h"
+
+#include "core/TryDecode.h"
+#include "relay/OrderGate.h"
+
+#include <limits>
+#include <utility>
+
+namespace lacewing::edge {
+
+namespace {
+
+/// Orders of this time leave in one frame.
+constexpr Duration kFlushPeriod = milliseconds(4);
+constexpr Duration kTickPeriod = milliseconds(50);
+/// A relay sends a frame at least every 100 ms. The turns of this process's
+/// event loop are counted and not the time, since a late loop reads frames
+/// late.
+constexpr int kSilentTicks = 12;
+constexpr Duration kChoicePeriod = milliseconds(500);
+/// Time for the two ways between the leader and a relay.
+constexpr Duration kTransit = milliseconds(150);
+/// A relay whose event loop is later than that of the leader by this much makes
+/// calls slower than the leader would.
+constexpr Duration kLateRelay = milliseconds(100);
+/// No orders are sent on a beat of that age: the relay would drop them.
+constexpr Duration kOldestBeat = relay::kOrderLifetime - milliseconds(200);
+
+} // namespace
+
+struct RelayLinks::Link
+{
+  relay::RelayPeer m_peer;
+  relay::OpenCalls m_calls;
+  std::vector<relay::Order> m_pending; ///< not sent yet
+  std::unique_ptr<net::FrameConnection> m_connection;
+  std::unique_ptr<net::PacedTimer> m_flush;
+  Time m_beat{};           ///< of the relay's last frame, on its clock
+  Time m_beatAt{};         ///< when that frame was read
+  bool m_heard = false;    ///< since the last tick
+  bool m_ready = false;    ///< a frame has been read
+  bool m_stopping = false; ///< its process is about to end
+  bool m_retired = false;  ///< another relay is used in its place
+  int m_silentTicks = 0;
+  Duration m_lag{};
+};
+
+RelayLinks::RelayLinks(net::Loop& aLoop,
+                       observe::Log& aLog,
+                       VmId aSelf,
+                       std::uint64_t aTerm)
+  : m_loop(aLoop)
+  , m_log(aLog)
+  , m_self(std::move(aSelf))
+  , m_term(aTerm)
+  , m_ticker(aLoop, kTickPeriod, [this] { Tick(); })
+{
+  m_ticker.CallSoon();
+}
+
+RelayLinks::~RelayLinks() = default;
+
+void
+RelayLinks::OnPeerSeen(Time aNow, const relay::RelayPeer& aPeer)
+{
+  if (aPeer.m_vm != m_self) {
+    m_choice.OnPeerSeen(aNow, aPeer);
+  }
+}
+
+void
+RelayLinks::SetWorkers(relay::WorkerCounts aWorkers)
+{
+  m_workers = std::move(aWorkers);
+}
+
+bool
+RelayLinks::IsUsable(const Link& aLink) const
+{
+  return aLink.m_ready && !aLink.m_stopping && !aLink.m_retired &&
+         aLink.m_lag <= m_standingLag + kLateRelay;
+}
+
+std::size_t
+RelayLinks::UsableCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [vm, link] : m_links) {
+    count += IsUsable(*link) ? 1U : 0U;
+  }
+  return count;
+}
+
+bool
+RelayLinks::Call(const DomainId& aDomain,
+                 const net::Address& aAddress,
+                 relay::Command aCommand,
+                 Duration aTimeout,
+                 relay::OpenCalls::Done aDone)
+{
+  const VmId* vm = m_routes.Find(relay::WorkerOf(aCommand), aDomain);
+  if (vm == nullptr) {
+    return false;
+  }
+  const Time now = net::Loop::Now();
+  Link& link = *m_links.at(*vm);
+  if (now > link.m_beatAt + kOldestBeat) {
+    return false;
+  }
+  const relay::CallId call =
+    link.m_calls.Add(now + aTimeout + kTransit, std::move(aDone));
+  link.m_pending.push_back({ call, aAddress, aTimeout, std::move(aCommand) });
+  link.m_flush->CallSoon();
+  return true;
+}
+
+void
+RelayLinks::Flush(Link& aLink)
+{
+  if (aLink.m_pending.empty()) {
+    return;
+  }
+  relay::OrderFrame frame;
+  frame.m_term = m_term;
+  frame.m_leader = m_self;
+  frame.m_beat = aLink.m_beat;
+  frame.m_orders = std::exchange(aLink.m_pending, {});
+  aLink.m_connection->Send(relay::EncodeOrders(frame));
+}
+
+void
+RelayLinks::OnFrame(Link& aLink, std::string_view aFrame)
+{
+  const auto frame =
+    TryDecode<relay::AnswerFrame>([&] { return relay::DecodeAnswers(aFrame); });
+  if (!frame) {
+    m_log.Write(settings::LogLevel::Warn,
+                "relay_frame_refused",
+                { { "relay", aLink.m_peer.m_vm.Value() },
+                  { "bytes", static_cast<std::int64_t>(aFrame.size()) } });
+    return;
+  }
+  const bool wasUsable = IsUsable(aLink);
+  aLink.m_beat = frame->m_beat;
+  aLink.m_beatAt = net::Loop::Now();
+  aLink.m_heard = true;
+  aLink.m_ready = true;
+  aLink.m_lag = frame->m_loopLag;
+  aLink.m_stopping = frame->m_stopping;
+  if (IsUsable(aLink) != wasUsable) {
+    UpdateRoutes();
+  }
+  for (const relay::Answer& answer : frame->m_answers) {
+    aLink.m_calls.OnAnswer(answer);
+  }
+}
+
+void
+RelayLinks::Tick()
+{
+  m_ticker.CallBy(net::Loop::Now() + kTickPeriod);
+  const Time now = net::Loop::Now();
+  std::vector<VmId> silent;
+  // The callbacks of calls that have ended may lose further links.
+  const auto links = m_links;
+  for (const auto& [vm, link] : links) {
+    link->m_silentTicks =
+      std::exchange(link->m_heard, false) ? 0 : link->m_silentTicks + 1;
+    if (link->m_silentTicks >= kSilentTicks) {
+      silent.push_back(vm);
+    }
+    link->m_calls.Expire(now);
+  }
+  for (const VmId& vm : silent) {
+    Lose(vm, Loss::Silent);
+  }
+  if (now >= m_nextChoice) {
+    m_nextChoice = now + kChoicePeriod;
+    Rechoose(now);
+  }
+  UpdateRoutes();
+}
+
+void
+RelayLinks::Rechoose(Time aNow)
+{
+  const std::vector<relay::RelayPeer> chosen = m_choice.Choose(aNow, m_workers);
+  for (const auto& [vm, link] : m_links) {
+    link->m_retired = true;
+  }
+  for (const relay::RelayPeer& peer : chosen) {
+    const auto it = m_links.find(peer.m_vm);
+    if (it == m_links.end()) {
+      Connect(peer);
+    } else if (it->second->m_peer == peer) {
+      it->second->m_retired = false;
+    }
+  }
+  std::vector<VmId> ended;
+  for (const auto& [vm, link] : m_links) {
+    if ((link->m_retired || link->m_stopping) && link->m_calls.Size() == 0) {
+      ended.push_back(vm);
+    }
+  }
+  for (const VmId& vm : ended) {
+    Lose(vm, Loss::NotNeeded);
+  }
+}
+
+void
+RelayLinks::Connect(const relay::RelayPeer& aPeer)
+{
+  auto link = std::make_shared<Link>();
+  Link* const raw = link.get();
+  link->m_peer = aPeer;
+  link->m_flush = std::make_unique<net::PacedTimer>(
+    m_loop, kFlushPeriod, [this, raw] { Flush(*raw); });
+  link->m_connection = std::make_unique<net::FrameConnection>(
+    m_loop,
+    aPeer.m_address,
+    net::FrameHooks{
+      [this, raw](std::string_view aFrame) { OnFrame(*raw, aFrame); },
+      [this, vm = aPeer.m_vm] { Lose(vm, Loss::Closed); } });
+  if (!link->m_connection->IsOpen()) {
+    m_choice.OnFailure(net::Loop::Now(), aPeer.m_vm);
+    return;
+  }
+  m_links.emplace(aPeer.m_vm, std::move(link));
+}
+
+void
+RelayLinks::Lose(const VmId& aVm, Loss aReason)
+{
+  auto node = m_links.extract(aVm);
+  if (node.empty()) {
+    return;
+  }
+  const std::shared_ptr<Link> link = node.mapped();
+  m_log.Write(
+    settings::LogLevel::Info,
+    "relay_lost",
+    { { "relay", aVm.Value() },
+      { "reason", std::string(NameOf(aReason)) },
+      { "open_calls", static_cast<std::int64_t>(link->m_calls.Size()) } });
+  link->m_connection->Close();
+  if (aReason != Loss::NotNeeded) {
+    m_choice.OnFailure(net::Loop::Now(), aVm);
+  }
+  UpdateRoutes();
+  const relay::CallId firstUnsent =
+    link->m_pending.empty() ? std::numeric_limits<relay::CallId>::max()
+                            : link->m_pending.front().m_call;
+  link->m_pending.clear();
+  // The connection may have called this, so it has to outlive the call.
+  m_loop.After(Duration::zero(), [link] {});
+  link->m_calls.Abandon(firstUnsent);
+}
+
+void
+RelayLinks::UpdateRoutes()
+{
+  std::vector<relay::RelayPeer> usable;
+  for (const auto& [vm, link] : m_links) {
+    if (IsUsable(*link)) {
+      usable.push_back(link->m_peer);
+    }
+  }
+  m_log.WriteOnChange("relays",
+                      std::to_string(usable.size()),
+                      settings::LogLevel::Info,
+                      "relays_usable",
+                      { { "links", static_cast<std::int64_t>(m_links.size()) },
+                        { "term", static_cast<std::int64_t>(m_term) } });
+  m_routes.SetUsable(std::move(usable));
+}
+
+} // namespace lacewing::edge
--- /dev/null
+++ b/src/edge/RelayServer.cpp
@@ -0,0 +1,223 @@
+#include "edge/RelayServer.h"
+
+#include "core/TryDecode.h"
+#include "net/PacedTimer.h"
+
+#include <utility>
+
+namespace lacewing::edge {
+
+namespace {
+
+/// Answers of this time leave in one frame.
+constexpr Duration kFlushPeriod = milliseconds(4);
+/// A frame is sent at least this often, so that the leader knows the relay's
+/// clock and that it is alive.
+constexpr Duration kBeatPeriod = milliseconds(100);
+
+} // namespace
+
+/// One connection of a leader.
+class RelayServer::Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(RelayServer& aServer, int aSocket)
+    : m_server(aServer)
+    , m_gate(aServer.m_fence)
+    , m_flush(aServer.m_loop, kFlushPeriod, [this] { Flush(); })
+    , m_connection(aServer.m_loop,
+                   aSocket,
+                   { [this](std::string_view aFrame) { OnFrame(aFrame); },
+                     [this] { m_server.Remove(this); } })
+  {
+  }
+
+  void Flush()
+  {
+    if (!m_connection.IsOpen()) {
+      return;
+    }
+    relay::AnswerFrame frame;
+    frame.m_beat = m_gate.Beat(net::Loop::Now());
+    frame.m_loopLag = m_server.m_hooks.m_loopLag();
+    frame.m_stopping = m_server.m_stopping;
+    frame.m_answers = std::exchange(m_answers, {});
+    m_connection.Send(relay::EncodeAnswers(frame));
+  }
+
+private:
+  void OnFrame(std::string_view aFrame)
+  {
+    const auto frame =
+      TryDecode<relay::OrderFrame>([&] { return relay::DecodeOrders(aFrame); });
+    if (!frame) {
+      m_server.m_log.Write(
+        settings::LogLevel::Warn,
+        "relay_frame_refused",
+        { { "bytes", static_cast<std::int64_t>(aFrame.size()) } });
+      return;
+    }
+    m_server.m_log.WriteOnChange(
+      "relay of",
+      frame->m_leader.Value(),
+      settings::LogLevel::Info,
+      "dependency",
+      { { "term", static_cast<std::int64_t>(frame->m_term) } });
+    m_server.m_fence.OnTerm(m_server.m_hooks.m_knownTerm());
+    for (const relay::Order& order : frame->m_orders) {
+      Take(*frame, order);
+    }
+  }
+
+  void Take(const relay::OrderFrame& aFrame, const relay::Order& aOrder)
+  {
+    const auto verdict = m_gate.Check(net::Loop::Now(), aFrame, aOrder.m_call);
+    m_server.m_metrics.Add(observe::Metric::RelayOrders, { NameOf(verdict) });
+    switch (verdict) {
+      case relay::OrderVerdict::Accepted:
+        std::visit(
+          [&](const auto& aCommand) { Execute(aFrame, aOrder, aCommand); },
+          aOrder.m_command);
+        return;
+      case relay::OrderVerdict::Repeated:
+        return; // the first copy is answered
+      case relay::OrderVerdict::Late:
+      case relay::OrderVerdict::Superseded:
+        break;
+    }
+    m_server.m_log.Write(
+      settings::LogLevel::Warn,
+      "order_dropped",
+      { { "worker", relay::WorkerOf(aOrder.m_command).Value() },
+        { "verdict", std::string(NameOf(verdict)) },
+        { "term", static_cast<std::int64_t>(aFrame.m_term) },
+        { "age_ms", ToMilliseconds(net::Loop::Now() - aFrame.m_beat) } });
+    relay::Answer answer;
+    answer.m_call = aOrder.m_call;
+    answer.m_state = platform::CommandState::NotSent;
+    answer.m_outcome = pool::StartOutcome::NotSent;
+    Reply(std::move(answer));
+  }
+
+  void Execute(const relay::OrderFrame&,
+               const relay::Order& aOrder,
+               const platform::LeaseExtension& aExtension)
+  {
+    m_server.m_workers.ExtendLease(
+      aExtension,
+      aOrder.m_timeout,
+      [weak = weak_from_this(),
+       call = aOrder.m_call](const platform::LeaseExtensionResult& aResult) {
+        if (const auto self = weak.lock()) {
+          self->Reply({ call,
+                        aResult.m_state,
+                        pool::StartOutcome::Unknown,
+                        aResult.m_inventory });
+        }
+      });
+  }
+
+  void Execute(const relay::OrderFrame& aFrame,
+               const relay::Order& aOrder,
+               const relay::StartCommand& aCommand)
+  {
+    m_server.m_workers.Start(
+      aOrder.m_address,
+      aCommand.m_start,
+      aFrame.m_term,
+      aCommand.m_deadlineMs,
+      aOrder.m_timeout,
+      [weak = weak_from_this(),
+       call = aOrder.m_call](const platform::StartResult& aResult) {
+        if (const auto self = weak.lock()) {
+          self->Reply({ call, aResult.m_state, aResult.m_outcome, {} });
+        }
+      });
+  }
+
+  void Execute(const relay::OrderFrame& aFrame,
+               const relay::Order& aOrder,
+               const pool::StopTask& aStop)
+  {
+    m_server.m_workers.Stop(
+      aOrder.m_address,
+      aStop,
+      aFrame.m_term,
+      aOrder.m_timeout,
+      [weak = weak_from_this(),
+       call = aOrder.m_call](platform::CommandState aState) {
+        if (const auto self = weak.lock()) {
+          self->Reply({ call, aState, pool::StartOutcome::Unknown, {} });
+        }
+      });
+  }
+
+  void Reply(relay::Answer aAnswer)
+  {
+    m_answers.push_back(std::move(aAnswer));
+    m_flush.CallSoon();
+  }
+
+  RelayServer& m_server;
+  relay::OrderGate m_gate;
+  std::vector<relay::Answer> m_answers; ///< to be sent
+  net::PacedTimer m_flush;
+  net::FrameConnection m_connection;
+};
+
+RelayServer::RelayServer(net::Loop& aLoop,
+                         platform::WorkerClient& aWorkers,
+                         observe::Log& aLog,
+                         observe::Metrics& aMetrics,
+                         RelayServerHooks aHooks)
+  : m_loop(aLoop)
+  , m_workers(aWorkers)
+  , m_log(aLog)
+  , m_metrics(aMetrics)
+  , m_hooks(std::move(aHooks))
+  , m_listener(aLoop, [this](int aSocket) { OnAccepted(aSocket); })
+{
+}
+
+RelayServer::~RelayServer() = default;
+
+Result<void>
+RelayServer::Listen(const net::Address& aAddress)
+{
+  BOOST_LEAF_CHECK(m_listener.Listen(aAddress));
+  m_loop.Every(kBeatPeriod, [this] { SendBeats(); });
+  return {};
+}
+
+void
+RelayServer::BeginStop()
+{
+  m_stopping = true;
+  SendBeats();
+}
+
+void
+RelayServer::OnAccepted(int aSocket)
+{
+  auto session = std::make_shared<Session>(*this, aSocket);
+  session->Flush();
+  m_sessions.emplace(session.get(), session);
+}
+
+void
+RelayServer::Remove(Session* aSession)
+{
+  // The session's connection calls this, so it must outlive the call.
+  auto session = m_sessions.extract(aSession);
+  m_loop.After(Duration::zero(), [kept = session.mapped()] {});
+}
+
+void
+RelayServer::SendBeats()
+{
+  for (const auto& [key, session] : m_sessions) {
+    session->Flush();
+  }
+}
+
+} // namespace lacewing::edge
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -41,14 +41,14 @@
 } // namespace
 
 WorkerLinks::WorkerLinks(net::Loop& aLoop,
-                         platform::WorkerClient& aClient,
+                         const WorkerCalls& aCalls,
                          observe::Log& aLog,
                          observe::Metrics& aMetrics,
                          pool::PoolScheduler& aScheduler,
                          std::uint64_t aTerm,
                          WorkerLinkHooks aHooks)
   : m_loop(aLoop)
-  , m_client(aClient)
+  , m_calls(aCalls)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_scheduler(aScheduler)
@@ -72,6 +72,14 @@
     [] { return std::optional<net::Address>(); });
 }
 
+DomainId
+WorkerLinks::DomainOf(const pool::WorkerId& aWorker) const
+{
+  const auto it = m_scheduler.Workers().find(aWorker);
+  return it == m_scheduler.Workers().end() ? DomainId()
+                                           : it->second.m_info.m_domain;
+}
+
 void
 WorkerLinks::Update()
 {
@@ -118,7 +126,8 @@
                        ? Duration::zero()
                        : kLeaseExtensionWait + m_scheduler.ExtensionPause();
   const Time sentAt = net::Loop::Now();
-  m_client.ExtendLease(
+  m_calls.ExtendLease(
+    worker.m_info.m_domain,
     extension,
     extension.m_wait + kLeaseExtensionTimeout + m_scheduler.CommandAllowance(),
     [weak = weak_from_this(), aWorker, sentAt](
@@ -255,17 +264,18 @@
     });
     return;
   }
-  m_client.Start(*address,
-                 aStart,
-                 m_term,
-                 deadline,
-                 kCommandTimeout + m_scheduler.CommandAllowance(),
-                 [weak = weak_from_this(), aStart, aInDoubt](
-                   const platform::StartResult& aResult) {
-                   if (const auto self = weak.lock(); self && !self->m_closed) {
-                     self->OnStarted(aStart, aInDoubt, aResult);
-                   }
-                 });
+  m_calls.Start(DomainOf(aStart.m_worker),
+                *address,
+                aStart,
+                m_term,
+                deadline,
+                kCommandTimeout + m_scheduler.CommandAllowance(),
+                [weak = weak_from_this(), aStart, aInDoubt](
+                  const platform::StartResult& aResult) {
+                  if (const auto self = weak.lock(); self && !self->m_closed) {
+                    self->OnStarted(aStart, aInDoubt, aResult);
+                  }
+                });
 }
 
 void
@@ -321,29 +331,30 @@
     StopLater(aStop);
     return;
   }
-  m_client.Stop(
-    *address,
-    aStop,
-    m_term,
-    kCommandTimeout + m_scheduler.CommandAllowance(),
-    [weak = weak_from_this(), aStop](platform::CommandState aState) {
-      const auto self = weak.lock();
-      if (!self || self->m_closed) {
-        return;
-      }
-      observe::Fields fields = CommandFields(
-        aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
-      fields.emplace_back("reason", std::string(NameOf(aStop.m_reason)));
-      self->m_log.Write(settings::LogLevel::Info, "stop", fields);
-      if (aState == platform::CommandState::Fenced) {
-        self->Fenced(aStop.m_worker);
-      }
-      if (aState == platform::CommandState::Done) {
-        self->m_scheduler.OnStopConfirmed(aStop);
-        return;
-      }
-      self->StopLater(aStop);
-    });
+  m_calls.Stop(DomainOf(aStop.m_worker),
+               *address,
+               aStop,
+               m_term,
+               kCommandTimeout + m_scheduler.CommandAllowance(),
+               [weak = weak_from_this(), aStop](platform::CommandState aState) {
+                 const auto self = weak.lock();
+                 if (!self || self->m_closed) {
+                   return;
+                 }
+                 observe::Fields fields = CommandFields(
+                   aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
+                 fields.emplace_back("reason",
+                                     std::string(NameOf(aStop.m_reason)));
+                 self->m_log.Write(settings::LogLevel::Info, "stop", fields);
+                 if (aState == platform::CommandState::Fenced) {
+                   self->Fenced(aStop.m_worker);
+                 }
+                 if (aState == platform::CommandState::Done) {
+                   self->m_scheduler.OnStopConfirmed(aStop);
+                   return;
+                 }
+                 self->StopLater(aStop);
+               });
 }
 
 void
--- a/src/edge/WorkerLinks.h
+++ b/src/edge/WorkerLinks.h
@@ -3,10 +3,10 @@
 /// starts and stops until their outcome is known.
 #pragma once
 
+#include "edge/WorkerCalls.h"
 #include "net/Loop.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
-#include "platform/WorkerClient.h"
 #include "pool/PoolScheduler.h"
 
 #include <functional>
@@ -30,7 +30,7 @@
 {
 public:
   WorkerLinks(net::Loop& aLoop,
-              platform::WorkerClient& aClient,
+              const WorkerCalls& aCalls,
               observe::Log& aLog,
               observe::Metrics& aMetrics,
               pool::PoolScheduler& aScheduler,
@@ -62,9 +62,11 @@
                   const pool::Inventory& aInventory);
   void Fenced(const pool::WorkerId& aWorker);
   std::optional<net::Address> AddressOf(const pool::WorkerId& aWorker) const;
+  /// Failure domain of a worker that is known; empty for another.
+  DomainId DomainOf(const pool::WorkerId& aWorker) const;
 
   net::Loop& m_loop;
-  platform::WorkerClient& m_client;
+  WorkerCalls m_calls;
   observe::Log& m_log;
   observe::Metrics& m_metrics;
   pool::PoolScheduler& m_scheduler;
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -59,6 +59,7 @@
   { Metric::MetricSetsDropped, "lacewing_metric_sets_dropped_total", Counter, "values", "", "Values dropped because a metric has too many label sets.", "grows" },
   { Metric::CancellationDelaySeconds, "lacewing_cancellation_delay_seconds", Histogram, "seconds", "source", "Time from a caller's cancellation until the pool's leader knows of it, by the clocks of both VMs; source is load, reload, watch or front.", "above 2 s" },
   { Metric::JobViewAgeSeconds, "lacewing_job_view_age_seconds", Histogram, "seconds", "", "How old the leader's view of the stored jobs and cancellations was as the store's next answer renewed it.", "above 2 s" },
+  { Metric::RelayOrders, "lacewing_relay_orders_total", Counter, "orders", "verdict", "Orders of the pool's leader for workers that this process has received as a relay, by verdict: accepted, late, superseded or repeated.", "late grows for 10 s" },
 };
 // clang-format on
 
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -40,6 +40,7 @@
   MetricSetsDropped,
   CancellationDelaySeconds,
   JobViewAgeSeconds,
+  RelayOrders,
 };
 
 enum class MetricType : std::uint8_t
--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -49,8 +49,14 @@
     };
     hooks.m_onFenced = [] {};
     hooks.m_maySendCommands = [] { return true; };
-    m_links = std::make_shared<edge::WorkerLinks>(
-      m_loop, m_workers, m_log, m_metrics, m_scheduler, 1, std::move(hooks));
+    m_links =
+      std::make_shared<edge::WorkerLinks>(m_loop,
+                                          edge::WorkerCalls(m_workers, nullptr),
+                                          m_log,
+                                          m_metrics,
+                                          m_scheduler,
+                                          1,
+                                          std::move(hooks));
     m_links->Update();
   }
   ~LinkCell() { m_links->Close(); }
