--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -120,6 +120,7 @@
   if (m_links) {
     m_links->Close();
   }
+  m_relays.reset();
 }
 
 void
@@ -564,7 +565,9 @@
 void
 PoolLeader::OnRelaySeen(const relay::RelayPeer& aPeer)
 {
-  m_relays->OnPeerSeen(net::Loop::Now(), aPeer);
+  if (m_relays) {
+    m_relays->OnPeerSeen(net::Loop::Now(), aPeer);
+  }
 }
 
 std::vector<std::string>
--- a/tests/correctness/RelayRoutes.cpp
+++ b/tests/correctness/RelayRoutes.cpp
@@ -91,6 +91,7 @@
   RelayRoutes routes;
   routes.SetUsable({ Peer("a", 0.5), Peer("b", 0.5), Peer("c", 0.5) });
   std::vector<std::string> before;
+  before.reserve(300);
   for (int number = 0; number < 300; ++number) {
     before.push_back(routes.Find(Worker(number), kDomain)->Value());
   }
