Keep the ends of leases in a queue, and find workers without comparing names

What a plan of 1,100 workers cost beside its decisions: three walks over a tree of workers ordered by name, one of them for ends of leases of which none had come, and a search of each job's rule by name. Leases now wait in a queue by time, workers are found by a hash of their name and walked by number, and a job keeps its rule. What is decided stays the same but for ties between workers.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -92,6 +92,7 @@
   const QueueRule& queue =
     rule == m_rules.end() ? m_rules[aJob.m_queue] : rule->second;
   auto job = std::make_unique<TrackedJob>(aJob, queue, aNow - aAge, aProgress);
+  job->m_rule = &queue;
   if (job->IsOver()) {
     job->m_endedAt = aNow;
     TakeIn(aNow, std::move(job));
@@ -158,7 +159,8 @@
     const auto [it, fresh] = m_workers.try_emplace(info.m_id);
     WorkerRecord& worker = it->second;
     if (fresh) {
-      worker.m_slot = m_nextSlot++;
+      worker.m_slot = static_cast<WorkerSlot>(m_bySlot.size());
+      m_bySlot.push_back(&worker);
     }
     if (info.m_incarnation > worker.m_info.m_incarnation) {
       BeginIncarnation(aNow, worker, info.m_incarnation, nullptr);
@@ -170,8 +172,13 @@
     worker.m_describedIncarnation = info.m_incarnation;
     worker.m_listed = true;
   }
-  std::erase_if(m_workers, [](const auto& aItem) {
-    return !aItem.second.m_listed && aItem.second.m_placements.empty();
+  std::erase_if(m_workers, [this](const auto& aItem) {
+    const WorkerRecord& worker = aItem.second;
+    const bool gone = !worker.m_listed && worker.m_placements.empty();
+    if (gone) {
+      m_bySlot[worker.m_slot] = nullptr;
+    }
+    return gone;
   });
 }
 
@@ -200,6 +207,7 @@
   restarted.m_slot = aWorker.m_slot;
   restarted.m_listed = aWorker.m_listed;
   restarted.m_recorded = aWorker.m_recorded;
+  restarted.m_leaseCheckDue = aWorker.m_leaseCheckDue;
   restarted.m_toRecord = aWorker.m_toRecord;
   restarted.m_placements = std::move(aWorker.m_placements);
   restarted.m_unknownRuns = aWorker.m_unknownRuns;
@@ -620,11 +628,26 @@
 void
 PoolScheduler::ExpireLeases(Time aNow)
 {
-  for (auto& [id, worker] : m_workers) {
-    if (!worker.m_placements.empty() &&
-        aNow > worker.LeaseEnd() + kLeaseMargin) {
-      DropAllPlacements(worker);
+  while (!m_leaseChecks.empty() && m_leaseChecks.top().first < aNow) {
+    WorkerRecord* worker = m_bySlot[m_leaseChecks.top().second];
+    m_leaseChecks.pop();
+    if (worker == nullptr) {
+      continue;
     }
+    worker->m_leaseCheckDue = false;
+    if (aNow > worker->LeaseEnd() + kLeaseMargin) {
+      DropAllPlacements(*worker);
+    } else if (!worker->m_placements.empty()) {
+      CheckLeaseLater(*worker);
+    }
+  }
+}
+
+void
+PoolScheduler::CheckLeaseLater(WorkerRecord& aWorker)
+{
+  if (!std::exchange(aWorker.m_leaseCheckDue, true)) {
+    m_leaseChecks.emplace(aWorker.LeaseEnd() + kLeaseMargin, aWorker.m_slot);
   }
 }
 
@@ -640,6 +663,7 @@
   }
   aWorker.m_used += aPlacement.m_resources;
   m_teamUse[aPlacement.m_team] += aPlacement.m_resources;
+  CheckLeaseLater(aWorker);
 }
 
 void
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -21,6 +21,7 @@
 
 #include <deque>
 #include <map>
+#include <queue>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -240,7 +241,8 @@
   JobState ShownState(const TrackedJob& aJob) const;
   /// Accepted jobs of which nothing has started, by queue.
   std::map<QueueId, std::size_t> WaitingJobs() const;
-  const std::map<WorkerId, WorkerRecord>& Workers() const { return m_workers; }
+  using WorkerMap = std::unordered_map<WorkerId, WorkerRecord>;
+  const WorkerMap& Workers() const { return m_workers; }
   PoolCounts Counts(Time aNow) const;
   /// Jobs that reached their final state before the time and are stored; they
   /// are removed from memory.
@@ -289,6 +291,8 @@
     int m_gangs = 0;
   };
 
+  using LeaseCheck = std::pair<Time, WorkerSlot>;
+
   /// An end that was reported before its job became known.
   struct HeldEnd
   {
@@ -443,6 +447,8 @@
   /// How long the task may go without progress.
   Duration StuckTimeout(const TaskRef& aTask) const;
   void ExpireLeases(Time aNow);
+  /// Makes sure that the end of the worker's lease is looked at.
+  void CheckLeaseLater(WorkerRecord& aWorker);
 
   void OnReportedEnd(Time aNow, WorkerRecord& aWorker, const ReportedEnd& aEnd);
   void RecordRuntimeRatio(Time aNow,
@@ -502,6 +508,8 @@
   {
     return m_commandAllowance + m_extensionPause;
   }
+  /// Workers that have or had a slot.
+  WorkerSlot Slots() const { return static_cast<WorkerSlot>(m_bySlot.size()); }
   /// Null if the run is not on the worker any more.
   const Placement* PlacementOf(const StartTask& aStart) const;
 
@@ -515,7 +523,12 @@
   std::map<QueueId, QueueRule> m_rules;
   std::unordered_map<JobId, std::unique_ptr<TrackedJob>> m_jobs;
   std::map<JobId, TrackedJob*> m_open; ///< jobs that are not over
-  std::map<WorkerId, WorkerRecord> m_workers;
+  WorkerMap m_workers;
+  std::vector<WorkerRecord*> m_bySlot; ///< null for workers that are gone
+  /// When the leases of workers with placements may have expired, by time: one
+  /// entry for each.
+  std::priority_queue<LeaseCheck, std::vector<LeaseCheck>, std::greater<>>
+    m_leaseChecks;
   std::map<TeamId, const TeamRule*> m_teams; ///< those of `m_config`
   std::map<TeamId, Resources> m_teamUse;
   std::map<TeamId, Resources> m_unreportedUse; ///< upper bound, by team
@@ -542,7 +555,6 @@
   std::size_t m_patientAtHead = 0;
   std::size_t m_interactiveAtHead = 0;
   int m_askingVms = 1; ///< VMs that send advice requests
-  WorkerSlot m_nextSlot = 0;
   std::size_t m_planSteps = PlanPacer::kMostSteps;
   std::size_t m_planOperations = PlanPacer::kMostOperations;
   std::size_t m_placedSteps = 0;             ///< in this plan
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -336,11 +336,11 @@
   const StepRecord& step = aCandidate.Record();
   const auto begin = static_cast<std::ptrdiff_t>(aChosen.size());
   const WorkerSlot first = FirstToAsk(aCandidate);
-  for (WorkerSlot turn = 0; turn < m_nextSlot; ++turn) {
+  for (WorkerSlot turn = 0; turn < Slots(); ++turn) {
     if (aChosen.size() >= aMost && !aCandidate.Spec().m_gang) {
       return;
     }
-    const WorkerRecord* worker = m_usableBySlot[(first + turn) % m_nextSlot];
+    const WorkerRecord* worker = m_usableBySlot[(first + turn) % Slots()];
     if (worker != nullptr && !step.WasAsked(worker->m_slot) &&
         IsFull(aCandidate, *worker) == aFull &&
         IsSuitable(aCandidate, *worker)) {
@@ -363,7 +363,7 @@
   // same workers.
   return static_cast<WorkerSlot>(
     std::hash<JobId>()(aCandidate.m_job->Spec().m_id) %
-    std::max<std::size_t>(1, m_nextSlot));
+    std::max<std::size_t>(1, Slots()));
 }
 
 void
@@ -376,8 +376,7 @@
   const WorkerSlot first = FirstToAsk(aCandidate);
   const bool gang = aCandidate.Spec().m_gang;
   const auto order = [&](const WorkerRecord* aWorker) {
-    const std::int64_t turn =
-      (aWorker->m_slot + m_nextSlot - first) % m_nextSlot;
+    const std::int64_t turn = (aWorker->m_slot + Slots() - first) % Slots();
     return gang ? std::pair(-aWorker->Free().m_millicores, turn)
                 : std::pair(std::int64_t{ 0 }, turn);
   };
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -276,10 +276,6 @@
   std::vector<Candidate> result;
   for (const auto& [id, open] : m_open) {
     TrackedJob& job = *open;
-    const auto rule = m_rules.find(job.Spec().m_queue);
-    if (rule == m_rules.end()) {
-      continue;
-    }
     for (std::uint32_t step = 0; step < job.Steps(); ++step) {
       if (job.Step(step).Waiting() == 0 || !job.IsReady(step)) {
         continue;
@@ -287,8 +283,8 @@
       Candidate candidate;
       candidate.m_job = &job;
       candidate.m_step = step;
-      candidate.m_queue = &rule->second;
-      candidate.m_interactive = rule->second.m_priority == 0;
+      candidate.m_queue = job.m_rule;
+      candidate.m_interactive = job.m_rule->m_priority == 0;
       candidate.m_latestStart = job.LatestStart(step);
       candidate.m_wasNext = job.Step(step).m_inNextPlan;
       if (AwaitsAdvice(aNow, candidate)) {
@@ -325,17 +321,23 @@
 PoolScheduler::ListUsable(Time aNow)
 {
   m_usable.clear();
-  m_usableBySlot.assign(m_nextSlot, nullptr);
+  m_usableBySlot.assign(m_bySlot.size(), nullptr);
   m_mostFree = {};
   m_largest.clear();
-  for (auto& [id, worker] : m_workers) {
-    if (worker.CanAcceptTasks(aNow, ResponseAllowance())) {
-      m_usable.push_back(&worker);
-      m_usableBySlot[worker.m_slot] = &worker;
-      m_mostFree = Larger(m_mostFree, worker.Free());
-      Resources& largest = m_largest[worker.m_info.m_service];
-      largest = Larger(largest, worker.m_info.m_capacity);
+  auto largest = m_largest.end();
+  for (WorkerRecord* worker : m_bySlot) {
+    if (worker == nullptr ||
+        !worker->CanAcceptTasks(aNow, ResponseAllowance())) {
+      continue;
+    }
+    m_usable.push_back(worker);
+    m_usableBySlot[worker->m_slot] = worker;
+    m_mostFree = Larger(m_mostFree, worker->Free());
+    if (largest == m_largest.end() ||
+        largest->first != worker->m_info.m_service) {
+      largest = m_largest.try_emplace(worker->m_info.m_service).first;
     }
+    largest->second = Larger(largest->second, worker->m_info.m_capacity);
   }
 }
 
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -125,6 +125,8 @@
   std::vector<EndRef> m_unsavedEnds; ///< attached to the next stored progress
   bool m_dirty = false;              ///< progress differs from the stored one
   bool m_finalStateStored = false;   ///< the final state is stored
+  /// Rule of its queue, which the scheduler keeps.
+  const QueueRule* m_rule = nullptr;
   bool m_beyondShare = false; ///< submitted beyond the team's guaranteed rate
   Time m_endedAt{};           ///< when the final state was reached
 
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -143,6 +143,8 @@
   bool m_silent = false;
   bool m_recorded = false; ///< the stored row of the leader names it
   bool m_toRecord = false; ///< the next row names it
+  /// The scheduler will look at the end of its lease.
+  bool m_leaseCheckDue = false;
   Time m_lastResponse{};
   std::int64_t m_clockMs = 0;    ///< its clock at its last response
   std::int64_t m_deadlineMs = 0; ///< latest lease end sent, on its clock
