--- a/tests/correctness/EdgePeerProtocol.cpp
+++ b/tests/correctness/EdgePeerProtocol.cpp
@@ -35,6 +35,50 @@
   EXPECT_EQ(decoded->m_leader, status.m_leader);
 }
 
+/// The request as the peer's HTTP server reads it.
+net::HttpRequest
+StatusRequest(const std::string& aQuery)
+{
+  net::HttpRequest request;
+  std::string text = "vm=edge-2" + aQuery + "&";
+  for (std::size_t end = text.find('&'); end != std::string::npos;
+       end = text.find('&')) {
+    const std::size_t equals = text.find('=');
+    request.m_query[text.substr(0, equals)] =
+      text.substr(equals + 1, end - equals - 1);
+    text.erase(0, end + 1);
+  }
+  return request;
+}
+
+/// A leader that does not learn of relays makes all calls to workers itself.
+TEST(EdgePeerProtocol, OfferOfARelayArrivesAsSent)
+{
+  EdgeSettings settings;
+  settings.m_domain = DomainId("domain-b");
+  settings.m_cores = 0.5;
+  EXPECT_EQ(RelayOffer(settings), "");
+  EXPECT_FALSE(OfferedRelay(StatusRequest("")).has_value());
+  settings.m_relay = net::Address{ "10.1.0.17", 7420 };
+  const auto offered = OfferedRelay(StatusRequest(RelayOffer(settings)));
+  ASSERT_TRUE(offered.has_value());
+  EXPECT_EQ(offered->m_vm.Value(), "edge-2");
+  EXPECT_EQ(offered->m_domain.Value(), "domain-b");
+  EXPECT_EQ(offered->m_address.ToString(), "10.1.0.17:7420");
+  EXPECT_DOUBLE_EQ(offered->m_cores, 0.5);
+}
+
+TEST(EdgePeerProtocol, OfferWithABadAddressOrProcessorIsIgnored)
+{
+  for (const char* query : { "&relay=somewhere&cores=0.5&domain=a",
+                             "&relay=10.1.0.17:7420&cores=0&domain=a",
+                             "&relay=10.1.0.17:7420&cores=nan&domain=a",
+                             "&relay=10.1.0.17:7420&cores=1e30&domain=a",
+                             "&relay=10.1.0.17:7420&domain=a" }) {
+    EXPECT_FALSE(OfferedRelay(StatusRequest(query)).has_value()) << query;
+  }
+}
+
 /// Guards against a leader that reports zero waiting jobs before it has loaded
 /// the jobs: callers saw 0 while dozens of jobs waited.
 TEST(EdgePeerProtocol, LoadingLeaderReportsNoJobCounts)
--- a/tests/error/PlatformFormats.cpp
+++ b/tests/error/PlatformFormats.cpp
@@ -290,12 +290,22 @@
   EXPECT_EQ(settings->m_statusRetention, milliseconds(1500));
   EXPECT_EQ(settings->m_cancelBound, seconds(4));
   EXPECT_TRUE(settings->m_policyService.has_value());
+  EXPECT_FALSE(settings->m_relay.has_value());
   for (const char* broken : { "", "node: [", "node: x\n", "a: b: c" }) {
     EXPECT_FALSE(TryDecode<edge::EdgeSettings>([&] {
                    return ParseSettings(broken);
                  }).has_value())
       << broken;
   }
+  // A daemon that listened on a port of noise would take no orders.
+  const auto withRange = TryDecode<edge::EdgeSettings>([&] {
+    return ParseSettings(text + "\nport_range:\n  - 7420\n  - 7435\n");
+  });
+  ASSERT_TRUE(withRange.has_value() && withRange->m_relay.has_value());
+  EXPECT_EQ(withRange->m_relay->ToString(), "10.0.0.1:7420");
+  EXPECT_FALSE(TryDecode<edge::EdgeSettings>([&] {
+                 return ParseSettings(text + "\nport_range:\n  - 99999\n");
+               }).has_value());
 }
 
 } // namespace
