Answer a request shortly before a job's end with the end

What callers saw: interactive jobs were late by a quarter of a second beside their work. Change: the leader keeps the answer for a job whose tasks have all started until the end is stored, for 150 ms at most; final states are still shown only once they are stored. Progress is written 25 ms after the sending of the last transaction and not after its answer: with the timer of the same period each transaction waited for two of them.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -77,6 +77,14 @@
            : std::string_view();
 }
 
+/// How long the leader may wait for the end of a job, of the time that is left
+/// for its answer.
+Duration
+EndWait(Duration aTimeLeft)
+{
+  return std::min(kLongestEndWait, aTimeLeft / 2);
+}
+
 } // namespace
 
 CallerFront::CallerFront(const LeaderContext& aContext,
@@ -581,7 +589,7 @@
     }
   };
   if (const auto leader = m_leadership.Local()) {
-    show(leader->ViewOf(aCall.m_job));
+    leader->AwaitView(aCall.m_job, EndWait(TimeLeft(aCall)), show);
     return;
   }
   const auto address = m_leadership.LeaderAddress();
@@ -595,10 +603,11 @@
     show(known);
     return;
   }
+  const Duration timeout = std::min(kLeaderTimeout, TimeLeft(aCall) / 2);
   m_context.m_http.Send(
     *address,
-    MakeRequest("GET", std::string(kJobsPath) + "/" + aCall.m_job.Value()),
-    std::min(kLeaderTimeout, TimeLeft(aCall) / 2),
+    MakeRequest("GET", JobStatePath(aCall.m_job, EndWait(timeout))),
+    timeout,
     [this, show, job = aCall.m_job](const net::HttpOutcome& aOutcome) {
       if (!aOutcome.m_response || aOutcome.m_response->m_status != kOk) {
         show(std::nullopt);
--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -268,10 +268,18 @@
     aReply(net::JsonResponse(job ? kOk : kNotFound, "{}"));
     return;
   }
-  const auto view =
-    kind == kJobsPath ? leader->ViewOf(id) : std::optional<JobView>();
-  aReply(view ? net::JsonResponse(kOk, EncodeJobView(*view))
-              : net::JsonResponse(kNotFound, "{}"));
+  const auto show = [aReply](const std::optional<JobView>& aView) {
+    aReply(aView ? net::JsonResponse(kOk, EncodeJobView(*aView))
+                 : net::JsonResponse(kNotFound, "{}"));
+  };
+  if (kind != kJobsPath) {
+    show(std::nullopt);
+    return;
+  }
+  const auto wait = milliseconds(static_cast<std::int64_t>(
+    std::min(NumericQuery(aRequest, kWaitQuery),
+             static_cast<std::uint64_t>(ToMilliseconds(kLongestEndWait)))));
+  leader->AwaitView(id, wait, show);
 }
 
 void
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kTickPeriod = milliseconds(25);
 constexpr Duration kReadTimeout = milliseconds(700);
 constexpr Duration kWriteTimeout = milliseconds(1200);
-/// Minimum time between two transactions; rows that become pending in between
-/// are written together.
+/// Minimum time between the sending of two transactions; rows that become
+/// pending in between are written together.
 constexpr Duration kWritePause = milliseconds(25);
 constexpr Duration kFailedWritePause = milliseconds(120);
 /// Rows of one transaction, below the store's limit of 100 entries.
@@ -362,6 +362,7 @@
     AddRows(commit, rows);
   }
   m_writing = true;
+  m_nextWrite = net::Loop::Now() + kWritePause;
   m_context.m_store.Submit(commit,
                            kWriteTimeout,
                            [this, aAction, rows = std::move(rows)](
@@ -378,6 +379,7 @@
   RowBatch rows;
   AddRows(commit, rows);
   m_writing = true;
+  m_nextWrite = net::Loop::Now() + kWritePause;
   m_context.m_store.Submit(
     commit,
     kWriteTimeout,
@@ -394,7 +396,9 @@
   m_writing = false;
   const Time now = net::Loop::Now();
   const bool committed = aResult.m_state == table::CommitState::Committed;
-  m_nextWrite = now + (committed ? kWritePause : kFailedWritePause);
+  if (!committed) {
+    m_nextWrite = now + kFailedWritePause;
+  }
   m_context.m_metrics.Add(observe::Metric::TableWrites, { "leader" });
   if (m_leader) {
     if (!committed) {
@@ -405,7 +409,7 @@
         m_leader->Scheduler().OnSaveFailed(row);
         continue;
       }
-      m_leader->Scheduler().OnSaved(now, row);
+      m_leader->OnStored(now, row);
       if (pool::IsFinal(row.m_progress.m_state)) {
         m_context.m_log.Write(
           settings::LogLevel::Info,
--- a/src/edge/PeerProtocol.cpp
+++ b/src/edge/PeerProtocol.cpp
@@ -175,6 +175,13 @@
   return status && !status->m_leads;
 }
 
+std::string
+JobStatePath(const JobId& aJob, Duration aLongestWait)
+{
+  return std::string(kJobsPath) + "/" + aJob.Value() + "?" + kWaitQuery + "=" +
+         std::to_string(ToMilliseconds(aLongestWait));
+}
+
 std::string
 JobPath(const JobId& aJob, RowVersion aRowVersion)
 {
--- a/src/edge/PeerProtocol.h
+++ b/src/edge/PeerProtocol.h
@@ -24,6 +24,9 @@
 inline constexpr const char* kCoresQuery = "cores";
 inline constexpr const char* kDomainQuery = "domain";
 inline constexpr const char* kJobsPath = "/v1/pool/jobs";
+/// Query of a request for a job's state: how long, in milliseconds, the leader
+/// may wait for the end of a job that may end soon.
+inline constexpr const char* kWaitQuery = "wait_ms";
 /// A job or a cancellation that the sender could not store itself.
 inline constexpr const char* kStoreJobPath = "/v1/pool/stored_jobs";
 inline constexpr const char* kStoreCancelPath = "/v1/pool/stored_cancellations";
@@ -79,6 +82,10 @@
 bool
 ShowsNoLeader(const net::HttpOutcome& aOutcome);
 
+/// Path of a request for a job's state.
+std::string
+JobStatePath(const JobId& aJob, Duration aLongestWait);
+
 /// Path of the message that a job has been accepted. The version is that of the
 /// row that the sender has written; 0 if the row was there before.
 std::string
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -121,6 +121,9 @@
     m_links->Close();
   }
   m_relays.reset();
+  for (const auto& [job, done] : std::exchange(m_viewWaits, {})) {
+    (*done)(std::nullopt);
+  }
 }
 
 void
@@ -377,6 +380,53 @@
   return JobView{ m_scheduler.ShownState(*job), job->Spec().m_team };
 }
 
+void
+PoolLeader::AwaitView(const JobId& aJob, Duration aLongestWait, ViewDone aDone)
+{
+  const pool::TrackedJob* job = m_scheduler.FindJob(aJob);
+  const bool endsSoon = job != nullptr && job->AllStarted() &&
+                        !pool::IsFinal(m_scheduler.ShownState(*job));
+  if (!endsSoon || aLongestWait <= Duration::zero()) {
+    aDone(ViewOf(aJob));
+    return;
+  }
+  const auto wait = std::make_shared<ViewDone>(std::move(aDone));
+  m_viewWaits.emplace(aJob, wait);
+  After(aLongestWait, [this, aJob, weak = std::weak_ptr(wait)] {
+    if (const auto kept = weak.lock()) {
+      EndWaits(aJob, kept.get());
+    }
+  });
+}
+
+void
+PoolLeader::EndWaits(const JobId& aJob, const ViewDone* aOnly)
+{
+  std::vector<std::shared_ptr<ViewDone>> ended;
+  const auto [begin, end] = m_viewWaits.equal_range(aJob);
+  for (auto it = begin; it != end;) {
+    if (aOnly == nullptr || it->second.get() == aOnly) {
+      ended.push_back(std::move(it->second));
+      it = m_viewWaits.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const auto& done : ended) {
+    (*done)(ViewOf(aJob));
+  }
+}
+
+void
+PoolLeader::OnStored(Time aNow,
+                     const pool::PoolScheduler::ProgressWrite& aWrite)
+{
+  m_scheduler.OnSaved(aNow, aWrite);
+  if (pool::IsFinal(aWrite.m_progress.m_state)) {
+    EndWaits(aWrite.m_job, nullptr);
+  }
+}
+
 void
 PoolLeader::OnJobsWatched(Time aSentAt)
 {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace lacewing::edge {
 
@@ -49,6 +50,11 @@
   std::function<void()> m_onUnsaved;
 };
 
+/// Longest wait for the end of a job whose state is requested: some turns of
+/// the event loop and a transaction, much less than callers wait between two
+/// requests.
+inline constexpr Duration kLongestEndWait = milliseconds(150);
+
 /// How the leader came to know a job or a cancellation.
 enum class JobSource : std::uint8_t
 {
@@ -90,6 +96,13 @@
                  JobSource aSource);
   /// Empty for an unknown job.
   std::optional<JobView> ViewOf(const JobId& aJob) const;
+  using ViewDone = std::function<void(const std::optional<JobView>&)>;
+  /// Calls back with the job's state, or with nothing for an unknown job. That
+  /// of a job whose tasks have all started comes once its end is stored, at the
+  /// latest after the wait: its caller would ask again otherwise.
+  void AwaitView(const JobId& aJob, Duration aLongestWait, ViewDone aDone);
+  /// The progress is stored.
+  void OnStored(Time aNow, const pool::PoolScheduler::ProgressWrite& aWrite);
   std::map<pool::QueueId, std::size_t> WaitingJobs() const
   {
     return m_scheduler.WaitingJobs();
@@ -140,6 +153,8 @@
   void LogCancellation(const JobId& aJob,
                        const pool::Cancellation& aCancellation,
                        JobSource aSource);
+  /// Answers those that wait for the job's end; only `aOnly` if it is not null.
+  void EndWaits(const JobId& aJob, const ViewDone* aOnly);
   void ExpireJobs();
   void Plan();
   /// Reads an unknown job and its progress, until it is found or is known not
@@ -184,6 +199,8 @@
   Time m_loadedAt{};
   /// Jobs that are being looked up, with the delay before the next attempt.
   std::map<JobId, Duration> m_lookUps;
+  /// Those that wait for the end of a job.
+  std::unordered_multimap<JobId, std::shared_ptr<ViewDone>> m_viewWaits;
   /// Jobs that were cancelled before they became known here, and when that was
   /// noticed. Their rows expire like those of ended jobs.
   std::map<JobId, Time> m_unappliedCancellations;
--- a/src/pool/TrackedJob.cpp
+++ b/src/pool/TrackedJob.cpp
@@ -120,6 +120,13 @@
   });
 }
 
+bool
+TrackedJob::AllStarted() const
+{
+  return std::ranges::all_of(
+    m_steps, [](const StepRecord& aStep) { return aStep.Waiting() == 0; });
+}
+
 Time
 TrackedJob::LatestStart(std::uint32_t aStep) const
 {
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -111,6 +111,8 @@
   /// True once a task has been placed or is done.
   bool HasBegun() const;
   bool AllDone() const;
+  /// True if no task of any step waits to be started.
+  bool AllStarted() const;
 
   /// Latest time at which a step can start such that the job still ends within
   /// its objective, as far as the estimates tell.
