Bound an order's age from its decision, and judge relays by what they achieve

A leader that was held up read newer beats first: a start left 1.5 s and 3 s after its decision and was accepted. It carries the relay's clock as of the decision now (EdgeRelay.OrderThatWaitedInAHeldUpLeaderIsDropped), and a start's call ends 1 s after the decision, which the bound on the view of stored jobs counts on. - A leader late by half a second made all calls itself, and one that read no requests for its status for 1.2 s forgot its relays: the former cause again, as feedback. Frames of a relay keep it known, and its lateness is judged by the relay's clock alone. - A relay cut from its workers, or late with orders, stayed in use while frames came (80 of 80 calls in doubt in a trial); it is given up when no worker answers for 2.5 s, counted in turns. - Routes changed 49 times in 4 s about one bound of the lag; there are two bounds now, judged once a tick, and another daemon is chosen for a relay that stays late or stops. - Offers are noted while a leader loads, so that its first calls can use relays. - A port that is taken leaves the daemon without the role and does not end it; sessions of leaders that are gone end after 10 s.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -118,9 +118,7 @@
   BOOST_LEAF_CHECK(m_peerServer.Listen(m_settings.m_peers));
   BOOST_LEAF_CHECK(m_probeServer.Listen(m_settings.m_readiness));
   BOOST_LEAF_CHECK(m_callerServer.Listen(m_settings.m_callers));
-  if (m_settings.m_relay) {
-    BOOST_LEAF_CHECK(m_relayServer.Listen(*m_settings.m_relay));
-  }
+  ListenForOrders();
   m_config.Start();
   m_leadership.Start();
   m_loop.Every(kStatePeriod, [this] { LogState(); });
@@ -133,6 +131,23 @@
   return {};
 }
 
+void
+EdgeDaemon::ListenForOrders()
+{
+  if (!m_settings.m_relay) {
+    return;
+  }
+  leaf::try_handle_all(
+    [&]() -> Result<void> { return m_relayServer.Listen(*m_settings.m_relay); },
+    [&](const Error& aError) {
+      m_log.Write(settings::LogLevel::Warn,
+                  "no_relay",
+                  { { "reason", aError.m_message } });
+      m_settings.m_relay.reset();
+    },
+    [&] { m_settings.m_relay.reset(); });
+}
+
 void
 EdgeDaemon::OnConfig(const pool::PoolConfig& aConfig)
 {
@@ -228,14 +243,14 @@
   }
   const LeaderStatus status =
     m_leadership.OwnStatus(NumericQuery(aRequest, kCountsQuery) != 0);
+  if (const auto relay = OfferedRelay(aRequest)) {
+    m_leadership.OnRelaySeen(*relay);
+  }
   const auto leader = m_leadership.Local();
   const auto address = TryDecode<net::Address>(
     [&] { return net::ParseAddress(aRequest.Query("address")); });
   if (leader && address) {
     leader->OnPeerStatusRequest(VmId(aRequest.Query("vm")), *address);
-    if (const auto relay = OfferedRelay(aRequest)) {
-      leader->OnRelaySeen(*relay);
-    }
   }
   aReply(net::JsonResponse(kOk, EncodeStatus(status)));
 }
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -40,6 +40,8 @@
   void HandleAdvice(const net::HttpRequest& aRequest,
                     const net::HttpReply& aReply);
   bool IsReady() const;
+  /// Takes orders of the leader; a daemon that can't is no relay.
+  void ListenForOrders();
   void OnStoreCall(const std::string& aTable, bool aAnswered);
   /// Reads from the table of jobs while it is down, to notice its return.
   void ProbeJobTable();
--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -146,6 +146,14 @@
   return status;
 }
 
+void
+Leadership::OnRelaySeen(const relay::RelayPeer& aPeer)
+{
+  if (m_leader) {
+    m_leader->OnRelaySeen(aPeer);
+  }
+}
+
 Leadership::WaitingCount
 Leadership::WaitingJobs()
 {
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -45,6 +45,9 @@
   WaitingCount WaitingJobs();
   /// How late the event loop of the remote leader was when it last answered.
   Duration LeaderLag() const { return m_leaderLag; }
+  /// The daemon can call workers in place of this one, if this one leads or is
+  /// about to.
+  void OnRelaySeen(const relay::RelayPeer& aPeer);
   /// How late the event loop of this process is.
   Duration LoopLag() const { return m_loopLag; }
   /// Highest term that this daemon has heard of.
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 constexpr Duration kReadTimeout = milliseconds(1000);
-/// Longest time from the decision to start a task until its worker has the
-/// command.
-constexpr Duration kStartDelivery = seconds(1);
 constexpr Duration kMinViewAge = milliseconds(500);
 /// Delay before a job whose rows could not be read is read again; it doubles
 /// with each failure.
@@ -85,8 +82,8 @@
 {
   m_scheduler.SetConfig(net::Loop::Now(), aConfig);
   m_scheduler.SetLongestLease(aContext.m_settings.m_leaseMax);
-  m_scheduler.SetLongestViewAge(
-    std::max(aContext.m_settings.m_cancelBound - kStartDelivery, kMinViewAge));
+  m_scheduler.SetLongestViewAge(std::max(
+    aContext.m_settings.m_cancelBound - relay::kStartDelivery, kMinViewAge));
 }
 
 void
--- a/src/edge/RelayLinks.cpp
+++ b/src/edge/RelayLinks.cpp
@@ -23,8 +23,32 @@
 /// A relay whose event loop is later than that of the leader by this much makes
 /// calls slower than the leader would.
 constexpr Duration kLateRelay = milliseconds(100);
-/// No orders are sent on a beat of that age: the relay would drop them.
-constexpr Duration kOldestBeat = relay::kOrderLifetime - milliseconds(200);
+/// It makes them in time again once it is later by no more than this.
+constexpr Duration kTimelyRelay = milliseconds(50);
+/// Another daemon is chosen in the place of a relay that has been late for so
+/// many ticks.
+constexpr int kLateTicks = 20;
+/// A relay through which no worker answers for so many ticks is given up though
+/// frames come from it: its way to the workers, or that of the orders, is cut
+/// or late. It is longer than a worker may delay an answer.
+constexpr int kUnansweredTicks = 50;
+/// Orders that wait behind so many bytes are late in any case.
+constexpr std::size_t kMostUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
+
+/// True if the worker has answered the call.
+bool
+IsOfWorker(const relay::Answer& aAnswer)
+{
+  return aAnswer.m_state != platform::CommandState::Unknown &&
+         aAnswer.m_state != platform::CommandState::NotSent;
+}
+
+/// Counts ticks in a row for which the condition has held.
+int
+CountTicks(bool aCondition, int aTicks)
+{
+  return aCondition ? aTicks + 1 : 0;
+}
 
 } // namespace
 
@@ -35,13 +59,19 @@
   std::vector<relay::Order> m_pending; ///< not sent yet
   std::unique_ptr<net::FrameConnection> m_connection;
   std::unique_ptr<net::PacedTimer> m_flush;
+  /// The relay's clock as the first of `m_pending` was decided on.
+  Time m_pendingBeat{};
   Time m_beat{};           ///< of the relay's last frame, on its clock
   Time m_beatAt{};         ///< when that frame was read
   bool m_heard = false;    ///< since the last tick
   bool m_ready = false;    ///< a frame has been read
   bool m_stopping = false; ///< its process is about to end
   bool m_retired = false;  ///< another relay is used in its place
+  bool m_answered = false; ///< by a worker, since the last tick
+  bool m_late = false;
   int m_silentTicks = 0;
+  int m_unansweredTicks = 0;
+  int m_lateTicks = 0;
   Duration m_lag{};
 };
 
@@ -71,6 +101,9 @@
 void
 RelayLinks::SetWorkers(relay::WorkerCounts aWorkers)
 {
+  if (m_workers.empty()) {
+    m_nextChoice = {}; // nothing could be chosen before
+  }
   m_workers = std::move(aWorkers);
 }
 
@@ -78,7 +111,7 @@
 RelayLinks::IsUsable(const Link& aLink) const
 {
   return aLink.m_ready && !aLink.m_stopping && !aLink.m_retired &&
-         aLink.m_lag <= m_standingLag + kLateRelay;
+         !aLink.m_late;
 }
 
 std::size_t
@@ -104,8 +137,11 @@
   }
   const Time now = net::Loop::Now();
   Link& link = *m_links.at(*vm);
-  if (now > link.m_beatAt + kOldestBeat) {
-    return false;
+  if (link.m_pending.empty()) {
+    // The relay's clock has gone on since its last frame, by at least that much
+    // as far as clocks agree.
+    link.m_pendingBeat =
+      link.m_beat + Scale(now - link.m_beatAt, 1 - kDefaultClockRateError);
   }
   const relay::CallId call =
     link.m_calls.Add(now + aTimeout + kTransit, std::move(aDone));
@@ -123,9 +159,12 @@
   relay::OrderFrame frame;
   frame.m_term = m_term;
   frame.m_leader = m_self;
-  frame.m_beat = aLink.m_beat;
+  frame.m_beat = aLink.m_pendingBeat;
   frame.m_orders = std::exchange(aLink.m_pending, {});
   aLink.m_connection->Send(relay::EncodeOrders(frame));
+  if (aLink.m_connection->UnsentBytes() > kMostUnsentBytes) {
+    Lose(VmId(aLink.m_peer.m_vm), Loss::Silent);
+  }
 }
 
 void
@@ -151,6 +190,7 @@
     UpdateRoutes();
   }
   for (const relay::Answer& answer : frame->m_answers) {
+    aLink.m_answered |= IsOfWorker(answer);
     aLink.m_calls.OnAnswer(answer);
   }
 }
@@ -160,19 +200,15 @@
 {
   m_ticker.CallBy(net::Loop::Now() + kTickPeriod);
   const Time now = net::Loop::Now();
-  std::vector<VmId> silent;
   // The callbacks of calls that have ended may lose further links.
   const auto links = m_links;
   for (const auto& [vm, link] : links) {
-    link->m_silentTicks =
-      std::exchange(link->m_heard, false) ? 0 : link->m_silentTicks + 1;
+    TickLink(now, *link);
     if (link->m_silentTicks >= kSilentTicks) {
-      silent.push_back(vm);
+      Lose(vm, Loss::Silent);
+    } else if (link->m_unansweredTicks >= kUnansweredTicks) {
+      Lose(vm, Loss::Unanswered);
     }
-    link->m_calls.Expire(now);
-  }
-  for (const VmId& vm : silent) {
-    Lose(vm, Loss::Silent);
   }
   if (now >= m_nextChoice) {
     m_nextChoice = now + kChoicePeriod;
@@ -181,6 +217,27 @@
   UpdateRoutes();
 }
 
+void
+RelayLinks::TickLink(Time aNow, Link& aLink)
+{
+  const bool heard = std::exchange(aLink.m_heard, false);
+  const bool answered = std::exchange(aLink.m_answered, false);
+  if (heard && !aLink.m_stopping) {
+    // Requests for the status may wait behind other work.
+    m_choice.OnAlive(aNow, aLink.m_peer.m_vm);
+  }
+  aLink.m_silentTicks = CountTicks(!heard, aLink.m_silentTicks);
+  aLink.m_unansweredTicks =
+    CountTicks(!answered && aLink.m_calls.Size() > 0, aLink.m_unansweredTicks);
+  const Duration bound = aLink.m_late ? kTimelyRelay : kLateRelay;
+  aLink.m_late = aLink.m_lag > m_standingLag + bound;
+  aLink.m_lateTicks = CountTicks(aLink.m_late, aLink.m_lateTicks);
+  if (aLink.m_stopping || aLink.m_lateTicks >= kLateTicks) {
+    m_choice.OnFailure(aNow, aLink.m_peer.m_vm); // another takes its place
+  }
+  aLink.m_calls.Expire(aNow);
+}
+
 void
 RelayLinks::Rechoose(Time aNow)
 {
--- a/src/edge/RelayLinks.h
+++ b/src/edge/RelayLinks.h
@@ -19,9 +19,10 @@
 /// Why a connection to a relay has ended.
 enum class RelayLoss : std::uint8_t
 {
-  Closed,    ///< by the relay, or it could not be made
-  Silent,    ///< no frame has come for too long
-  NotNeeded, ///< another daemon is used in its place
+  Closed,     ///< by the relay, or it could not be made
+  Silent,     ///< no frame has come for too long
+  Unanswered, ///< no worker has answered through it for too long
+  NotNeeded,  ///< another daemon is used in its place
 };
 
 class RelayLinks
@@ -59,6 +60,8 @@
   using Loss = RelayLoss;
 
   void Tick();
+  /// Judges the link by what has come since the last tick.
+  void TickLink(Time aNow, Link& aLink);
   /// Connects to the daemons that are chosen, and ends the links to others.
   void Rechoose(Time aNow);
   void Connect(const relay::RelayPeer& aPeer);
@@ -91,6 +94,7 @@
   static constexpr std::array kTable = {
     std::pair{ Loss::Closed, std::string_view("closed") },
     std::pair{ Loss::Silent, std::string_view("silent") },
+    std::pair{ Loss::Unanswered, std::string_view("unanswered") },
     std::pair{ Loss::NotNeeded, std::string_view("not_needed") },
   };
 };
--- a/src/edge/RelayServer.cpp
+++ b/src/edge/RelayServer.cpp
@@ -3,6 +3,7 @@
 #include "core/TryDecode.h"
 #include "net/PacedTimer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewing::edge {
@@ -14,6 +15,17 @@
 /// A frame is sent at least this often, so that the leader knows the relay's
 /// clock and that it is alive.
 constexpr Duration kBeatPeriod = milliseconds(100);
+/// A leader extends leases all the time; one that sends nothing for this long
+/// is gone.
+constexpr Duration kIdleSession = seconds(10);
+/// Time for the call of a start whose order was accepted now. The allowance for
+/// a late event loop of the leader is one for its reading of answers.
+Duration
+StartTimeout(const relay::OrderFrame& aFrame, const relay::Order& aOrder)
+{
+  const Duration age = net::Loop::Now() - aFrame.m_beat;
+  return std::min(aOrder.m_timeout, relay::kStartDelivery - age);
+}
 
 } // namespace
 
@@ -32,6 +44,8 @@
   {
   }
 
+  bool IsIdle(Time aNow) const { return aNow > m_lastFrame + kIdleSession; }
+
   void Flush()
   {
     if (!m_connection.IsOpen()) {
@@ -48,6 +62,7 @@
 private:
   void OnFrame(std::string_view aFrame)
   {
+    m_lastFrame = net::Loop::Now();
     const auto frame =
       TryDecode<relay::OrderFrame>([&] { return relay::DecodeOrders(aFrame); });
     if (!frame) {
@@ -126,7 +141,7 @@
       aCommand.m_start,
       aFrame.m_term,
       aCommand.m_deadlineMs,
-      aOrder.m_timeout,
+      StartTimeout(aFrame, aOrder),
       [weak = weak_from_this(),
        call = aOrder.m_call](const platform::StartResult& aResult) {
         if (const auto self = weak.lock()) {
@@ -161,6 +176,7 @@
   RelayServer& m_server;
   relay::OrderGate m_gate;
   std::vector<relay::Answer> m_answers; ///< to be sent
+  Time m_lastFrame = net::Loop::Now();
   net::PacedTimer m_flush;
   net::FrameConnection m_connection;
 };
@@ -215,6 +231,9 @@
 void
 RelayServer::SendBeats()
 {
+  const Time now = net::Loop::Now();
+  std::erase_if(m_sessions,
+                [now](const auto& aItem) { return aItem.second->IsIdle(now); });
   for (const auto& [key, session] : m_sessions) {
     session->Flush();
   }
--- a/src/net/FrameConnection.cpp
+++ b/src/net/FrameConnection.cpp
@@ -232,6 +232,9 @@
   }
   m_written += static_cast<std::size_t>(std::max<ssize_t>(bytes, 0));
   if (UnsentBytes() > 0) {
+    if (m_written > kKeptBytes) {
+      m_output.erase(0, std::exchange(m_written, 0));
+    }
     event_add(m_writable, nullptr);
     return;
   }
--- a/src/relay/OrderGate.cpp
+++ b/src/relay/OrderGate.cpp
@@ -22,9 +22,9 @@
   if (m_fence.IsSuperseded(aFrame.m_term)) {
     return OrderVerdict::Superseded;
   }
-  // The leader had received the beat as it sent the frame, so the frame is not
-  // older than the beat. A beat that this connection has not sent tells
-  // nothing.
+  // The leader had heard this clock as it decided on the orders, so they are
+  // not older than the beat. A time before the first beat of this connection,
+  // or after the present, tells nothing.
   const bool known = aFrame.m_beat >= m_firstBeat && aFrame.m_beat <= aNow;
   return known && aNow - aFrame.m_beat <= kOrderLifetime
            ? OrderVerdict::Accepted
--- a/src/relay/OrderGate.h
+++ b/src/relay/OrderGate.h
@@ -13,6 +13,10 @@
 /// leader allows for the delivery of a start.
 inline constexpr Duration kOrderLifetime = milliseconds(700);
 
+/// Longest time from the decision to start a task until its worker has the
+/// command, also through a relay.
+inline constexpr Duration kStartDelivery = seconds(1);
+
 enum class OrderVerdict : std::uint8_t
 {
   Accepted,
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -44,6 +44,14 @@
   candidate.m_lastSeen = aNow;
 }
 
+void
+RelayChoice::OnAlive(Time aNow, const VmId& aVm)
+{
+  if (const auto it = m_candidates.find(aVm); it != m_candidates.end()) {
+    it->second.m_lastSeen = std::max(it->second.m_lastSeen, aNow);
+  }
+}
+
 void
 RelayChoice::OnFailure(Time aNow, const VmId& aVm)
 {
--- a/src/relay/RelayChoice.h
+++ b/src/relay/RelayChoice.h
@@ -40,6 +40,8 @@
 public:
   /// The peer has contacted this daemon.
   void OnPeerSeen(Time aNow, const RelayPeer& aPeer);
+  /// A frame has come from the relay.
+  void OnAlive(Time aNow, const VmId& aVm);
   /// The connection to the peer was lost, or the peer is late. It is chosen
   /// again after a while.
   void OnFailure(Time aNow, const VmId& aVm);
--- a/src/relay/RelayFrames.h
+++ b/src/relay/RelayFrames.h
@@ -3,9 +3,9 @@
 /// on orders and returns the answers.
 ///
 /// Frames are encoded with protobuf. Each frame of the leader names its term,
-/// so that a relay refuses the frames of a predecessor, and repeats the clock
-/// of the last frame that it has received from the relay, so that the relay
-/// knows how old the frame can be without comparing clocks of two VMs.
+/// so that a relay refuses the frames of a predecessor, and the relay's own
+/// clock as the leader last heard it, so that the relay knows how old the
+/// orders can be without comparing clocks of two VMs.
 #pragma once
 
 #include "core/Time.h"
@@ -46,7 +46,9 @@
 {
   std::uint64_t m_term = 0;
   VmId m_leader;
-  Time m_beat{}; ///< clock of the relay, as last heard by the leader
+  /// The relay's clock, as far as the leader knew it when it decided on the
+  /// first of the orders.
+  Time m_beat{};
   std::vector<Order> m_orders;
 };
 
--- a/tests/correctness/EdgeRelay.cpp
+++ b/tests/correctness/EdgeRelay.cpp
@@ -7,7 +7,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
+#include <thread>
 
 namespace lacewing::fakes {
 
@@ -161,21 +163,46 @@
   EXPECT_FALSE(cell.Call(RelayCell::Start()));
 }
 
+/// A relay that takes orders and answers none, in the loop of the leader.
+class MuteRelay
+{
+public:
+  explicit MuteRelay(RelayCell& aCell)
+    : m_cell(aCell)
+    , m_listener(aCell.Loop(), [this](int aSocket) {
+      m_connection = std::make_unique<net::FrameConnection>(
+        m_cell.Loop(),
+        aSocket,
+        net::FrameHooks{ [this](std::string_view) { ++m_frames; }, [] {} });
+      SendBeat({});
+    })
+  {
+    leaf::try_handle_all(
+      [&]() -> Result<void> { return m_listener.Listen(aCell.m_relayAddress); },
+      [] { ADD_FAILURE() << "cannot listen"; });
+  }
+
+  void SendBeat(Duration aLag)
+  {
+    relay::AnswerFrame frame;
+    frame.m_beat = net::Loop::Now();
+    frame.m_loopLag = aLag;
+    m_connection->Send(relay::EncodeAnswers(frame));
+  }
+
+  int m_frames = 0;
+
+private:
+  RelayCell& m_cell;
+  net::FrameListener m_listener;
+  std::unique_ptr<net::FrameConnection> m_connection;
+};
+
 /// A paused relay or a cut link shows nothing but silence.
 TEST(EdgeRelay, SilentRelayIsGivenUp)
 {
   RelayCell cell;
-  std::unique_ptr<net::FrameConnection> silent;
-  net::FrameListener listener(cell.Loop(), [&](int aSocket) {
-    silent = std::make_unique<net::FrameConnection>(
-      cell.Loop(), aSocket, net::FrameHooks{ [](std::string_view) {}, [] {} });
-    relay::AnswerFrame first;
-    first.m_beat = net::Loop::Now();
-    silent->Send(relay::EncodeAnswers(first));
-  });
-  leaf::try_handle_all(
-    [&]() -> Result<void> { return listener.Listen(cell.m_relayAddress); },
-    [] { ADD_FAILURE() << "cannot listen"; });
+  MuteRelay silent(cell);
   ASSERT_TRUE(cell.Connects());
   ASSERT_TRUE(cell.Call(RelayCell::Start(), seconds(20)));
   ASSERT_TRUE(cell.RunOffering([&] { return !cell.m_answers.empty(); }));
@@ -183,6 +210,119 @@
   EXPECT_FALSE(cell.Call(RelayCell::Start()));
 }
 
+/// A relay that is cut from its workers goes on sending frames, and each call
+/// through it was in doubt for as long as the cut lasted.
+TEST(EdgeRelay, RelayThroughWhichNoWorkerAnswersIsGivenUp)
+{
+  RelayCell cell;
+  MuteRelay mute(cell);
+  ASSERT_TRUE(cell.Connects());
+  ASSERT_TRUE(cell.Call(RelayCell::Start(), seconds(30)));
+  Time next = net::Loop::Now();
+  ASSERT_TRUE(cell.RunOffering([&] {
+    if (net::Loop::Now() >= next) {
+      next = net::Loop::Now() + milliseconds(100);
+      mute.SendBeat({});
+    }
+    return !cell.m_answers.empty();
+  }));
+  EXPECT_EQ(cell.m_answers[0].m_state, CommandState::Unknown);
+  EXPECT_FALSE(cell.Call(RelayCell::Start()));
+}
+
+/// A relay whose lag lay about one bound changed the routes of all workers many
+/// times a second.
+TEST(EdgeRelay, LateRelayIsUsedAgainOnlyOnceItIsWellInTime)
+{
+  RelayCell cell;
+  MuteRelay relay(cell);
+  ASSERT_TRUE(cell.Connects());
+  const auto usable = [&](Duration aLag) {
+    relay.SendBeat(aLag);
+    const int ticks = 150; // milliseconds, about three ticks of the links
+    cell.RunUntil([] { return false; }, milliseconds(ticks));
+    return cell.m_links->UsableCount() == 1;
+  };
+  EXPECT_TRUE(usable(milliseconds(90)));
+  EXPECT_FALSE(usable(milliseconds(130)));
+  EXPECT_FALSE(usable(milliseconds(90)));
+  EXPECT_TRUE(usable(milliseconds(20)));
+}
+
+/// A relay in a thread of its own, which goes on while the leader is held up.
+class RelayThread
+{
+public:
+  explicit RelayThread(const net::Address& aAddress)
+    : m_log({})
+    , m_http(m_loop)
+    , m_workers(m_http)
+    , m_relay(
+        m_loop,
+        m_workers,
+        m_log,
+        m_metrics,
+        { [] { return std::uint64_t{ 0 }; }, [] { return Duration::zero(); } })
+  {
+    leaf::try_handle_all(
+      [&]() -> Result<void> { return m_relay.Listen(aAddress); },
+      [] { ADD_FAILURE() << "cannot listen"; });
+    m_thread = std::thread([this] {
+      while (!m_ends) {
+        m_loop.Poll();
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+    });
+  }
+  ~RelayThread()
+  {
+    m_ends = true;
+    m_thread.join();
+  }
+  RelayThread(const RelayThread&) = delete;
+  RelayThread& operator=(const RelayThread&) = delete;
+
+private:
+  net::Loop m_loop;
+  observe::Log m_log;
+  observe::Metrics m_metrics;
+  net::HttpClient m_http;
+  platform::WorkerClient m_workers;
+  edge::RelayServer m_relay;
+  std::atomic<bool> m_ends = false;
+  std::thread m_thread;
+};
+
+/// A frozen or busy leader sent orders on that it had decided on long before,
+/// with the clock that it had just heard from the relay: a task of a cancelled
+/// job could start.
+TEST(EdgeRelay, OrderThatWaitedInAHeldUpLeaderIsDropped)
+{
+  RelayCell cell;
+  const RelayThread thread(cell.m_relayAddress);
+  ASSERT_TRUE(cell.Connects());
+  ASSERT_TRUE(cell.Call(RelayCell::Start(), seconds(5)));
+  std::this_thread::sleep_for(relay::kOrderLifetime + milliseconds(300));
+  ASSERT_TRUE(cell.RunOffering([&] { return !cell.m_answers.empty(); }));
+  EXPECT_EQ(cell.m_answers[0].m_state, CommandState::NotSent);
+  EXPECT_TRUE(cell.m_commands.empty());
+}
+
+/// The relay's clock must not run ahead by what the leader adds to it.
+TEST(EdgeRelay, OrderOfALeaderThatIsInTimeIsCarriedOut)
+{
+  RelayCell cell;
+  const RelayThread thread(cell.m_relayAddress);
+  ASSERT_TRUE(cell.Connects());
+  for (std::size_t round = 1; round <= 20; ++round) {
+    ASSERT_TRUE(cell.Call(RelayCell::Start()));
+    ASSERT_TRUE(
+      cell.RunOffering([&] { return cell.m_answers.size() == round; }));
+    EXPECT_EQ(cell.m_answers.back().m_state, CommandState::Done);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
 /// A planned stop lets the calls under way end and takes no others.
 TEST(EdgeRelay, StoppingRelayEndsItsCallsAndGetsNoOthers)
 {
--- a/tests/correctness/RelayRoutes.cpp
+++ b/tests/correctness/RelayRoutes.cpp
@@ -85,6 +85,20 @@
             (std::set<std::string>{ "a" }));
 }
 
+/// A busy leader reads requests for its status late, and lost its relays when
+/// it needed them most.
+TEST(RelayRoutes, RelayWhoseFramesComeIsKnownWithoutItsRequests)
+{
+  RelayChoice choice;
+  choice.OnPeerSeen(kNow, Peer("a", 0.5));
+  const Time later = kNow + seconds(2);
+  choice.OnAlive(later, VmId("a"));
+  choice.OnAlive(later, VmId("unknown"));
+  EXPECT_EQ(Names(choice.Choose(later, { { kDomain, 200 } })),
+            (std::set<std::string>{ "a" }));
+  EXPECT_TRUE(choice.Choose(later + seconds(2), { { kDomain, 200 } }).empty());
+}
+
 /// Each worker that changes its relay costs a connection to it.
 TEST(RelayRoutes, WorkersKeepTheirRelayWhenAnotherIsLost)
 {
