Split what is sent to a relay into frames below the longest one

The starts of one plan with long payloads could fill a frame that the relay refuses by ending the connection, with all its calls in doubt, again at each retry. Found by the tracer of LOST; EdgeRelay.OrdersBeyondTheLongestFrameAreCarriedOut failed before.

--- a/src/edge/RelayLinks.cpp
+++ b/src/edge/RelayLinks.cpp
@@ -12,6 +12,8 @@
 
 /// Orders of this time leave in one frame.
 constexpr Duration kFlushPeriod = milliseconds(4);
+/// Payloads and checkpoints of a frame, well below the longest frame.
+constexpr std::size_t kFrameBytes = std::size_t{ 1024 } * 1024;
 constexpr Duration kTickPeriod = milliseconds(50);
 /// A relay sends a frame at least every 100 ms. The turns of this process's
 /// event loop are counted and not the time, since a late loop reads frames
@@ -33,7 +35,7 @@
 /// or late. It is longer than a worker may delay an answer.
 constexpr int kUnansweredTicks = 50;
 /// Orders that wait behind so many bytes are late in any case.
-constexpr std::size_t kMostUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
+constexpr std::size_t kMostUnsentBytes = std::size_t{ 16 } * 1024 * 1024;
 
 /// True if the worker has answered the call.
 bool
@@ -43,6 +45,15 @@
          aAnswer.m_state != platform::CommandState::NotSent;
 }
 
+std::size_t
+BytesOf(const relay::Order& aOrder)
+{
+  const auto* start = std::get_if<relay::StartCommand>(&aOrder.m_command);
+  return start == nullptr ? 0
+                          : start->m_start.m_payload.size() +
+                              start->m_start.m_checkpoint.size();
+}
+
 /// Counts ticks in a row for which the condition has held.
 int
 CountTicks(bool aCondition, int aTicks)
@@ -160,8 +171,19 @@
   frame.m_term = m_term;
   frame.m_leader = m_self;
   frame.m_beat = aLink.m_pendingBeat;
-  frame.m_orders = std::exchange(aLink.m_pending, {});
-  aLink.m_connection->Send(relay::EncodeOrders(frame));
+  std::size_t bytes = 0;
+  for (relay::Order& order : std::exchange(aLink.m_pending, {})) {
+    bytes += BytesOf(order);
+    frame.m_orders.push_back(std::move(order));
+    if (bytes >= kFrameBytes) {
+      aLink.m_connection->Send(relay::EncodeOrders(frame));
+      frame.m_orders.clear();
+      bytes = 0;
+    }
+  }
+  if (!frame.m_orders.empty()) {
+    aLink.m_connection->Send(relay::EncodeOrders(frame));
+  }
   if (aLink.m_connection->UnsentBytes() > kMostUnsentBytes) {
     Lose(VmId(aLink.m_peer.m_vm), Loss::Silent);
   }
--- a/tests/correctness/EdgeRelay.cpp
+++ b/tests/correctness/EdgeRelay.cpp
@@ -369,6 +369,28 @@
   EXPECT_TRUE(cell.m_answers.empty());
 }
 
+/// The starts of one plan filled a frame beyond its longest size. The relay
+/// ended the connection, and all calls through it were in doubt.
+TEST(EdgeRelay, OrdersBeyondTheLongestFrameAreCarriedOut)
+{
+  RelayCell cell;
+  cell.StartRelay();
+  ASSERT_TRUE(cell.Connects());
+  constexpr std::size_t kPayload = 64 * 1024;
+  constexpr std::size_t kStarts =
+    net::FrameConnection::kMaxFrameBytes / kPayload + 1;
+  relay::StartCommand start = RelayCell::Start();
+  start.m_start.m_payload = std::string(kPayload, 'x');
+  for (std::size_t count = 0; count < kStarts; ++count) {
+    ASSERT_TRUE(cell.Call(start, seconds(5)));
+  }
+  ASSERT_TRUE(
+    cell.RunOffering([&] { return cell.m_answers.size() == kStarts; }));
+  for (const relay::Answer& answer : cell.m_answers) {
+    EXPECT_EQ(answer.m_state, CommandState::Done);
+  }
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/correctness/PoolGangs.cpp
+++ b/tests/correctness/PoolGangs.cpp
@@ -103,6 +103,31 @@
   EXPECT_TRUE(started);
 }
 
+/// A member was lost after the tickets of its gang had expired. The others were
+/// stopped only after a further answer of the policy service.
+TEST(PoolGangs, LostMemberStopsTheOthersWithoutValidTickets)
+{
+  PoolFixture fixture({ PoolWorker("w1"), PoolWorker("w2") });
+  fixture.ReportAllIdle();
+  fixture.Add(PoolJob("gang", kPolicyQueue, { GangStep(2, 8000) }));
+  const auto requests = fixture.Plan().m_adviceRequests;
+  ASSERT_EQ(requests.size(), 1U);
+  fixture.m_scheduler.OnAdvice(
+    fixture.m_now,
+    requests[0],
+    { { pool::WorkerId("w1"), "ticket" }, { pool::WorkerId("w2"), "ticket" } });
+  const auto starts = fixture.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 2U);
+  fixture.Confirm(starts);
+  fixture.ReportInventory(starts[0].m_worker, { RunOf(starts[0]) }, {});
+  fixture.m_now += seconds(3);
+  for (int list = 0; list < 3; ++list) {
+    fixture.ReportInventory(starts[0].m_worker, {}, {});
+    fixture.ReportInventory(starts[1].m_worker, { RunOf(starts[1]) }, {});
+  }
+  EXPECT_EQ(fixture.Plan().m_stops.size(), 1U);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/correctness/PoolLimits.cpp
+++ b/tests/correctness/PoolLimits.cpp
@@ -56,6 +56,38 @@
   EXPECT_TRUE(fixture.Plan().m_starts.empty());
 }
 
+/// A copy of an earlier start is carried out late, while the task waits again.
+/// A second run started beside it, and the room of the first was never freed.
+TEST(PoolLimits, EarlierRunThatGoesOnKeepsItsTaskWaitingAndFreesItsRoom)
+{
+  PoolFixture fixture({ PoolWorker("w1") });
+  fixture.Add(PoolJob("job", kPatientQueue, { PoolStep(1) }));
+  std::vector<pool::StartTask> starts;
+  for (int run = 0; run < 2; ++run) {
+    fixture.ReportAllIdle();
+    starts.push_back(fixture.Plan().m_starts.at(0));
+    fixture.m_scheduler.OnStartOutcome(
+      fixture.m_now, starts.back(), pool::StartOutcome::NotSent);
+    fixture.m_now += milliseconds(400);
+  }
+  const pool::WorkerId worker("w1");
+  fixture.ReportInventory(worker, { RunOf(starts[0]) }, {});
+  const pool::Actions actions = fixture.Plan();
+  EXPECT_EQ(actions.m_stops.size(), 1U);
+  EXPECT_TRUE(actions.m_starts.empty());
+  for (const pool::StartTask& start : actions.m_starts) {
+    starts.push_back(start);
+  }
+  fixture.m_now += milliseconds(400);
+  std::vector<pool::ReportedEnd> ends{ EndOf(
+    starts[0], 1, pool::RunEnd::Stopped) };
+  for (std::size_t later = 2; later < starts.size(); ++later) {
+    ends.push_back(EndOf(starts[later], later, pool::RunEnd::Done));
+  }
+  fixture.ReportInventory(worker, {}, ends);
+  EXPECT_EQ(fixture.m_scheduler.Counts(fixture.m_now).m_usedMillicores, 0);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -174,6 +174,36 @@
   EXPECT_EQ(m_fixture.Plan().m_starts.size(), 1U);
 }
 
+/// The other members of a gang waited for one that was given up, until its task
+/// was free again.
+TEST(PoolWorkerRestartsOfGangs, MemberThatIsGivenUpStopsTheOthersAtOnce)
+{
+  PoolFixture fixture({ PoolWorker("w1"), PoolWorker("w2") });
+  fixture.ReportAllIdle();
+  pool::StepSpec step = PoolStep(2, 8000);
+  step.m_gang = true;
+  fixture.Add(PoolJob("gang", kPatientQueue, { step }));
+  const auto starts = fixture.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 2U);
+  fixture.m_scheduler.AbandonStart(fixture.m_now, starts[0]);
+  EXPECT_EQ(fixture.Plan().m_stops.size(), 2U);
+}
+
+/// After the answer to a stop the worker refuses the run, so one list without
+/// it shows that it never began. The task waited for three lists, a second
+/// apart on an idle worker.
+TEST_F(PoolWorkerRestarts, StartThatWasStoppedAndIsNotListedFreesItsTask)
+{
+  Scheduler().AbandonStart(m_fixture.m_now, m_start);
+  const auto stops = m_fixture.Plan().m_stops;
+  ASSERT_EQ(stops.size(), 1U);
+  m_fixture.m_now += milliseconds(10);
+  Scheduler().OnStopConfirmed(stops[0]);
+  m_fixture.m_now += milliseconds(10);
+  m_fixture.ReportInventory(m_start.m_worker, {}, {});
+  EXPECT_EQ(StartsNow(), 1U);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
