Start gangs on more workers than a question names, and let none wait for a lost member

A gang's question leaves out workers whose tickets outlast the answer (PoolWideGangs). - A member whose start was given up left the others waiting; they are stopped at once (PoolWorkerRestartsOfGangs). - The others of a lost member were stopped only with valid tickets (PoolGangs.LostMemberStopsTheOthersWithoutValidTickets). - A start that was given up freed its task only after three lists; one that was requested after the answer to the stop shows that it does not run (PoolWorkerRestarts.StartThatWasStoppedAndIsNotListedFreesItsTask).

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -350,7 +350,7 @@
                    self->Fenced(aStop.m_worker);
                  }
                  if (aState == platform::CommandState::Done) {
-                   self->m_scheduler.OnStopConfirmed(aStop);
+                   self->m_scheduler.OnStopConfirmed(net::Loop::Now(), aStop);
                    return;
                  }
                  self->StopLater(aStop);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -192,6 +192,7 @@
   for (auto& [task, placement] : aWorker.m_placements) {
     if (MayRunAfterRestart(task, placement, aInventory)) {
       placement.m_sentBeforeRestart = true;
+      placement.m_stopConfirmedAt.reset();
     } else {
       ended.push_back(task);
     }
@@ -325,11 +326,13 @@
 }
 
 void
-PoolScheduler::OnStopConfirmed(const StopTask& aStop)
+PoolScheduler::OnStopConfirmed(Time aNow, const StopTask& aStop)
 {
   if (IsWanted(aStop)) {
-    m_workers.at(aStop.m_worker).m_placements.at(aStop.m_task).m_confirmed =
-      true;
+    Placement& placement =
+      m_workers.at(aStop.m_worker).m_placements.at(aStop.m_task);
+    placement.m_confirmed = true;
+    placement.m_stopConfirmedAt = aNow;
   }
 }
 
@@ -339,6 +342,11 @@
   if (IsWanted(aStart)) {
     Stop(
       aNow, m_workers.at(aStart.m_worker), aStart.m_task, StopReason::InDoubt);
+    TrackedJob* job = Find(aStart.m_task.m_job);
+    if (job != nullptr && !job->IsOver() &&
+        job->Spec().m_steps[aStart.m_task.m_step].m_gang) {
+      StopStep(aNow, *job, aStart.m_task.m_step, StopReason::GangBroken);
+    }
   }
 }
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -178,7 +178,7 @@
                       const StartTask& aStart,
                       StartOutcome aOutcome);
   /// The worker has accepted the stop: the run has ended there or never starts.
-  void OnStopConfirmed(const StopTask& aStop);
+  void OnStopConfirmed(Time aNow, const StopTask& aStop);
   /// Gives up a start of which an earlier command may still take effect.
   void AbandonStart(Time aNow, const StartTask& aStart);
   /// Takes the permitted workers among those in the advice request.
@@ -367,9 +367,13 @@
   bool IsSuitedByUsable(const Candidate& aCandidate) const;
   /// Workers to ask the policy service about; empty if there is none. Those
   /// with room go first, and permitted ones before undecided ones.
-  std::vector<WorkerId> ChooseToAsk(const Candidate& aCandidate) const;
+  std::vector<WorkerId> ChooseToAsk(Time aNow,
+                                    const Candidate& aCandidate) const;
   std::size_t MostToAsk(const Candidate& aCandidate) const;
-  void AddPermitted(const Candidate& aCandidate,
+  /// Adds permitted workers; for a gang only those whose tickets expire before
+  /// the answer, since it needs all its workers at the same time.
+  void AddPermitted(Time aNow,
+                    const Candidate& aCandidate,
                     bool aFull,
                     std::vector<const WorkerRecord*>& aChosen) const;
   /// Adds workers that the service has not decided on, until there are `aMost`.
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -197,7 +197,7 @@
   }
   AdviceRequest request{ aCandidate.m_job->Spec().m_id,
                          aCandidate.m_step,
-                         ChooseToAsk(aCandidate),
+                         ChooseToAsk(aNow, aCandidate),
                          aCandidate.m_interactive };
   if (request.m_workers.empty()) {
     return;
@@ -294,12 +294,12 @@
 }
 
 std::vector<WorkerId>
-PoolScheduler::ChooseToAsk(const Candidate& aCandidate) const
+PoolScheduler::ChooseToAsk(Time aNow, const Candidate& aCandidate) const
 {
   const std::size_t most = MostToAsk(aCandidate);
   std::vector<const WorkerRecord*> chosen;
   for (const bool full : { false, true }) {
-    AddPermitted(aCandidate, full, chosen);
+    AddPermitted(aNow, aCandidate, full, chosen);
     AddUndecided(aCandidate, full, most, chosen);
   }
   chosen.resize(std::min(chosen.size(), most));
@@ -312,14 +312,20 @@
 }
 
 void
-PoolScheduler::AddPermitted(const Candidate& aCandidate,
+PoolScheduler::AddPermitted(Time aNow,
+                            const Candidate& aCandidate,
                             bool aFull,
                             std::vector<const WorkerRecord*>& aChosen) const
 {
   const auto begin = static_cast<std::ptrdiff_t>(aChosen.size());
+  const AdviceRule& rule = *aCandidate.m_queue->m_advice;
+  const Time answered = aNow + rule.m_decide +
+                        rule.m_each * static_cast<int>(kMaxWorkersPerRequest) +
+                        kTicketMargin;
   for (const Ticket& ticket : aCandidate.Record().m_tickets) {
     const WorkerRecord* worker = m_usableBySlot[ticket.m_worker];
-    if (worker != nullptr && IsFull(aCandidate, *worker) == aFull &&
+    const bool lasts = aCandidate.Spec().m_gang && ticket.m_until > answered;
+    if (worker != nullptr && !lasts && IsFull(aCandidate, *worker) == aFull &&
         IsSuitable(aCandidate, *worker)) {
       aChosen.push_back(worker);
     }
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -374,7 +374,10 @@
     const bool endedWithRestart =
       placement.m_sentBeforeRestart && placement.m_confirmedAt &&
       *placement.m_confirmedAt < aInventory.m_requestedAt;
-    if (endedWithRestart ||
+    const bool refusedSince =
+      placement.m_stopConfirmedAt &&
+      *placement.m_stopConfirmedAt < aInventory.m_requestedAt;
+    if (endedWithRestart || refusedSince ||
         placement.m_missingInventories >= kMissingInventoriesForLost) {
       lost.push_back(task);
     }
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -183,6 +183,12 @@
 {
   aCandidate.Record().m_consideredAt = aNow;
   aCandidate.Record().m_inNextPlan = false;
+  if (aCandidate.Spec().m_gang && m_barrierPassed &&
+      aCandidate.Record().m_placed > 0) {
+    // A member was lost with its worker; the others cannot work without it.
+    StopStep(
+      aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
+  }
   if (!HasAdvice(aNow, aCandidate)) {
     return;
   }
@@ -538,15 +544,6 @@
   const bool allWait = std::ranges::all_of(tasks, [](const TaskRecord& aTask) {
     return aTask.m_state == TaskState::Waiting && !aTask.m_mayRunUnreported;
   });
-  const bool incomplete =
-    std::ranges::any_of(tasks, [](const TaskRecord& aTask) {
-      return aTask.m_state == TaskState::Placed;
-    });
-  if (incomplete && m_barrierPassed) {
-    // A member was lost with its worker; the others cannot work without it.
-    StopStep(
-      aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
-  }
   if (!allWait || !HasQuotaFor(aCandidate)) {
     return true; // waits for something other than capacity
   }
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -62,6 +62,8 @@
   /// The worker has restarted since the start was sent: it runs on the new
   /// incarnation or not at all.
   bool m_sentBeforeRestart = false;
+  /// Since then the worker refuses the run if it is not there.
+  std::optional<Time> m_stopConfirmedAt;
   int m_missingInventories = 0; ///< inventories in a row without it
   /// The worker reports it, and this leader does not know its job yet.
   bool m_unknown = false;
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -198,7 +198,7 @@
   const auto stops = m_fixture.Plan().m_stops;
   ASSERT_EQ(stops.size(), 1U);
   m_fixture.m_now += milliseconds(10);
-  Scheduler().OnStopConfirmed(stops[0]);
+  Scheduler().OnStopConfirmed(m_fixture.m_now, stops[0]);
   m_fixture.m_now += milliseconds(10);
   m_fixture.ReportInventory(m_start.m_worker, {}, {});
   EXPECT_EQ(StartsNow(), 1U);
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -725,7 +725,7 @@
          worker.m_past[aStop.m_task] =
            std::max(worker.m_past[aStop.m_task], aStop.m_run);
          if (!late) {
-           aLeader->m_scheduler->OnStopConfirmed(aStop);
+           aLeader->m_scheduler->OnStopConfirmed(m_now, aStop);
          }
        });
     At(m_now + milliseconds(300),
