--- a/tests/correctness/PoolWideGangs.cpp
+++ b/tests/correctness/PoolWideGangs.cpp
@@ -39,6 +39,7 @@
   static std::vector<pool::WorkerInfo> Workers()
   {
     std::vector<pool::WorkerInfo> workers;
+    workers.reserve(kWorkers);
     for (int number = 0; number < kWorkers; ++number) {
       workers.push_back(PoolWorker("w" + std::to_string(number)));
     }
