Forget the answer to a stop when its worker restarts; simulate relays in the histories

A kept run that is being stopped is stopped again after a restart, and an answer counts only for a stop sent since (PoolWorkerRestarts.StopConfirmedBeforeTheRestartIsSentAgain, ...FreesNothing). A gang that lost a member while its question is open is stopped at once too.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -331,30 +331,31 @@
     StopLater(aStop);
     return;
   }
-  m_calls.Stop(DomainOf(aStop.m_worker),
-               *address,
-               aStop,
-               m_term,
-               kCommandTimeout + m_scheduler.CommandAllowance(),
-               [weak = weak_from_this(), aStop](platform::CommandState aState) {
-                 const auto self = weak.lock();
-                 if (!self || self->m_closed) {
-                   return;
-                 }
-                 observe::Fields fields = CommandFields(
-                   aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
-                 fields.emplace_back("reason",
-                                     std::string(NameOf(aStop.m_reason)));
-                 self->m_log.Write(settings::LogLevel::Info, "stop", fields);
-                 if (aState == platform::CommandState::Fenced) {
-                   self->Fenced(aStop.m_worker);
-                 }
-                 if (aState == platform::CommandState::Done) {
-                   self->m_scheduler.OnStopConfirmed(net::Loop::Now(), aStop);
-                   return;
-                 }
-                 self->StopLater(aStop);
-               });
+  m_calls.Stop(
+    DomainOf(aStop.m_worker),
+    *address,
+    aStop,
+    m_term,
+    kCommandTimeout + m_scheduler.CommandAllowance(),
+    [weak = weak_from_this(), aStop, sentAt = net::Loop::Now()](
+      platform::CommandState aState) {
+      const auto self = weak.lock();
+      if (!self || self->m_closed) {
+        return;
+      }
+      observe::Fields fields = CommandFields(
+        aStop.m_worker, aStop.m_task, aStop.m_run, NameOf(aState));
+      fields.emplace_back("reason", std::string(NameOf(aStop.m_reason)));
+      self->m_log.Write(settings::LogLevel::Info, "stop", fields);
+      if (aState == platform::CommandState::Fenced) {
+        self->Fenced(aStop.m_worker);
+      }
+      if (aState == platform::CommandState::Done) {
+        self->m_scheduler.OnStopConfirmed(net::Loop::Now(), sentAt, aStop);
+        return;
+      }
+      self->StopLater(aStop);
+    });
 }
 
 void
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -192,7 +192,15 @@
   for (auto& [task, placement] : aWorker.m_placements) {
     if (MayRunAfterRestart(task, placement, aInventory)) {
       placement.m_sentBeforeRestart = true;
-      placement.m_stopConfirmedAt.reset();
+      if (placement.m_state == PlacementState::Stopping) {
+        // The new incarnation does not know of the stop and may still take the
+        // start.
+        placement.m_confirmed = false;
+        placement.m_missingInventories = 0;
+        placement.m_stopConfirmedAt.reset();
+        m_stops.push_back(
+          { aWorker.m_info.m_id, task, placement.m_run, StopReason::InDoubt });
+      }
     } else {
       ended.push_back(task);
     }
@@ -204,6 +212,7 @@
   restarted.m_info = std::move(aWorker.m_info);
   restarted.m_restarted = restarted.m_info.m_incarnation != 0;
   restarted.m_info.m_incarnation = aIncarnation;
+  restarted.m_incarnationSince = aNow;
   restarted.m_describedIncarnation = aWorker.m_describedIncarnation;
   restarted.m_slot = aWorker.m_slot;
   restarted.m_listed = aWorker.m_listed;
@@ -318,22 +327,31 @@
       break;
   }
   DropPlacement(worker, aStart.m_task);
-  TrackedJob* job = Find(aStart.m_task.m_job);
+  BreakGang(aNow, aStart.m_task);
+}
+
+void
+PoolScheduler::BreakGang(Time aNow, const TaskRef& aTask)
+{
+  TrackedJob* job = Find(aTask.m_job);
   if (job != nullptr && !job->IsOver() &&
-      job->Spec().m_steps[aStart.m_task.m_step].m_gang) {
-    StopStep(aNow, *job, aStart.m_task.m_step, StopReason::GangBroken);
+      job->Spec().m_steps[aTask.m_step].m_gang) {
+    StopStep(aNow, *job, aTask.m_step, StopReason::GangBroken);
   }
 }
 
 void
-PoolScheduler::OnStopConfirmed(Time aNow, const StopTask& aStop)
+PoolScheduler::OnStopConfirmed(Time aNow, Time aSentAt, const StopTask& aStop)
 {
-  if (IsWanted(aStop)) {
-    Placement& placement =
-      m_workers.at(aStop.m_worker).m_placements.at(aStop.m_task);
-    placement.m_confirmed = true;
-    placement.m_stopConfirmedAt = aNow;
+  // An earlier incarnation may have confirmed a stop that was sent before.
+  if (!IsWanted(aStop) ||
+      aSentAt < m_workers.at(aStop.m_worker).m_incarnationSince) {
+    return;
   }
+  Placement& placement =
+    m_workers.at(aStop.m_worker).m_placements.at(aStop.m_task);
+  placement.m_confirmed = true;
+  placement.m_stopConfirmedAt = aNow;
 }
 
 void
@@ -342,11 +360,7 @@
   if (IsWanted(aStart)) {
     Stop(
       aNow, m_workers.at(aStart.m_worker), aStart.m_task, StopReason::InDoubt);
-    TrackedJob* job = Find(aStart.m_task.m_job);
-    if (job != nullptr && !job->IsOver() &&
-        job->Spec().m_steps[aStart.m_task.m_step].m_gang) {
-      StopStep(aNow, *job, aStart.m_task.m_step, StopReason::GangBroken);
-    }
+    BreakGang(aNow, aStart.m_task);
   }
 }
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -177,8 +177,9 @@
   void OnStartOutcome(Time aNow,
                       const StartTask& aStart,
                       StartOutcome aOutcome);
-  /// The worker has accepted the stop: the run has ended there or never starts.
-  void OnStopConfirmed(Time aNow, const StopTask& aStop);
+  /// The worker has accepted the stop that was sent at that time: the run has
+  /// ended there or never starts.
+  void OnStopConfirmed(Time aNow, Time aSentAt, const StopTask& aStop);
   /// Gives up a start of which an earlier command may still take effect.
   void AbandonStart(Time aNow, const StartTask& aStart);
   /// Takes the permitted workers among those in the advice request.
@@ -324,6 +325,8 @@
                 const Candidate& aCandidate,
                 Reservation& aReservation,
                 Actions& aActions);
+  /// Stops what still runs of a gang of which a member was lost.
+  void StopBrokenGang(Time aNow, const Candidate& aCandidate);
   /// Lists the workers that can be given tasks in this plan.
   void ListUsable(Time aNow);
   /// True if the step needs no advice or has a valid ticket of a usable worker.
@@ -438,6 +441,8 @@
              RunNumber aRun,
              WorkerRecord& aWorker,
              Actions& aActions);
+  /// Stops the members of the task's gang; nothing if it is in none.
+  void BreakGang(Time aNow, const TaskRef& aTask);
   void Stop(Time aNow,
             WorkerRecord& aWorker,
             const TaskRef& aTask,
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -324,8 +324,8 @@
                         kTicketMargin;
   for (const Ticket& ticket : aCandidate.Record().m_tickets) {
     const WorkerRecord* worker = m_usableBySlot[ticket.m_worker];
-    const bool lasts = aCandidate.Spec().m_gang && ticket.m_until > answered;
-    if (worker != nullptr && !lasts && IsFull(aCandidate, *worker) == aFull &&
+    const bool isHeld = aCandidate.Spec().m_gang && ticket.m_until > answered;
+    if (worker != nullptr && !isHeld && IsFull(aCandidate, *worker) == aFull &&
         IsSuitable(aCandidate, *worker)) {
       aChosen.push_back(worker);
     }
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -183,12 +183,6 @@
 {
   aCandidate.Record().m_consideredAt = aNow;
   aCandidate.Record().m_inNextPlan = false;
-  if (aCandidate.Spec().m_gang && m_barrierPassed &&
-      aCandidate.Record().m_placed > 0) {
-    // A member was lost with its worker; the others cannot work without it.
-    StopStep(
-      aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
-  }
   if (!HasAdvice(aNow, aCandidate)) {
     return;
   }
@@ -293,6 +287,7 @@
       candidate.m_interactive = job.m_rule->m_priority == 0;
       candidate.m_latestStart = job.LatestStart(step);
       candidate.m_wasNext = job.Step(step).m_inNextPlan;
+      StopBrokenGang(aNow, candidate);
       if (AwaitsAdvice(aNow, candidate)) {
         job.Step(step).m_consideredAt = aNow;
         continue;
@@ -308,6 +303,18 @@
   return result;
 }
 
+void
+PoolScheduler::StopBrokenGang(Time aNow, const Candidate& aCandidate)
+{
+  // Some members run and others wait: one was lost with its worker, and the
+  // others cannot work without it.
+  if (aCandidate.Spec().m_gang && m_barrierPassed &&
+      aCandidate.Record().m_placed > 0) {
+    StopStep(
+      aNow, *aCandidate.m_job, aCandidate.m_step, StopReason::GangBroken);
+  }
+}
+
 bool
 PoolScheduler::GoesBefore(const Candidate& aOne, const Candidate& aOther)
 {
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -139,6 +139,8 @@
   /// labels, resources and another service.
   std::int64_t m_describedIncarnation = 0;
   bool m_adopted = false; ///< this incarnation has reported to this leader
+  /// When its present incarnation became known here.
+  Time m_incarnationSince{};
   /// Its former incarnation was known here.
   bool m_restarted = false;
   /// It did not answer the last lease extension, so it may have restarted.
--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -138,6 +138,56 @@
   EXPECT_GT(ViolationsOf(options), 0U);
 }
 
+PoolSimulationOptions
+WithARelay()
+{
+  PoolSimulationOptions options;
+  options.m_lateCommands = false;
+  options.m_relay = true;
+  options.m_workersRestart = true;
+  return options;
+}
+
+/// A call that a relay makes late could start a task again that is done or runs
+/// elsewhere, above all on a worker that has restarted and knows no terms.
+TEST(PoolHistories, CallsByARelayLoseAndDuplicateNothing)
+{
+  std::size_t dropped = 0;
+  std::size_t restarts = 0;
+  PoolSimulationOptions options = WithARelay();
+  for (options.m_seed = 1; options.m_seed <= kSeeds; ++options.m_seed) {
+    PoolSimulation simulation(options);
+    simulation.Run();
+    EXPECT_EQ(simulation.Completed(), simulation.Jobs())
+      << "seed " << options.m_seed;
+    for (const std::string& violation : simulation.Violations()) {
+      ADD_FAILURE() << "seed " << options.m_seed << ": " << violation;
+    }
+    dropped += simulation.DroppedOrders();
+    restarts += simulation.Restarts();
+  }
+  EXPECT_GT(dropped, 0U);
+  EXPECT_GT(restarts, 0U);
+}
+
+/// Numbers of runs and terms stop most late orders too. What remains is a
+/// worker that has restarted while the relay held an order for it, which is
+/// rare, so histories are played until one shows the fault.
+TEST(PoolHistories, ChecksDetectARelayThatPassesOnOrdersOfAnyAge)
+{
+  constexpr std::uint64_t kMostSeeds = 400;
+  PoolSimulationOptions options = WithARelay();
+  options.m_relayChecksOrders = false;
+  bool noticed = false;
+  for (options.m_seed = 1; options.m_seed <= kMostSeeds && !noticed;
+       ++options.m_seed) {
+    PoolSimulation simulation(options);
+    simulation.Run();
+    noticed = !simulation.Violations().empty();
+  }
+  EXPECT_TRUE(noticed);
+}
+
 /// Violations other than starts beyond the limit of a team.
 std::size_t
 ViolationsBesideTeamLimit(const PoolSimulation& aSimulation)
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -99,7 +99,7 @@
   }
   EXPECT_TRUE(fixture.m_scheduler.IsWanted(stop));
   EXPECT_TRUE(fixture.Plan().m_starts.empty());
-  fixture.m_scheduler.OnStopConfirmed(fixture.m_now, stop);
+  fixture.m_scheduler.OnStopConfirmed(fixture.m_now, fixture.m_now, stop);
   for (int inventory = 0; inventory < 3; ++inventory) {
     fixture.ReportAllIdle();
   }
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -198,12 +198,51 @@
   const auto stops = m_fixture.Plan().m_stops;
   ASSERT_EQ(stops.size(), 1U);
   m_fixture.m_now += milliseconds(10);
-  Scheduler().OnStopConfirmed(m_fixture.m_now, stops[0]);
+  Scheduler().OnStopConfirmed(m_fixture.m_now, m_fixture.m_now, stops[0]);
   m_fixture.m_now += milliseconds(10);
   m_fixture.ReportInventory(m_start.m_worker, {}, {});
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// The answer to a stop came from the former incarnation and was read after the
+/// restart: the new one may still execute the start.
+TEST_F(PoolWorkerRestarts, StopThatTheFormerIncarnationConfirmedFreesNothing)
+{
+  Scheduler().AbandonStart(m_fixture.m_now, m_start);
+  const auto stops = m_fixture.Plan().m_stops;
+  ASSERT_EQ(stops.size(), 1U);
+  const Time sentAt = m_fixture.m_now;
+  m_fixture.m_now += milliseconds(10);
+  ReportRestarted({}, sentAt);
+  Scheduler().OnStopConfirmed(m_fixture.m_now, sentAt, stops[0]);
+  for (int list = 0; list < 3; ++list) {
+    m_fixture.m_now += milliseconds(10);
+    ReportRestarted({}, m_fixture.m_now);
+  }
+  EXPECT_EQ(StartsNow(), 0U);
+}
+
+/// The former incarnation had confirmed the stop before it restarted. Lists of
+/// the new one without the run freed its task, though it could still take a
+/// late copy of the start.
+TEST_F(PoolWorkerRestarts, StopConfirmedBeforeTheRestartIsSentAgain)
+{
+  Scheduler().AbandonStart(m_fixture.m_now, m_start);
+  const auto stops = m_fixture.Plan().m_stops;
+  ASSERT_EQ(stops.size(), 1U);
+  Scheduler().OnStopConfirmed(m_fixture.m_now, m_fixture.m_now, stops[0]);
+  m_fixture.m_now += milliseconds(10);
+  ReportRestarted({}, m_fixture.m_now);
+  for (int list = 0; list < 3; ++list) {
+    m_fixture.m_now += milliseconds(10);
+    ReportRestarted({}, m_fixture.m_now);
+  }
+  const pool::Actions actions = m_fixture.Plan();
+  EXPECT_TRUE(actions.m_starts.empty());
+  ASSERT_EQ(actions.m_stops.size(), 1U);
+  EXPECT_EQ(actions.m_stops[0].m_task, m_start.m_task);
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -1,11 +1,13 @@
 /// Simulates a pool under virtual time: workers with leases and fencing tokens,
 /// a store that fences leaders, arriving jobs, and faults from a seed: lost
 /// replies, commands executed late, unresponsive workers, leader changes during
-/// which the previous leader still sends commands, and delayed reads of the
-/// stored jobs. Checks every start that a worker executes.
+/// which the previous leader still sends commands, delayed reads of the stored
+/// jobs, workers that restart under their ids, and a relay that makes the calls
+/// of some workers. Checks every start that a worker executes.
 #pragma once
 
 #include "fakes/PoolSamples.h"
+#include "fakes/RelaySimulation.h"
 #include "pool/JobRows.h"
 
 #include <functional>
@@ -49,6 +51,15 @@
   /// The watch, which lists all jobs here, finds the missed ones. Only with
   /// delayed reads.
   bool m_loadsMissJobs = false;
+  /// Every second worker is called by a relay while the leader hears it. A
+  /// leader has one lease extension under way for each worker.
+  bool m_relay = false;
+  /// Workers restart under their ids, at the earliest `kReuseAfter` after their
+  /// end. Only with the relay.
+  bool m_workersRestart = false;
+  /// False only to show that the checks detect the fault: the relay passes on
+  /// orders of any age, also after a change of the leader.
+  bool m_relayChecksOrders = true;
 };
 
 class PoolSimulation
@@ -60,6 +71,13 @@
   explicit PoolSimulation(PoolSimulationOptions aOptions)
     : m_options(aOptions)
     , m_random(aOptions.m_seed)
+    , m_relay(
+        m_now,
+        m_random,
+        [this](Time aTime, std::function<void()> aFunction) {
+          At(aTime, std::move(aFunction));
+        },
+        aOptions.m_relayChecksOrders)
   {
     for (int number = 0; number < aOptions.m_workers; ++number) {
       const std::string name = "w" + std::to_string(number);
@@ -84,6 +102,9 @@
         Arrive();
         InjectFaults();
       }
+      if (m_options.m_relay) {
+        m_relay.Step(IsFaulty());
+      }
       for (const auto& leader : m_leaders) {
         RunLeader(*leader);
       }
@@ -99,6 +120,9 @@
   /// Jobs with stored progress that leaders looked up.
   std::size_t LookUpsWithProgress() const { return m_lookUpsWithProgress; }
   std::size_t Jobs() const { return m_jobs.size(); }
+  /// Orders that the relay has dropped.
+  std::size_t DroppedOrders() const { return m_relay.Dropped(); }
+  std::size_t Restarts() const { return m_restarts; }
   std::size_t Completed() const
   {
     std::size_t count = 0;
@@ -123,6 +147,8 @@
   struct SimWorker
   {
     std::uint64_t m_fence = 0;
+    std::int64_t m_incarnation = 1;
+    Time m_bornAt = kStart; ///< zero of its clock
     std::map<TaskRef, RunState> m_running;
     std::map<TaskRef, pool::RunNumber> m_past;
     std::vector<pool::ReportedEnd> m_ended;
@@ -373,6 +399,55 @@
                    Pick(0, static_cast<std::uint32_t>(m_workers.size()) - 1));
       it->second.m_unresponsiveUntil = m_now + Between(300, 8000);
     }
+    // An order that the relay holds can outlive its worker.
+    if (m_options.m_workersRestart &&
+        Chance(m_relay.IsPaused() ? 0.008 : 0.002)) {
+      Restart(Pick(0, static_cast<std::uint32_t>(m_infos.size()) - 1));
+    }
+  }
+
+  /// Ends the worker, and all that it holds and knows; it is back later.
+  void Restart(std::size_t aIndex)
+  {
+    pool::WorkerInfo& info = m_infos[aIndex];
+    SimWorker& worker = m_workers.at(info.m_id);
+    if (m_now < worker.m_bornAt) {
+      return;
+    }
+    SimWorker next;
+    next.m_incarnation = worker.m_incarnation + 1;
+    next.m_bornAt = m_now + kReuseAfter + Between(0, 2000);
+    worker = next;
+    ++m_restarts;
+    At(next.m_bornAt + Between(50, 500),
+       [this, &info, incarnation = next.m_incarnation] {
+         info.m_incarnation = incarnation;
+         for (const auto& leader : m_leaders) {
+           leader->m_scheduler->SetWorkers(m_now, m_infos);
+         }
+       });
+  }
+
+  static std::int64_t ToWorkerClock(const SimWorker& aWorker, Time aTime)
+  {
+    return ToMilliseconds(aTime - aWorker.m_bornAt) + 1;
+  }
+
+  /// A lease never gets shorter, and is not longer than the longest one.
+  void Extend(SimWorker& aWorker, std::int64_t aDeadline) const
+  {
+    const Time end = std::min(aWorker.m_bornAt + milliseconds(aDeadline),
+                              m_now + pool::kDefaultLongestLease);
+    aWorker.m_leaseEnd = std::max(aWorker.m_leaseEnd, end);
+  }
+
+  /// True if the leader passes its calls to the worker on to the relay.
+  bool IsRelayed(const SimLeader& aLeader, const pool::WorkerId& aWorker)
+  {
+    const auto index =
+      std::distance(m_workers.begin(), m_workers.find(aWorker));
+    return m_options.m_relay && index % 2 == 0 &&
+           m_relay.IsUsable(aLeader.m_term);
   }
 
   void AdvanceWorker(SimWorker& aWorker)
@@ -467,7 +542,8 @@
 
   bool IsUnresponsive(const pool::WorkerId& aWorker) const
   {
-    return m_now < m_workers.at(aWorker).m_unresponsiveUntil;
+    const SimWorker& worker = m_workers.at(aWorker);
+    return m_now < worker.m_unresponsiveUntil || m_now < worker.m_bornAt;
   }
 
   /// Writes the leader's row if the workers to record have changed.
@@ -510,6 +586,8 @@
     }
   }
 
+  /// The call of a lease extension ends once: with its answer, or, with the
+  /// relay, without one after a while.
   void SendLeaseExtension(const std::shared_ptr<SimLeader>& aLeader,
                           const pool::WorkerId& aWorker)
   {
@@ -517,33 +595,79 @@
       aLeader->m_scheduler->NextDeadline(m_now, aWorker);
     const std::uint64_t saved =
       aLeader->m_scheduler->Workers().at(aWorker).SavedEnds();
-    At(m_now + Between(1, 20), [this, aLeader, aWorker, deadline, saved] {
-      SimWorker& worker = m_workers.at(aWorker);
-      if (IsUnresponsive(aWorker) || worker.m_fence > aLeader->m_term) {
-        return;
-      }
-      worker.m_fence = aLeader->m_term;
-      worker.m_leaseEnd =
-        std::max(worker.m_leaseEnd, kStart + milliseconds(deadline));
-      Confirm(worker, saved);
-      pool::Inventory inventory;
-      inventory.m_incarnation = 1;
-      inventory.m_clockMs = Clock();
-      inventory.m_ended = worker.m_ended;
-      for (const auto& [task, run] : worker.m_running) {
-        const auto left =
-          std::max<std::int64_t>(0, ToMilliseconds(run.m_endsAt - m_now));
-        inventory.m_running.push_back(
-          { task, run.m_run, {}, 100 - static_cast<int>(left / 100) });
-      }
-      At(m_now + Between(1, 20), [this, aLeader, aWorker, inventory] {
-        if (!IsUnresponsive(aWorker)) {
-          aLeader->m_scheduler->OnInventory(m_now, aWorker, inventory);
+    const Time sentAt = m_now;
+    const auto open = std::make_shared<bool>(true);
+    if (m_options.m_relay) {
+      aLeader->m_nextExtension[aWorker] = Time::max();
+      At(m_now + kCallTimeout, [this, aLeader, aWorker, open] {
+        if (std::exchange(*open, false)) {
+          aLeader->m_scheduler->OnNoAnswer(aWorker);
+          aLeader->m_nextExtension[aWorker] = m_now + milliseconds(200);
         }
       });
+    }
+    const auto execute =
+      [this, aLeader, aWorker, deadline, saved, sentAt, open](
+        const RelaySimulation::Reply& aReply) {
+        auto inventory = ExecuteExtension(*aLeader, aWorker, deadline, saved);
+        if (inventory) {
+          inventory->m_requestedAt = sentAt;
+          aReply([this, aLeader, aWorker, inventory, open] {
+            OnExtended(*aLeader, aWorker, *inventory, *open);
+          });
+        }
+      };
+    if (IsRelayed(*aLeader, aWorker)) {
+      m_relay.Send(aLeader->m_term, execute, [] {});
+      return;
+    }
+    At(m_now + Between(1, 20), [this, execute] {
+      execute([this](std::function<void()> aAnswer) {
+        At(m_now + Between(1, 20), std::move(aAnswer));
+      });
     });
   }
 
+  void OnExtended(SimLeader& aLeader,
+                  const pool::WorkerId& aWorker,
+                  const pool::Inventory& aInventory,
+                  bool& aOpen)
+  {
+    if (IsUnresponsive(aWorker) || !std::exchange(aOpen, false)) {
+      return;
+    }
+    aLeader.m_scheduler->OnInventory(m_now, aWorker, aInventory);
+    if (m_options.m_relay) {
+      aLeader.m_nextExtension[aWorker] = m_now + milliseconds(100);
+    }
+  }
+
+  /// Nothing if the worker does not answer.
+  std::optional<pool::Inventory> ExecuteExtension(const SimLeader& aLeader,
+                                                  const pool::WorkerId& aWorker,
+                                                  std::int64_t aDeadline,
+                                                  std::uint64_t aSaved)
+  {
+    SimWorker& worker = m_workers.at(aWorker);
+    if (IsUnresponsive(aWorker) || worker.m_fence > aLeader.m_term) {
+      return std::nullopt;
+    }
+    worker.m_fence = aLeader.m_term;
+    Extend(worker, aDeadline);
+    Confirm(worker, aSaved);
+    pool::Inventory inventory;
+    inventory.m_incarnation = worker.m_incarnation;
+    inventory.m_clockMs = ToWorkerClock(worker, m_now);
+    inventory.m_ended = worker.m_ended;
+    for (const auto& [task, run] : worker.m_running) {
+      const auto left =
+        std::max<std::int64_t>(0, ToMilliseconds(run.m_endsAt - m_now));
+      inventory.m_running.push_back(
+        { task, run.m_run, {}, 100 - static_cast<int>(left / 100) });
+    }
+    return inventory;
+  }
+
   void Confirm(SimWorker& aWorker, std::uint64_t aSaved)
   {
     std::erase_if(aWorker.m_ended, [&](const pool::ReportedEnd& aEnd) {
@@ -567,15 +691,22 @@
         aLeader->m_stopsAt <= m_now) {
       return;
     }
+    if (m_options.m_workersRestart && !MaySend(aLeader, aStart)) {
+      return;
+    }
     const std::int64_t deadline =
       aLeader->m_scheduler->NextDeadline(m_now, aStart.m_worker);
     if (deadline == 0) {
       AnswerStart(aLeader, aStart, aInDoubt, pool::StartOutcome::NotSent);
       return;
     }
+    const auto answered = std::make_shared<bool>(false);
+    if (IsRelayed(*aLeader, aStart.m_worker)) {
+      SendStartByRelay(aLeader, aStart, aInDoubt, deadline, answered);
+      return;
+    }
     const bool late = m_options.m_lateCommands && IsFaulty() && Chance(0.05);
     const Duration delay = late ? Between(2000, 12'000) : Between(1, 20);
-    const auto answered = std::make_shared<bool>(false);
     At(m_now + delay,
        [this, aLeader, aStart, aInDoubt, deadline, late, answered] {
          if (IsUnresponsive(aStart.m_worker) && !late) {
@@ -594,6 +725,46 @@
     });
   }
 
+  /// The rules of the links to the workers about starts that are sent again.
+  bool MaySend(const std::shared_ptr<SimLeader>& aLeader,
+               const pool::StartTask& aStart)
+  {
+    pool::PoolScheduler& scheduler = *aLeader->m_scheduler;
+    if (scheduler.IsListed(aStart) || scheduler.IsBeingStopped(aStart)) {
+      return false;
+    }
+    if (scheduler.IsForEarlierIncarnation(aStart)) {
+      scheduler.AbandonStart(m_now, aStart);
+      return false;
+    }
+    return true;
+  }
+
+  void SendStartByRelay(const std::shared_ptr<SimLeader>& aLeader,
+                        const pool::StartTask& aStart,
+                        bool aInDoubt,
+                        std::int64_t aDeadline,
+                        const std::shared_ptr<bool>& aAnswered)
+  {
+    const auto end = [this, aLeader, aStart, aInDoubt, aAnswered](
+                       pool::StartOutcome aOutcome) {
+      if (!std::exchange(*aAnswered, true)) {
+        AnswerStart(aLeader, aStart, aInDoubt, aOutcome);
+      }
+    };
+    m_relay.Send(
+      aLeader->m_term,
+      [this, aLeader, aStart, aDeadline, end](
+        const RelaySimulation::Reply& aReply) {
+        if (!IsUnresponsive(aStart.m_worker)) {
+          const auto outcome = ExecuteStart(*aLeader, aStart, aDeadline);
+          aReply([end, outcome] { end(outcome); });
+        }
+      },
+      [end] { end(pool::StartOutcome::NotSent); });
+    At(m_now + kCallTimeout, [end] { end(pool::StartOutcome::Unknown); });
+  }
+
   /// Treats outcomes of starts by the same rules as the links to the workers.
   void AnswerStart(const std::shared_ptr<SimLeader>& aLeader,
                    const pool::StartTask& aStart,
@@ -638,15 +809,14 @@
         aStart.m_run <= worker.m_past[aStart.m_task]) {
       return StartOutcome::OldRun;
     }
-    if (aDeadline <= Clock()) {
+    if (aDeadline <= ToWorkerClock(worker, m_now)) {
       return StartOutcome::TooLate;
     }
     CheckStart(worker, aStart);
     m_starts.push_back(
       aStart.m_worker.Value() + " " + aStart.m_task.m_job.Value() + " " +
       std::to_string(aStart.m_run) + " " + std::to_string(Clock()));
-    worker.m_leaseEnd =
-      std::max(worker.m_leaseEnd, kStart + milliseconds(aDeadline));
+    Extend(worker, aDeadline);
     worker.m_running[aStart.m_task] = { aStart.m_run,
                                         m_now + Between(100, 1500),
                                         ResourcesOf(aStart.m_task) };
@@ -710,36 +880,78 @@
     if (!aLeader->m_scheduler->IsWanted(aStop) || aLeader->m_stopsAt <= m_now) {
       return;
     }
-    const bool late = m_options.m_lateCommands && IsFaulty() && Chance(0.05);
-    At(m_now + (late ? Between(2000, 12'000) : Between(1, 20)),
-       [this, aLeader, aStop, late] {
-         SimWorker& worker = m_workers.at(aStop.m_worker);
-         if ((IsUnresponsive(aStop.m_worker) && !late) ||
-             worker.m_fence > aLeader->m_term) {
-           return;
-         }
-         const auto it = worker.m_running.find(aStop.m_task);
-         if (it != worker.m_running.end() && it->second.m_run == aStop.m_run) {
-           End(worker, aStop.m_task, pool::RunEnd::Stopped);
-         }
-         worker.m_past[aStop.m_task] =
-           std::max(worker.m_past[aStop.m_task], aStop.m_run);
-         if (!late) {
-           aLeader->m_scheduler->OnStopConfirmed(m_now, aStop);
-         }
-       });
-    At(m_now + milliseconds(300),
-       [this, aLeader, aStop] { SendStop(aLeader, aStop); });
+    const auto confirmed = std::make_shared<bool>(false);
+    const Time sentAt = m_now;
+    if (IsRelayed(*aLeader, aStop.m_worker)) {
+      m_relay.Send(
+        aLeader->m_term,
+        [this, aLeader, aStop, confirmed, sentAt](
+          const RelaySimulation::Reply& aReply) {
+          if (ExecuteStop(*aLeader, aStop, false)) {
+            aReply([this, aLeader, aStop, confirmed, sentAt] {
+              ConfirmStop(*aLeader, aStop, sentAt, *confirmed);
+            });
+          }
+        },
+        [] {});
+    } else {
+      const bool late = m_options.m_lateCommands && IsFaulty() && Chance(0.05);
+      At(m_now + (late ? Between(2000, 12'000) : Between(1, 20)),
+         [this, aLeader, aStop, late, confirmed, sentAt] {
+           if (ExecuteStop(*aLeader, aStop, late) && !late) {
+             ConfirmStop(*aLeader, aStop, sentAt, *confirmed);
+           }
+         });
+    }
+    At(m_now + milliseconds(300), [this, aLeader, aStop, confirmed] {
+      // The links send no stop again that is confirmed.
+      if (!m_options.m_workersRestart || !*confirmed) {
+        SendStop(aLeader, aStop);
+      }
+    });
+  }
+
+  void ConfirmStop(SimLeader& aLeader,
+                   const pool::StopTask& aStop,
+                   Time aSentAt,
+                   bool& aConfirmed)
+  {
+    aConfirmed = true;
+    aLeader.m_scheduler->OnStopConfirmed(m_now, aSentAt, aStop);
+  }
+
+  /// False if the worker does not answer, or refuses.
+  bool ExecuteStop(const SimLeader& aLeader,
+                   const pool::StopTask& aStop,
+                   bool aLate)
+  {
+    SimWorker& worker = m_workers.at(aStop.m_worker);
+    if ((IsUnresponsive(aStop.m_worker) && !aLate) ||
+        worker.m_fence > aLeader.m_term) {
+      return false;
+    }
+    const auto it = worker.m_running.find(aStop.m_task);
+    if (it != worker.m_running.end() && it->second.m_run == aStop.m_run) {
+      End(worker, aStop.m_task, pool::RunEnd::Stopped);
+    }
+    worker.m_past[aStop.m_task] =
+      std::max(worker.m_past[aStop.m_task], aStop.m_run);
+    return true;
   }
 
   static constexpr Resources kTeamLimit{ 30'000, 0, 0 };
   static constexpr int kLongestReadMs = 600;
   static constexpr int kLongestMessageMs = 400;
+  /// A call to a worker without an answer is in doubt after this time.
+  static constexpr Duration kCallTimeout = milliseconds(750);
+  /// A worker's id is not used again before this time after its end.
+  static constexpr Duration kReuseAfter = seconds(2);
 
   PoolSimulationOptions m_options;
   std::mt19937_64 m_random;
   Time m_now = kStart;
   std::multimap<Time, std::function<void()>> m_events;
+  RelaySimulation m_relay;
   std::vector<pool::WorkerInfo> m_infos;
   std::map<pool::WorkerId, SimWorker> m_workers;
   std::vector<std::shared_ptr<SimLeader>> m_leaders;
@@ -754,6 +966,7 @@
   std::set<TaskRef> m_done; ///< ends that a leader has confirmed
   std::vector<pool::WorkerId> m_rowWorkers; ///< named by the stored row
   std::vector<std::string> m_violations;
+  std::size_t m_restarts = 0;
 };
 
 } // namespace lacewing::fakes
