End calls of relays with the leader's wait; follow the newcomer's reading

- A relay's call could begin late and run its full timeout, so that two lease extensions of a worker were under way; it ends with the leader's wait.
- The beat's timer outlived a relay that was destroyed (in a test).
- Times on the wire are bounded; answers are split into frames as orders are.
- Names and comments that a newcomer stumbled on; an unused function is gone.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -383,7 +383,7 @@
   const pool::TrackedJob* job = m_scheduler.FindJob(aJob);
   const bool endsSoon = job != nullptr && job->AllStarted() &&
                         !pool::IsFinal(m_scheduler.ShownState(*job));
-  if (!endsSoon || aLongestWait <= Duration::zero()) {
+  if (m_closed || !endsSoon || aLongestWait <= Duration::zero()) {
     aDone(ViewOf(aJob));
     return;
   }
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -51,8 +51,7 @@
 };
 
 /// Longest wait for the end of a job whose state is requested: some turns of
-/// the event loop and a transaction, much less than callers wait between two
-/// requests.
+/// the event loop and a transaction.
 inline constexpr Duration kLongestEndWait = milliseconds(150);
 
 /// How the leader came to know a job or a cancellation.
--- a/src/edge/RelayLinks.cpp
+++ b/src/edge/RelayLinks.cpp
@@ -20,8 +20,6 @@
 /// late.
 constexpr int kSilentTicks = 12;
 constexpr Duration kChoicePeriod = milliseconds(500);
-/// Time for the two ways between the leader and a relay.
-constexpr Duration kTransit = milliseconds(150);
 /// A relay whose event loop is later than that of the leader by this much makes
 /// calls slower than the leader would.
 constexpr Duration kLateRelay = milliseconds(100);
@@ -155,7 +153,7 @@
       link.m_beat + Scale(now - link.m_beatAt, 1 - kDefaultClockRateError);
   }
   const relay::CallId call =
-    link.m_calls.Add(now + aTimeout + kTransit, std::move(aDone));
+    link.m_calls.Add(now + aTimeout + relay::kTransit, std::move(aDone));
   link.m_pending.push_back({ call, aAddress, aTimeout, std::move(aCommand) });
   link.m_flush->CallSoon();
   return true;
@@ -185,7 +183,7 @@
     aLink.m_connection->Send(relay::EncodeOrders(frame));
   }
   if (aLink.m_connection->UnsentBytes() > kMostUnsentBytes) {
-    Lose(VmId(aLink.m_peer.m_vm), Loss::Silent);
+    Lose(VmId(aLink.m_peer.m_vm), Loss::Congested);
   }
 }
 
--- a/src/edge/RelayLinks.h
+++ b/src/edge/RelayLinks.h
@@ -22,6 +22,7 @@
   Closed,     ///< by the relay, or it could not be made
   Silent,     ///< no frame has come for too long
   Unanswered, ///< no worker has answered through it for too long
+  Congested,  ///< too many bytes wait to be sent
   NotNeeded,  ///< another daemon is used in its place
 };
 
@@ -95,6 +96,7 @@
     std::pair{ Loss::Closed, std::string_view("closed") },
     std::pair{ Loss::Silent, std::string_view("silent") },
     std::pair{ Loss::Unanswered, std::string_view("unanswered") },
+    std::pair{ Loss::Congested, std::string_view("congested") },
     std::pair{ Loss::NotNeeded, std::string_view("not_needed") },
   };
 };
--- a/src/edge/RelayServer.cpp
+++ b/src/edge/RelayServer.cpp
@@ -1,7 +1,6 @@
 #include "edge/RelayServer.h"
 
 #include "core/TryDecode.h"
-#include "net/PacedTimer.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,14 +11,27 @@
 
 /// Answers of this time leave in one frame.
 constexpr Duration kFlushPeriod = milliseconds(4);
+/// Answers with the longest lists of ends stay below the longest frame.
+constexpr std::size_t kAnswersPerFrame = 64;
 /// A frame is sent at least this often, so that the leader knows the relay's
-/// clock and that it is alive.
+/// clock and that it goes on.
 constexpr Duration kBeatPeriod = milliseconds(100);
 /// A leader extends leases all the time; one that sends nothing for this long
-/// is gone.
+/// has ended or is cut off.
 constexpr Duration kIdleSession = seconds(10);
-/// Time for the call of a start whose order was accepted now. The allowance for
-/// a late event loop of the leader is one for its reading of answers.
+
+/// Timeout of a call whose order was accepted now: it ends no later than the
+/// leader waits for it, so that no two lease extensions are under way.
+Duration
+CallTimeout(const relay::OrderFrame& aFrame, const relay::Order& aOrder)
+{
+  const Duration age = net::Loop::Now() - aFrame.m_beat;
+  return std::min(aOrder.m_timeout, aOrder.m_timeout + relay::kTransit - age);
+}
+
+/// Timeout of the call for a start: the worker has the command within
+/// `kStartDelivery` of the decision, or not from this call. The order's own
+/// timeout also allows for a late leader, which must not delay the start.
 Duration
 StartTimeout(const relay::OrderFrame& aFrame, const relay::Order& aOrder)
 {
@@ -55,7 +67,13 @@
     frame.m_beat = m_gate.Beat(net::Loop::Now());
     frame.m_loopLag = m_server.m_hooks.m_loopLag();
     frame.m_stopping = m_server.m_stopping;
-    frame.m_answers = std::exchange(m_answers, {});
+    for (relay::Answer& answer : std::exchange(m_answers, {})) {
+      frame.m_answers.push_back(std::move(answer));
+      if (frame.m_answers.size() >= kAnswersPerFrame) {
+        m_connection.Send(relay::EncodeAnswers(frame));
+        frame.m_answers.clear();
+      }
+    }
     m_connection.Send(relay::EncodeAnswers(frame));
   }
 
@@ -114,13 +132,13 @@
     Reply(std::move(answer));
   }
 
-  void Execute(const relay::OrderFrame&,
+  void Execute(const relay::OrderFrame& aFrame,
                const relay::Order& aOrder,
                const platform::LeaseExtension& aExtension)
   {
     m_server.m_workers.ExtendLease(
       aExtension,
-      aOrder.m_timeout,
+      CallTimeout(aFrame, aOrder),
       [weak = weak_from_this(),
        call = aOrder.m_call](const platform::LeaseExtensionResult& aResult) {
         if (const auto self = weak.lock()) {
@@ -158,7 +176,7 @@
       aOrder.m_address,
       aStop,
       aFrame.m_term,
-      aOrder.m_timeout,
+      CallTimeout(aFrame, aOrder),
       [weak = weak_from_this(),
        call = aOrder.m_call](platform::CommandState aState) {
         if (const auto self = weak.lock()) {
@@ -192,6 +210,7 @@
   , m_metrics(aMetrics)
   , m_hooks(std::move(aHooks))
   , m_listener(aLoop, [this](int aSocket) { OnAccepted(aSocket); })
+  , m_beat(aLoop, kBeatPeriod, [this] { SendBeats(); })
 {
 }
 
@@ -201,7 +220,7 @@
 RelayServer::Listen(const net::Address& aAddress)
 {
   BOOST_LEAF_CHECK(m_listener.Listen(aAddress));
-  m_loop.Every(kBeatPeriod, [this] { SendBeats(); });
+  m_beat.CallSoon();
   return {};
 }
 
@@ -232,6 +251,7 @@
 RelayServer::SendBeats()
 {
   const Time now = net::Loop::Now();
+  m_beat.CallBy(now + kBeatPeriod);
   std::erase_if(m_sessions,
                 [now](const auto& aItem) { return aItem.second->IsIdle(now); });
   for (const auto& [key, session] : m_sessions) {
--- a/src/edge/RelayServer.h
+++ b/src/edge/RelayServer.h
@@ -10,6 +10,7 @@
 #include "core/Verdict.h"
 #include "net/FrameConnection.h"
 #include "net/Loop.h"
+#include "net/PacedTimer.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 #include "platform/WorkerClient.h"
@@ -63,6 +64,7 @@
   bool m_stopping = false;
   net::FrameListener m_listener;
   std::unordered_map<Session*, std::shared_ptr<Session>> m_sessions;
+  net::PacedTimer m_beat;
 };
 
 } // namespace lacewing::edge
--- a/src/edge/WorkerCalls.h
+++ b/src/edge/WorkerCalls.h
@@ -10,13 +10,15 @@
 class WorkerCalls
 {
 public:
-  /// Without relays if `aRelays` is null. Both outlive this object's calls.
+  /// Without relays if `aRelays` is null. The relays may end once no further
+  /// call is made.
   WorkerCalls(platform::WorkerClient& aClient, RelayLinks* aRelays)
     : m_client(aClient)
     , m_relays(aRelays)
   {
   }
 
+  /// Each call ends exactly once with `aDone`, unless the relays end first.
   void ExtendLease(
     const DomainId& aDomain,
     const platform::LeaseExtension& aExtension,
--- a/src/net/FrameConnection.cpp
+++ b/src/net/FrameConnection.cpp
@@ -15,6 +15,7 @@
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
+#include <utility>
 
 namespace lacewing::net {
 
--- a/src/relay/OpenCalls.cpp
+++ b/src/relay/OpenCalls.cpp
@@ -1,5 +1,7 @@
 #include "relay/OpenCalls.h"
 
+#include <utility>
+
 namespace lacewing::relay {
 
 CallId
@@ -53,10 +55,4 @@
   }
 }
 
-Time
-OpenCalls::NextExpiry() const
-{
-  return m_expiries.empty() ? Time::max() : m_expiries.top().first;
-}
-
 } // namespace lacewing::relay
--- a/src/relay/OpenCalls.h
+++ b/src/relay/OpenCalls.h
@@ -28,8 +28,6 @@
   /// Ends all calls. Those from `aFirstUnsent` on have not left this process,
   /// so they are known not to have been sent; the others are in doubt.
   void Abandon(CallId aFirstUnsent);
-  /// Earliest end of a call's time; `Time::max()` if there is none.
-  Time NextExpiry() const;
   std::size_t Size() const { return m_calls.size(); }
 
 private:
--- a/src/relay/OrderGate.h
+++ b/src/relay/OrderGate.h
@@ -9,13 +9,17 @@
 
 namespace lacewing::relay {
 
-/// An order that may be older is dropped. It is shorter than the time that the
-/// leader allows for the delivery of a start.
+/// An order that may be older is dropped.
 inline constexpr Duration kOrderLifetime = milliseconds(700);
 
 /// Longest time from the decision to start a task until its worker has the
 /// command, also through a relay.
 inline constexpr Duration kStartDelivery = seconds(1);
+static_assert(kOrderLifetime < kStartDelivery);
+
+/// Time for the two ways between the leader and a relay, by which the leader
+/// waits longer for an answer.
+inline constexpr Duration kTransit = milliseconds(150);
 
 enum class OrderVerdict : std::uint8_t
 {
--- a/src/relay/RelayFrames.cpp
+++ b/src/relay/RelayFrames.cpp
@@ -64,10 +64,14 @@
   return static_cast<std::uint64_t>(aTime.time_since_epoch().count());
 }
 
+/// The bound keeps differences to the present from overflowing.
 Time
-ToTime(std::uint64_t aMicroseconds)
+ReadBeat(std::uint64_t aMicroseconds, FieldReader& aReader)
 {
-  return Time(Duration(static_cast<Duration::rep>(aMicroseconds)));
+  constexpr std::uint64_t kLatest = std::uint64_t{ 1 } << 62U;
+  aReader.Require(aMicroseconds <= kLatest, "beat_us", "is too late");
+  return Time(
+    Duration(static_cast<Duration::rep>(std::min(aMicroseconds, kLatest))));
 }
 
 void
@@ -351,7 +355,7 @@
   OrderFrame frame;
   frame.m_term = in.term();
   frame.m_leader = VmId(in.leader());
-  frame.m_beat = ToTime(in.beat_us());
+  frame.m_beat = ReadBeat(in.beat_us(), reader);
   frame.m_orders.reserve(static_cast<std::size_t>(in.orders_size()));
   for (const wire::Order& order : in.orders()) {
     frame.m_orders.push_back(Read(order, frame.m_term, reader));
@@ -371,7 +375,7 @@
   }
   FieldReader reader;
   AnswerFrame frame;
-  frame.m_beat = ToTime(in.beat_us());
+  frame.m_beat = ReadBeat(in.beat_us(), reader);
   // A lag above the bound is as bad as the bound.
   frame.m_loopLag = std::min(
     Duration(static_cast<Duration::rep>(std::min<std::uint64_t>(
--- a/tests/correctness/EdgeEndWaits.cpp
+++ b/tests/correctness/EdgeEndWaits.cpp
@@ -64,7 +64,7 @@
 };
 
 /// The caller asked shortly before the end was stored, was told that the job
-/// runs, and saw the end only a quarter of a second later.
+/// runs, and saw the end only with its next request.
 TEST_F(EdgeEndWaits, RequestShortlyBeforeTheEndIsAnsweredWithIt)
 {
   ASSERT_TRUE(Lead());
@@ -128,6 +128,7 @@
   m_cell.Leader().Close();
   ASSERT_EQ(m_answers.size(), 2U);
   EXPECT_FALSE(m_answers[0].has_value());
+  EXPECT_FALSE(m_answers[1].has_value());
 }
 
 } // namespace
--- a/tests/correctness/RelayRoutes.cpp
+++ b/tests/correctness/RelayRoutes.cpp
@@ -85,8 +85,8 @@
             (std::set<std::string>{ "a" }));
 }
 
-/// A busy leader reads requests for its status late, and lost its relays when
-/// it needed them most.
+/// A busy leader reads requests for its status late, and lost its relays
+/// although their frames came.
 TEST(RelayRoutes, RelayWhoseFramesComeIsKnownWithoutItsRequests)
 {
   RelayChoice choice;
