Add a failing test of DRAIN: a start in doubt is repeated at a draining worker

A start without an answer is sent again until it is answered, also once the entry of its worker says that it drains.

--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -40,9 +40,7 @@
     });
     // The loop does not return while requests and responses are always ready.
     SetDelay(milliseconds(5));
-    pool::WorkerInfo worker = PoolWorker("w1");
-    worker.m_address = Address().ToString();
-    m_scheduler.SetWorkers(net::Loop::Now(), { worker });
+    List(false);
     edge::WorkerLinkHooks hooks;
     hooks.m_onChange = [this] {
       m_scheduler.OnJobNotFound(net::Loop::Now(), JobId("job"));
@@ -63,6 +61,15 @@
   LinkCell(const LinkCell&) = delete;
   LinkCell& operator=(const LinkCell&) = delete;
 
+  /// The entry of the worker in the store.
+  void List(bool aDraining)
+  {
+    pool::WorkerInfo worker = PoolWorker("w1");
+    worker.m_address = Address().ToString();
+    worker.m_draining = aDraining;
+    m_scheduler.SetWorkers(net::Loop::Now(), { worker });
+  }
+
   /// Runs until the worker has received that many further lease extensions.
   bool RunExtensions(std::size_t aCount)
   {
@@ -166,6 +173,22 @@
   EXPECT_EQ(cell.m_commands.front(), "/api/run-stop");
 }
 
+/// A start without an answer is sent again for as long as its worker drains: it
+/// can start later than the time that users allow after the entry says so
+/// (DRAIN).
+TEST(EdgeWorkerLinks, StartInDoubtIsNotRepeatedAtADrainingWorker)
+{
+  constexpr Duration kDrainBound = milliseconds(2500); // that users allow
+  LinkCell cell;
+  ASSERT_TRUE(cell.RunExtensions(3));
+  ASSERT_TRUE(cell.SendStart());
+  cell.List(true);
+  cell.RunUntil([] { return false; }, kDrainBound);
+  cell.m_commands.clear();
+  cell.RunUntil([] { return false; }, milliseconds(500));
+  EXPECT_EQ(std::ranges::count(cell.m_commands, "/api/run-start"), 0);
+}
+
 /// A start without an answer was sent again while its run was being stopped:
 /// a task of a cancelled job started if no stop had reached its worker.
 TEST(EdgeWorkerLinks, StartInDoubtIsNotRepeatedOnceItsJobIsCancelled)
