--- a/tests/correctness/EdgeOverload.cpp
+++ b/tests/correctness/EdgeOverload.cpp
@@ -127,6 +127,7 @@
   for (int number = 0; number < kJobs; ++number) {
     const std::string path =
       "/patient/00000000000000" + std::to_string(10 + number);
+    cell.RenewLeader();
     const auto response = cell.Call("POST", path, kDeadline, kBody);
     ASSERT_TRUE(response.has_value());
     accepted += response->m_status == 200 ? 1 : 0;
