--- a/review/cell-2/Main.cpp
+++ b/review/cell-2/Main.cpp
@@ -133,7 +133,7 @@
 {
   constexpr int kCpuOfTask = 5;
   constexpr std::int64_t kLongMs = 32'000;
-  constexpr std::int64_t kLaterMs = 350;
+  constexpr std::int64_t kLaterMs = 300;
   constexpr std::int64_t kShortMs = 10'000;
   constexpr std::int64_t kBetweenEndsMs = 4500;
   constexpr std::int64_t kBetweenJobsMs = 112;
@@ -157,7 +157,7 @@
 Outcome
 LargeBatch(const std::string& aRecord)
 {
-  constexpr int kLarge = 40;
+  constexpr int kLarge = 50;
   constexpr int kWidth = 200;
   constexpr int kSpread = kEndsOnEachRunner * kRunners;
   constexpr std::size_t kTasks = 3 * kWidth + kSpread + 1;
@@ -192,7 +192,7 @@
   } else {
     Cell::Sleep(kDownMs);
   }
-  // All long tasks have ended 51 s after the begin, if they run at once.
+  // All long tasks have ended some 53 s after the begin, if they run at once.
   Cell::Sleep(begin + 55'000 + kFinishMs - cell.Now());
   for (const std::string& job : jobs) {
     cell.StateOf("/customs-recon/" + job);
