--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -20,6 +20,8 @@
                    [--service-ms=MS]
   lacewing-standin platform --listen=ADDR [--count=N]
   lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
+  lacewing-standin flood --to=ADDR --mode=MODE --path=PATH --connections=N
+                   --bytes=N
 
 Options:
   --listen=ADDR      IP:PORT to listen on.
@@ -37,6 +39,11 @@
   --to=ADDR          IP:PORT to which connections are relayed.
   --control=ADDR     IP:PORT for POST /control?cut=CUT[&close=1]; CUT is none,
                      forward (from the connecting side), backward or both.
+  --mode=MODE        What a client sends that reads nothing: pipelined requests,
+                     a body whose length is announced, or a chunked body.
+  --path=PATH        Path of these requests.
+  --connections=N    Connections of this client.
+  --bytes=N          Bytes that it sends on each at most.
 )";
 
 using lacewing::milliseconds;
@@ -49,6 +56,23 @@
   loop.OnSignal(SIGINT, [&] { loop.Stop(); });
   return lacewing::leaf::try_handle_all(
     [&]() -> lacewing::Result<int> {
+      if (aOptions["flood"].asBool()) {
+        BOOST_LEAF_AUTO(
+          to, lacewing::net::ParseAddress(aOptions["--to"].asString()));
+        const auto mode = lacewing::ParseName<lacewing::standin::FloodMode>(
+          aOptions["--mode"].asString());
+        if (!mode) {
+          return lacewing::Fail(lacewing::Verdict::NotRun,
+                                lacewing::ErrorCode::BadInput,
+                                "--mode is pipelined, announced or chunked");
+        }
+        return lacewing::standin::RunFlood(
+          to,
+          { *mode,
+            aOptions["--path"].asString(),
+            static_cast<std::size_t>(aOptions["--connections"].asLong()),
+            static_cast<std::size_t>(aOptions["--bytes"].asLong()) });
+      }
       BOOST_LEAF_AUTO(
         listen, lacewing::net::ParseAddress(aOptions["--listen"].asString()));
       if (aOptions["table"].asBool()) {
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -56,4 +56,35 @@
         const net::Address& aTo,
         const net::Address& aControl);
 
+/// What a client sends that keeps to no limit.
+enum class FloodMode : std::uint8_t
+{
+  Pipelined, ///< many requests, whose responses it does not read
+  Announced, ///< a body that is announced as far too long
+  Chunked,   ///< a body without end whose length is not announced
+};
+
+struct FloodOptions
+{
+  FloodMode m_mode = FloodMode::Pipelined;
+  std::string m_path;
+  std::size_t m_connections = 1;
+  std::size_t m_bytes = 0; ///< on each connection, at most
+};
+
+/// Sends until the server takes nothing more, or all is sent.
+int
+RunFlood(const net::Address& aTo, const FloodOptions& aOptions);
+
 } // namespace lacewing::standin
+
+template<>
+struct lacewing::EnumNames<lacewing::standin::FloodMode>
+{
+  using Mode = lacewing::standin::FloodMode;
+  static constexpr std::array kTable = {
+    std::pair{ Mode::Pipelined, std::string_view("pipelined") },
+    std::pair{ Mode::Announced, std::string_view("announced") },
+    std::pair{ Mode::Chunked, std::string_view("chunked") },
+  };
+};
