Bound the connections and the bytes that clients hold

Cause: evhttp goes on reading while a response waits to be sent, and nothing bounded the sum over connections.

Change: a read watermark for each connection; ConnectionBook bounds connections and bytes of a listener by what the process may use, closes what is in excess and refuses requests with 503.

--- a/src/edge/EdgeDaemon.cpp
+++ b/src/edge/EdgeDaemon.cpp
@@ -26,6 +26,8 @@
 /// Reads of the table of jobs while it is down.
 constexpr Duration kStoreProbePeriod = milliseconds(300);
 constexpr Duration kStoreProbeTimeout = milliseconds(900);
+/// Least time between two log lines about clients that exceed the limits.
+constexpr Duration kOverloadLinePeriod = seconds(1);
 /// Limit of log lines per second; lines above the limit are counted and
 /// dropped.
 constexpr int kLogLinesPerSecond = 400;
@@ -59,14 +61,53 @@
   return value;
 }
 
+/// Parts of the memory and of the descriptors that this process may use, for
+/// one listener.
+struct ListenerShare
+{
+  std::size_t m_memoryDivisor;
+  std::size_t m_descriptorDivisor;
+};
+
+/// Most of both is for the leader's own state and its calls to workers.
+constexpr ListenerShare kCallers{ 4, 3 };
+constexpr ListenerShare kPeers{ 8, 8 };
+constexpr ListenerShare kProbes{ 64, 16 };
+/// Responses to probes are empty, and so are their requests.
+constexpr std::size_t kMaxProbeBytes = 4096;
+
 net::HttpServerLimits
-CallerLimits()
+LimitsOf(const EdgeSettings& aSettings, const ListenerShare& aShare)
 {
   net::HttpServerLimits limits;
+  if (aSettings.m_memoryLimitBytes > 0) {
+    limits.m_connections.m_maxBytes =
+      aSettings.m_memoryLimitBytes / aShare.m_memoryDivisor;
+  }
+  if (aSettings.m_descriptorLimit > 0) {
+    limits.m_connections.m_maxConnections =
+      aSettings.m_descriptorLimit / aShare.m_descriptorDivisor;
+  }
+  return limits;
+}
+
+net::HttpServerLimits
+CallerLimits(const EdgeSettings& aSettings)
+{
+  net::HttpServerLimits limits = LimitsOf(aSettings, kCallers);
   limits.m_idleTimeout = seconds(120);
   return limits;
 }
 
+net::HttpServerLimits
+ProbeLimits(const EdgeSettings& aSettings)
+{
+  net::HttpServerLimits limits = LimitsOf(aSettings, kProbes);
+  limits.m_maxBodyBytes = kMaxProbeBytes;
+  limits.m_maxHeaderBytes = kMaxProbeBytes;
+  return limits;
+}
+
 } // namespace
 
 EdgeDaemon::EdgeDaemon(net::Loop& aLoop, const EdgeSettings& aSettings)
@@ -100,19 +141,42 @@
                   { [this] { return m_leadership.KnownTerm(); },
                     [this] { return m_leadership.LoopLag(); } })
   , m_callerServer(aLoop,
-                   CallerLimits(),
+                   CallerLimits(aSettings),
                    [this](const auto& aRequest, const auto& aReply) {
                      m_front.Handle(aRequest, aReply);
                    })
   , m_probeServer(aLoop,
-                  {},
+                  ProbeLimits(aSettings),
                   [this](const auto& aRequest, const auto& aReply) {
                     HandleProbe(aRequest, aReply);
                   })
-  , m_peerServer(aLoop, {}, [this](const auto& aRequest, const auto& aReply) {
-    HandlePeer(aRequest, aReply);
-  })
+  , m_peerServer(aLoop,
+                 LimitsOf(aSettings, kPeers),
+                 [this](const auto& aRequest, const auto& aReply) {
+                   HandlePeer(aRequest, aReply);
+                 })
+{
+  ReportOverload(m_callerServer, "callers");
+  ReportOverload(m_probeServer, "probe");
+  ReportOverload(m_peerServer, "peers");
+}
+
+void
+EdgeDaemon::ReportOverload(net::HttpServer& aServer, const char* aListener)
 {
+  aServer.SetOnOverload([this, aListener](net::OverloadAction aAction) {
+    m_metrics.Add(observe::Metric::ClientOverload,
+                  { aListener, NameOf(aAction) });
+    Time& next = m_nextOverloadLine[aListener];
+    const Time now = net::Loop::Now();
+    if (now >= next) {
+      next = now + kOverloadLinePeriod;
+      m_log.Write(settings::LogLevel::Warn,
+                  "client_overload",
+                  { { "listener", aListener },
+                    { "action", std::string(NameOf(aAction)) } });
+    }
+  });
 }
 
 Result<void>
--- a/src/edge/EdgeDaemon.h
+++ b/src/edge/EdgeDaemon.h
@@ -10,7 +10,9 @@
 #include "edge/RelayServer.h"
 #include "net/HttpServer.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace lacewing::edge {
 
@@ -47,6 +49,8 @@
   void ProbeJobTable();
   void OnConfig(const pool::PoolConfig& aConfig);
   void TickDrain();
+  /// Counts and logs what the server does about clients that exceed its limits.
+  void ReportOverload(net::HttpServer& aServer, const char* aListener);
   void LogState();
 
   net::Loop& m_loop;
@@ -68,6 +72,7 @@
   net::HttpServer m_callerServer;
   net::HttpServer m_probeServer;
   net::HttpServer m_peerServer;
+  std::map<std::string, Time> m_nextOverloadLine; ///< by listener
   bool m_storeProbePending = false;
   int m_probedPart = 0;
   bool m_draining = false;
--- a/src/edge/RelayServer.cpp
+++ b/src/edge/RelayServer.cpp
@@ -5,10 +5,16 @@
 #include <algorithm>
 #include <utility>
 
+#include <unistd.h>
+
 namespace lacewing::edge {
 
 namespace {
 
+/// One leader sends orders at a time, and its connection may be made anew. More
+/// connections would only take memory, up to a frame each.
+constexpr std::size_t kMostSessions = 16;
+
 /// Answers of this time leave in one frame.
 constexpr Duration kFlushPeriod = milliseconds(4);
 /// Answers with the longest lists of ends stay below the longest frame.
@@ -80,7 +86,6 @@
 private:
   void OnFrame(std::string_view aFrame)
   {
-    m_lastFrame = net::Loop::Now();
     const auto frame =
       TryDecode<relay::OrderFrame>([&] { return relay::DecodeOrders(aFrame); });
     if (!frame) {
@@ -90,6 +95,7 @@
         { { "bytes", static_cast<std::int64_t>(aFrame.size()) } });
       return;
     }
+    m_lastFrame = net::Loop::Now();
     m_server.m_log.WriteOnChange(
       "relay of",
       frame->m_leader.Value(),
@@ -234,6 +240,11 @@
 void
 RelayServer::OnAccepted(int aSocket)
 {
+  if (m_sessions.size() >= kMostSessions) {
+    m_metrics.Add(observe::Metric::ClientOverload, { "relay", "closed" });
+    close(aSocket);
+    return;
+  }
   auto session = std::make_shared<Session>(*this, aSocket);
   session->Flush();
   m_sessions.emplace(session.get(), session);
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace lacewing::net {
 
@@ -24,6 +26,7 @@
 /// Clients with this project's HTTP client have closed their idle connections
 /// by then.
 constexpr Duration kCloseBound = kIdleConnectionTime + seconds(1);
+constexpr const char* kRetryAfterSeconds = "1";
 
 std::string
 MethodName(evhttp_cmd_type aCommand)
@@ -165,11 +168,13 @@
 HttpServer::HttpServer(Loop& aLoop,
                        HttpServerLimits aLimits,
                        HttpHandler aHandler)
-  : m_limits(aLimits)
+  : m_loop(aLoop)
+  , m_limits(aLimits)
   , m_handler(std::move(aHandler))
   , m_server(evhttp_new(aLoop.Base()))
-  , m_state(std::make_shared<State>())
+  , m_state(std::make_shared<State>(aLimits.m_connections))
 {
+  evhttp_set_bevcb(m_server, OnAccept, this);
   evhttp_set_max_headers_size(
     m_server, static_cast<ev_ssize_t>(m_limits.m_maxHeaderBytes));
   evhttp_set_max_body_size(m_server,
@@ -184,9 +189,126 @@
 
 HttpServer::~HttpServer()
 {
+  // Its connections are closed by evhttp, which tells nobody then.
+  for (const auto& [id, accepted] : m_accepted) {
+    evbuffer_remove_cb(
+      bufferevent_get_input(accepted->m_events), OnInput, accepted.get());
+    bufferevent_decref(accepted->m_events);
+  }
   evhttp_free(m_server);
 }
 
+void
+HttpServer::SetOnOverload(OnOverload aOnOverload)
+{
+  m_onOverload = std::move(aOnOverload);
+}
+
+bufferevent*
+HttpServer::OnAccept(event_base* aBase, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  bufferevent* events = bufferevent_socket_new(aBase, -1, 0);
+  // evhttp goes on reading while a response waits to be sent, without bound. It
+  // needs a whole body in the buffer before it takes it out.
+  bufferevent_setwatermark(events,
+                           EV_READ,
+                           0,
+                           self->m_limits.m_maxHeaderBytes +
+                             self->m_limits.m_maxBodyBytes);
+  bufferevent_incref(events); // until the connection is forgotten here
+  auto accepted = std::make_unique<Accepted>();
+  accepted->m_server = self;
+  accepted->m_id = self->m_state->m_book.Open();
+  accepted->m_events = events;
+  evbuffer_add_cb(bufferevent_get_input(events), OnInput, accepted.get());
+  const ConnectionBook::Id id = accepted->m_id;
+  self->m_accepted.emplace(id, std::move(accepted));
+  self->m_loop.After(Duration::zero(),
+                     [weak = std::weak_ptr(self->m_state), self, id] {
+                       if (!weak.expired()) {
+                         self->Identify(id);
+                       }
+                     });
+  return events;
+}
+
+void
+HttpServer::Identify(ConnectionBook::Id aId)
+{
+  const auto it = m_accepted.find(aId);
+  if (it == m_accepted.end() || it->second->m_connection != nullptr) {
+    return;
+  }
+  // evhttp passes its object to its own callbacks; there are none once it has
+  // closed the connection.
+  void* argument = nullptr;
+  bufferevent_getcb(it->second->m_events, nullptr, nullptr, nullptr, &argument);
+  if (argument == nullptr) {
+    Forget(aId);
+    return;
+  }
+  auto* connection = static_cast<evhttp_connection*>(argument);
+  it->second->m_connection = connection;
+  m_ids[connection] = aId;
+  evhttp_connection_set_closecb(connection, OnClosed, this);
+  ShedSoon();
+}
+
+void
+HttpServer::Forget(ConnectionBook::Id aId)
+{
+  const auto it = m_accepted.find(aId);
+  if (it == m_accepted.end()) {
+    return;
+  }
+  Accepted& accepted = *it->second;
+  evbuffer_remove_cb(
+    bufferevent_get_input(accepted.m_events), OnInput, &accepted);
+  bufferevent_decref(accepted.m_events);
+  m_ids.erase(accepted.m_connection);
+  m_accepted.erase(it);
+  m_state->m_book.OnClosed(aId);
+}
+
+void
+HttpServer::OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aAccepted)
+{
+  const auto* accepted = static_cast<Accepted*>(aAccepted);
+  accepted->m_server->m_state->m_book.OnReceived(accepted->m_id,
+                                                 aInfo->n_added);
+  accepted->m_server->ShedSoon();
+}
+
+void
+HttpServer::ShedSoon()
+{
+  if (!m_state->m_book.HasExcess() || std::exchange(m_shedding, true)) {
+    return;
+  }
+  // Not from within a callback of the connection that may be closed.
+  m_loop.After(Duration::zero(), [weak = std::weak_ptr(m_state), this] {
+    if (!weak.expired()) {
+      Shed();
+    }
+  });
+}
+
+void
+HttpServer::Shed()
+{
+  m_shedding = false;
+  for (const ConnectionBook::Id id : m_state->m_book.Excess()) {
+    const auto it = m_accepted.find(id);
+    if (it == m_accepted.end() || it->second->m_connection == nullptr) {
+      continue;
+    }
+    m_onOverload(OverloadAction::ConnectionClosed);
+    evhttp_connection_free(it->second->m_connection);
+    Forget(id);
+  }
+}
+
 Result<void>
 HttpServer::Listen(const Address& aAddress)
 {
@@ -252,8 +374,21 @@
   evhttp_connection_set_closecb(connection, OnClosed, self);
   const bool closing = self->m_state->m_closing;
   const HttpRequest request = ToRequest(aRequest);
+  const ConnectionBook::Id id = self->Count(connection, request);
+  if (self->m_state->m_book.IsFull()) {
+    self->m_onOverload(OverloadAction::RequestRefused);
+    HttpResponse response =
+      ErrorResponse({ Verdict::NotRun,
+                      ErrorCode::Unavailable,
+                      "the requests under way take too much memory" });
+    response.m_headers["Retry-After"] = kRetryAfterSeconds;
+    self->m_state->m_book.OnResponse(id);
+    Send(aRequest, response, true);
+    return;
+  }
   const std::size_t headerCount = HeaderCount(aRequest);
   if (headerCount > self->m_limits.m_maxHeaderCount) {
+    self->m_state->m_book.OnResponse(id);
     Send(
       aRequest,
       ErrorResponse(
@@ -265,6 +400,7 @@
     return;
   }
   if (!HasTextTarget(request)) {
+    self->m_state->m_book.OnResponse(id);
     Send(aRequest,
          ErrorResponse(
            { Verdict::NotRun,
@@ -275,17 +411,39 @@
   }
   const auto state = self->m_state;
   ++state->m_open;
-  self->m_handler(request, [aRequest, state](const HttpResponse& aResponse) {
-    --state->m_open;
-    // A request whose client has gone is freed by evhttp in this call.
-    Send(aRequest, aResponse, state->m_closing);
-  });
+  self->m_handler(request,
+                  [aRequest, state, id](const HttpResponse& aResponse) {
+                    --state->m_open;
+                    state->m_book.OnResponse(id);
+                    // A request whose client has gone is freed by evhttp in
+                    // this call.
+                    Send(aRequest, aResponse, state->m_closing);
+                  });
+}
+
+ConnectionBook::Id
+HttpServer::Count(evhttp_connection* aConnection, const HttpRequest& aRequest)
+{
+  const auto known = m_ids.find(aConnection);
+  if (known == m_ids.end()) {
+    return 0;
+  }
+  const evbuffer* input =
+    bufferevent_get_input(evhttp_connection_get_bufferevent(aConnection));
+  m_state->m_book.OnRequest(
+    known->second, evbuffer_get_length(input), aRequest.m_body.size());
+  return known->second;
 }
 
 void
 HttpServer::OnClosed(evhttp_connection* aConnection, void* aSelf)
 {
-  static_cast<HttpServer*>(aSelf)->m_connections.erase(aConnection);
+  auto* self = static_cast<HttpServer*>(aSelf);
+  self->m_connections.erase(aConnection);
+  const auto known = self->m_ids.find(aConnection);
+  if (known != self->m_ids.end()) {
+    self->Forget(ConnectionBook::Id(known->second));
+  }
 }
 
 HttpResponse
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -42,6 +42,7 @@
   JobViewAgeSeconds,
   RelayOrders,
   HopelessJobs,
+  ClientOverload,
 };
 
 enum class MetricType : std::uint8_t
