Learn run times from finished runs

Cause: estimates are off by up to 90%, so that urgent jobs counted as late at once, and gangs ran on workers of unequal speed.

Change: RuntimeModel learns run times for each kind of task, apart from the speed of workers, and is kept in a row of the store. Objectives and the order follow it; gangs leave out slow workers where they can.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -34,6 +34,9 @@
 /// A connection that fails within this time was refused: no process listens on
 /// the address.
 constexpr Duration kRefusedWithin = milliseconds(100);
+/// The learned run times are written this often; what is lost with a leader is
+/// soon learned again.
+constexpr Duration kRuntimesPeriod = seconds(10);
 /// A leader whose last renewal is older than this reports a store failure.
 constexpr Duration kStoreFailedAfter = milliseconds(1300);
 
@@ -400,6 +403,12 @@
                                                     RowBatchLimit::kMostBytes);
   aRows.m_expired = m_leader->Expiry().TakeProgressKeys(kExpiredPerWrite);
   aCommit.m_deletes = aRows.m_expired;
+  const Time now = net::Loop::Now();
+  if (now >= m_nextRuntimes && m_leader->Scheduler().Runtimes().Kinds() > 0) {
+    m_nextRuntimes = now + kRuntimesPeriod;
+    aCommit.m_puts.push_back(
+      { pool::RuntimesKey(), m_leader->Scheduler().Runtimes().Encode() });
+  }
   for (const auto& row : aRows.m_saves) {
     aCommit.m_puts.push_back({ pool::ProgressKey(row.m_job), row.m_row });
   }
--- a/src/edge/Leadership.h
+++ b/src/edge/Leadership.h
@@ -131,6 +131,7 @@
   RowBatchLimit m_batchLimit;
   Time m_nextWrite{};
   Time m_nextRecord{};
+  Time m_nextRuntimes{};
   Time m_tickDue = Time::max();
   Duration m_loopLag{};   ///< of the event loop, as seen by the ticks
   Duration m_leaderLag{}; ///< likewise of a remote leader, as last reported
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -99,6 +99,7 @@
     m_scheduler,
     m_term,
     std::move(hooks));
+  LoadRuntimes();
   LoadJobs();
   LoadWorkers();
 }
@@ -132,6 +133,35 @@
     aPriority);
 }
 
+void
+PoolLeader::LoadRuntimes()
+{
+  m_context.m_store.ReadRow(
+    pool::RuntimesKey(),
+    kReadTimeout,
+    [weak = weak_from_this()](const platform::PageResult& aPage) {
+      const auto self = weak.lock();
+      if (!self || self->m_closed) {
+        return;
+      }
+      std::string outcome = aPage.m_read.m_ok ? "absent" : "not read";
+      for (const auto& [key, row] : aPage.m_read.m_rows) {
+        const auto decoded = TryDecode<bool>([&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(self->m_scheduler.Runtimes().Decode(row.m_value));
+          return true;
+        });
+        outcome = decoded ? "read" : "unreadable";
+      }
+      self->m_context.m_log.Write(
+        settings::LogLevel::Info,
+        "runtimes_loaded",
+        { { "outcome", outcome },
+          { "kinds",
+            static_cast<std::int64_t>(self->m_scheduler.Runtimes().Kinds()) },
+          { "term", static_cast<std::int64_t>(self->m_term) } });
+    });
+}
+
 void
 PoolLeader::LoadJobs()
 {
@@ -867,6 +897,8 @@
       { "longest_plan_ms", ToMilliseconds(longestPlan) },
       { "plan_steps", static_cast<std::int64_t>(m_pacer.Steps()) },
       { "relays", static_cast<std::int64_t>(m_relays->UsableCount()) },
+      { "learned_kinds",
+        static_cast<std::int64_t>(m_scheduler.Runtimes().Kinds()) },
       { "standing_lag_ms", ToMilliseconds(longestLag) },
       { "slowdown_percent", static_cast<std::int64_t>(m_slowdown * kPercent) },
       { "admitted_percent",
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -133,6 +133,9 @@
   using Guarded = std::function<void()>;
 
   void LoadJobs();
+  /// Reads what earlier leaders have learned about run times. Without it the
+  /// estimates of callers are used until enough runs have ended.
+  void LoadRuntimes();
   void OnJobsLoaded(const LoadedJobs& aLoaded);
   /// Reads the job table again, since its history of changes was truncated.
   void ReloadJobs();
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -189,11 +189,8 @@
 
 HttpServer::~HttpServer()
 {
-  // Its connections are closed by evhttp, which tells nobody then.
-  for (const auto& [id, accepted] : m_accepted) {
-    evbuffer_remove_cb(
-      bufferevent_get_input(accepted->m_events), OnInput, accepted.get());
-    bufferevent_decref(accepted->m_events);
+  while (!m_accepted.empty()) {
+    Forget(ConnectionBook::Id(m_accepted.begin()->first));
   }
   evhttp_free(m_server);
 }
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -161,6 +161,12 @@
   return std::string(kJobTable) + "/" + std::to_string(aPart) + "/";
 }
 
+std::string
+RuntimesKey()
+{
+  return std::string("runtimes/") + kLeaderPart + "/model";
+}
+
 std::string
 ProgressPrefix()
 {
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -50,6 +50,9 @@
 ProgressKey(const JobId& aJob);
 std::string
 LeaderKey();
+/// Key of the row with what leaders have learned about run times.
+std::string
+RuntimesKey();
 /// Prefix of all job and cancellation keys of a part.
 std::string
 JobPartPrefix(int aPart);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -119,7 +119,8 @@
   const auto rule = m_rules.find(aJob.m_queue);
   const QueueRule& queue =
     rule == m_rules.end() ? m_rules[aJob.m_queue] : rule->second;
-  auto job = std::make_unique<TrackedJob>(aJob, queue, aNow - aAge, aProgress);
+  auto job = std::make_unique<TrackedJob>(
+    aJob, queue, aNow - aAge, aProgress, ExpectedRuntimes(aJob));
   job->m_rule = &queue;
   if (job->IsOver()) {
     job->m_endedAt = aNow;
@@ -155,6 +156,18 @@
   TakeIn(aNow, std::move(job));
 }
 
+std::vector<Duration>
+PoolScheduler::ExpectedRuntimes(const Job& aJob) const
+{
+  std::vector<Duration> result;
+  result.reserve(aJob.m_steps.size());
+  for (const StepSpec& step : aJob.m_steps) {
+    result.push_back(
+      m_runtimes.Expect(KindOf(aJob, step), step.m_estimate).m_typical);
+  }
+  return result;
+}
+
 void
 PoolScheduler::TakeIn(Time aNow, std::unique_ptr<TrackedJob> aJob)
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -16,6 +16,7 @@
 
 #include "pool/PlanPacer.h"
 #include "pool/PoolConfig.h"
+#include "pool/RuntimeModel.h"
 #include "pool/TrackedJob.h"
 #include "pool/WorkerRecord.h"
 
@@ -276,6 +277,9 @@
   /// incarnation may not suit the task.
   bool IsForEarlierIncarnation(const StartTask& aStart) const;
 
+  /// What finished runs have taught about the length of tasks.
+  const RuntimeModel& Runtimes() const { return m_runtimes; }
+  RuntimeModel& Runtimes() { return m_runtimes; }
   const TrackedJob* FindJob(const JobId& aJob) const;
   /// The state that callers may be shown: a final one only once it is stored.
   JobState ShownState(const TrackedJob& aJob) const;
@@ -480,6 +484,9 @@
     const Candidate& aCandidate,
     const std::vector<WorkerRecord*>& aWorkers);
   bool PlaceGang(Time aNow, const Candidate& aCandidate, Actions& aActions);
+  /// Leaves out slow workers if the others have room for the whole gang.
+  void PreferOneSpeed(const Candidate& aCandidate,
+                      std::vector<WorkerRecord*>& aWorkers) const;
   void ReserveFor(const Candidate& aCandidate, std::set<WorkerId>& aReserved);
   /// True if the usable workers that are or may be permitted have room for the
   /// whole gang once they are empty.
@@ -517,11 +524,18 @@
   void CheckLeaseLater(WorkerRecord& aWorker);
 
   void OnReportedEnd(Time aNow, WorkerRecord& aWorker, const ReportedEnd& aEnd);
-  void RecordRuntimeRatio(Time aNow,
-                          const TrackedJob& aJob,
-                          const TaskRef& aTask,
-                          const Placement& aPlacement,
-                          WorkerRecord& aWorker);
+  /// Learns from a whole run how long such tasks take, and how fast the worker
+  /// is.
+  void LearnRuntime(Time aNow,
+                    const TrackedJob& aJob,
+                    const TaskRef& aTask,
+                    const Placement& aPlacement,
+                    WorkerRecord& aWorker);
+  /// How many times as long as usual a run takes on the worker.
+  double SlownessOf(const WorkerRecord& aWorker) const;
+  /// The same for the slowest worker of a gang.
+  double SlownessOfGang(const TrackedJob& aJob, std::uint32_t aStep) const;
+  std::vector<Duration> ExpectedRuntimes(const Job& aJob) const;
   /// Applies an end and keeps it unacknowledged until the job's progress is
   /// stored.
   void RecordEnd(Time aNow,
@@ -627,6 +641,7 @@
   std::vector<StopTask> m_stops;    ///< decided since the last plan
   std::vector<JobId> m_failingJobs; ///< likewise, found
   RuntimeRatio m_runtimeRatio;      ///< of all workers
+  RuntimeModel m_runtimes;
   int m_openPatientRequests =
     0; ///< to the policy service, in flight, for patient steps
   int m_openInteractiveRequests = 0; ///< in flight, for interactive steps
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -25,7 +25,7 @@
                        placement->second.m_run == aEnd.m_run;
   if (present) {
     if (job != nullptr && aEnd.m_how == RunEnd::Done) {
-      RecordRuntimeRatio(aNow, *job, aEnd.m_task, placement->second, aWorker);
+      LearnRuntime(aNow, *job, aEnd.m_task, placement->second, aWorker);
     }
     DropPlacement(aWorker, aEnd.m_task);
   }
@@ -108,22 +108,55 @@
   }
 }
 
+double
+PoolScheduler::SlownessOf(const WorkerRecord& aWorker) const
+{
+  return aWorker.m_runtimeRatio.Mean() / m_runtimeRatio.Mean();
+}
+
+double
+PoolScheduler::SlownessOfGang(const TrackedJob& aJob, std::uint32_t aStep) const
+{
+  double slowest = 0;
+  for (const TaskRecord& task : aJob.Step(aStep).m_tasks) {
+    const auto worker = m_workers.find(task.m_worker);
+    if (worker != m_workers.end()) {
+      slowest = std::max(slowest, SlownessOf(worker->second));
+    }
+  }
+  return slowest > 0 ? slowest : 1;
+}
+
 void
-PoolScheduler::RecordRuntimeRatio(Time aNow,
-                                  const TrackedJob& aJob,
-                                  const TaskRef& aTask,
-                                  const Placement& aPlacement,
-                                  WorkerRecord& aWorker)
+PoolScheduler::LearnRuntime(Time aNow,
+                            const TrackedJob& aJob,
+                            const TaskRef& aTask,
+                            const Placement& aPlacement,
+                            WorkerRecord& aWorker)
 {
-  const Duration estimate = aJob.Spec().m_steps[aTask.m_step].m_estimate;
+  const StepSpec& spec = aJob.Spec().m_steps[aTask.m_step];
   // The start time of an adopted run is not known: an earlier leader started
-  // it.
-  if (estimate <= Duration::zero() || aPlacement.m_adopted) {
+  // it. A resumed run has done part of its work before.
+  if (spec.m_estimate <= Duration::zero() || aPlacement.m_adopted ||
+      aPlacement.m_resumed) {
+    return;
+  }
+  const Duration taken = aNow - aPlacement.m_since;
+  const TaskKind kind = KindOf(aJob.Spec(), spec);
+  if (spec.m_gang) {
+    // Its members end together, with the slowest one.
+    if (aJob.Step(aTask.m_step).m_done == 0) {
+      m_runtimes.OnDone(kind,
+                        spec.m_estimate,
+                        Scale(taken, 1 / SlownessOfGang(aJob, aTask.m_step)));
+    }
     return;
   }
-  const double ratio =
-    std::chrono::duration<double>(aNow - aPlacement.m_since) /
-    std::chrono::duration<double>(estimate);
+  const Duration expected = m_runtimes.Expect(kind, spec.m_estimate).m_typical;
+  const double ratio = std::chrono::duration<double>(taken) /
+                       std::chrono::duration<double>(expected);
+  m_runtimes.OnDone(
+    kind, spec.m_estimate, Scale(taken, 1 / SlownessOf(aWorker)));
   aWorker.m_runtimeRatio.Add(ratio);
   // Each worker contributes its fraction to the mean of all.
   const double share = 1.0 / static_cast<double>(m_workers.size());
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -594,6 +594,7 @@
   std::erase_if(eligible, [&](const WorkerRecord* aWorker) {
     return spec.m_sameRack && aWorker->m_info.m_rack != *rack;
   });
+  PreferOneSpeed(aCandidate, eligible);
   // Uses as few workers as possible, since the gang fails if any of them fails.
   std::ranges::sort(eligible, {}, [&](const WorkerRecord* aWorker) {
     return std::tuple(
@@ -650,6 +651,25 @@
   return false;
 }
 
+void
+PoolScheduler::PreferOneSpeed(const Candidate& aCandidate,
+                              std::vector<WorkerRecord*>& aWorkers) const
+{
+  // A gang is as slow as its slowest member, and its other members hold their
+  // workers meanwhile.
+  std::vector<WorkerRecord*> sound;
+  std::uint32_t capacity = 0;
+  for (WorkerRecord* worker : aWorkers) {
+    if (SpeedOf(worker->m_runtimeRatio, m_runtimeRatio) <= SpeedClass::Usual) {
+      sound.push_back(worker);
+      capacity += TasksThatFitOn(*worker, aCandidate);
+    }
+  }
+  if (capacity >= aCandidate.Spec().m_tasks) {
+    aWorkers = std::move(sound);
+  }
+}
+
 void
 PoolScheduler::ReserveFor(const Candidate& aCandidate,
                           std::set<WorkerId>& aReserved)
@@ -706,6 +726,7 @@
   placement.m_team = job.m_team;
   placement.m_since = aNow;
   placement.m_progressAt = aNow;
+  placement.m_resumed = !task.m_checkpoint.empty();
   AddPlacement(aWorker, ref, placement);
   StartTask start{ aWorker.m_info.m_id, ref, aRun, job.m_payload,
                    task.m_checkpoint,   {} };
--- a/src/pool/TrackedJob.cpp
+++ b/src/pool/TrackedJob.cpp
@@ -38,9 +38,11 @@
 TrackedJob::TrackedJob(Job aJob,
                        const QueueRule& aQueue,
                        Time aAccepted,
-                       const JobProgress& aProgress)
+                       const JobProgress& aProgress,
+                       std::vector<Duration> aRuntimes)
   : m_job(std::move(aJob))
   , m_state(aProgress.m_state)
+  , m_runtimes(std::move(aRuntimes))
   , m_accepted(aAccepted)
 {
   m_chain.resize(m_job.m_steps.size());
@@ -84,7 +86,7 @@
       longestRest = std::max(longestRest, m_chain[next]);
     }
   }
-  return m_job.m_steps[aStep].m_estimate + longestRest;
+  return m_runtimes[aStep] + longestRest;
 }
 
 bool
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -88,11 +88,13 @@
 {
 public:
   /// The queue's rule gives the objective; `aProgress` is what an earlier
-  /// leader stored, if anything.
+  /// leader stored, if anything; `aRuntimes` is how long a task of each step is
+  /// expected to take.
   TrackedJob(Job aJob,
              const QueueRule& aQueue,
              Time aAccepted,
-             const JobProgress& aProgress);
+             const JobProgress& aProgress,
+             std::vector<Duration> aRuntimes);
 
   const Job& Spec() const { return m_job; }
   JobState State() const { return m_state; }
@@ -114,9 +116,13 @@
   bool AllStarted() const;
 
   /// Latest time at which a step can start such that the job still ends within
-  /// its objective, as far as the estimates tell.
+  /// its objective, as far as the expected run times tell.
   Time LatestStart(std::uint32_t aStep) const;
   Time Accepted() const { return m_accepted; }
+  Duration ExpectedRuntime(std::uint32_t aStep) const
+  {
+    return m_runtimes[aStep];
+  }
   /// Three times the objective; users don't value work that ends later.
   Time LatestUsefulEnd() const { return m_latestUsefulEnd; }
 
@@ -137,7 +143,8 @@
   Job m_job;
   JobState m_state = JobState::Pending;
   std::vector<StepRecord> m_steps;
-  std::vector<Duration> m_chain; ///< estimated work from each step's start
+  std::vector<Duration> m_runtimes; ///< expected, of one task of each step
+  std::vector<Duration> m_chain;    ///< expected work from each step's start
   Time m_accepted{};
   Time m_objective{};
   Time m_latestUsefulEnd{};
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -68,6 +68,7 @@
   /// The worker reports it, and this leader does not know its job yet.
   bool m_unknown = false;
   bool m_adopted = false; ///< started by an earlier leader
+  bool m_resumed = false; ///< it continues from a checkpoint
 };
 
 /// One run in a worker's inventory.
@@ -106,8 +107,8 @@
   bool Lists(const TaskRef& aTask, RunNumber aRun) const;
 };
 
-/// How long tasks take on a worker, as a mean of time over estimate. Estimates
-/// are rough, so only the ratios of different workers are compared.
+/// How long tasks take on a worker, as a mean of the time over the expected
+/// one. Only the ratios of different workers are compared.
 class RuntimeRatio
 {
 public:
