Name cordoned workers and unrunnable jobs in the field's terms; drain counts as cordoned

Workers that drain get no new tasks, so that the row of the leader can list their runs as it does for silent ones; four workers that had left during a change of leader had held up all loaded tasks for 5.9 s.

--- a/src/edge/Leadership.cpp
+++ b/src/edge/Leadership.cpp
@@ -211,7 +211,7 @@
       { { "term", static_cast<std::int64_t>(m_election.Term()) } });
     pool::RecordedWorkers workers = m_leader->WorkersToRecord();
     m_election.SetWorkers(std::move(workers.m_workers),
-                          std::move(workers.m_silent));
+                          std::move(workers.m_cordoned));
     m_election.SetSettled(m_leader->IsSettled());
   }
   m_election.Resign();
@@ -295,7 +295,7 @@
       m_election.RenewSoon();
     }
     m_election.SetWorkers(std::move(workers.m_workers),
-                          std::move(workers.m_silent));
+                          std::move(workers.m_cordoned));
     m_election.SetSettled(m_leader->IsSettled());
     // A write with unknown outcome may still be applied and record other
     // workers.
--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -72,7 +72,7 @@
   , m_planTimer(aContext.m_loop, kPlanPeriod, [this] { Plan(); })
   , m_previousWorkers(aClaim.m_workers.size())
 {
-  m_scheduler.SetPreviousRuns(aClaim.m_silent);
+  m_scheduler.SetPreviousRuns(aClaim.m_cordoned);
   if (m_unseenAfter) {
     m_scheduler.SetPreviousEnded();
   }
@@ -714,7 +714,7 @@
   for (const JobId& job : actions.m_lookups) {
     LookUp(job, JobSource::LookUp);
   }
-  LogHopeless(actions);
+  LogUnrunnable(actions);
   if (m_scheduler.HasUnsaved()) {
     m_hooks.m_onUnsaved();
   }
@@ -722,17 +722,17 @@
 }
 
 void
-PoolLeader::LogHopeless(const pool::Actions& aActions)
+PoolLeader::LogUnrunnable(const pool::Actions& aActions)
 {
   for (const JobId& job : aActions.m_failingJobs) {
-    m_context.m_metrics.Add(observe::Metric::HopelessJobs,
+    m_context.m_metrics.Add(observe::Metric::UnrunnableJobs,
                             { "fails_everywhere" });
     m_context.m_log.Write(settings::LogLevel::Info,
                           "job_fails_everywhere",
                           { { "request", job.Value() } });
   }
   for (const JobId& job : aActions.m_tooLargeJobs) {
-    m_context.m_metrics.Add(observe::Metric::HopelessJobs, { "too_large" });
+    m_context.m_metrics.Add(observe::Metric::UnrunnableJobs, { "too_large" });
     m_context.m_log.Write(
       settings::LogLevel::Info,
       "gang_too_large",
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -164,7 +164,7 @@
   void ExpireJobs();
   void Plan();
   /// Logs jobs that were found to fail on every worker or to fit on none.
-  void LogHopeless(const pool::Actions& aActions);
+  void LogUnrunnable(const pool::Actions& aActions);
   /// Reads an unknown job and its progress, until it is found or is known not
   /// to exist.
   void LookUp(const JobId& aJob, JobSource aSource);
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -237,7 +237,7 @@
   // An earlier copy may have started it; the stop that follows also makes the
   // worker refuse a copy that is still under way.
   if (m_scheduler.IsForEarlierIncarnation(aStart) ||
-      m_scheduler.IsToLeaveWorker(aStart)) {
+      m_scheduler.IsForDrainingWorker(aStart)) {
     m_scheduler.AbandonStart(now, aStart);
     m_hooks.m_onChange();
     return;
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -60,7 +60,7 @@
   { Metric::CancellationDelaySeconds, "lacewing_cancellation_delay_seconds", Histogram, "seconds", "source", "Time from a caller's cancellation until the pool's leader knows of it, by the clocks of both VMs; source is load, reload, watch or front.", "above 2 s" },
   { Metric::JobViewAgeSeconds, "lacewing_job_view_age_seconds", Histogram, "seconds", "", "How old the leader's view of the stored jobs and cancellations was as the store's next answer renewed it.", "above 2 s" },
   { Metric::RelayOrders, "lacewing_relay_orders_total", Counter, "orders", "verdict", "Orders of the pool's leader for workers that this process has received as a relay, by verdict: accepted, late, superseded or repeated.", "late grows for 10 s" },
-  { Metric::HopelessJobs, "lacewing_hopeless_jobs_total", Counter, "jobs", "reason", "Jobs of the pool that hold up no others since they can't run, by reason: fails_everywhere (a step failed on several workers and nothing of it is done) or too_large (a gang that all usable workers together can't hold).", "grows for 1 minute" },
+  { Metric::UnrunnableJobs, "lacewing_unrunnable_jobs_total", Counter, "jobs", "reason", "Jobs of the pool that hold up no others since they can't run, by reason: fails_everywhere (a step failed on several workers and nothing of it is done) or too_large (a gang that all usable workers together can't hold).", "grows for 1 minute" },
   { Metric::ClientOverload, "lacewing_client_overload_total", Counter, "connections and requests", "listener,action", "Clients that exceeded the limits of a listener (callers, probe, peers or relay), by action: closed (a connection) or refused (a request, with 503).", "grows" },
 };
 // clang-format on
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -41,7 +41,7 @@
   CancellationDelaySeconds,
   JobViewAgeSeconds,
   RelayOrders,
-  HopelessJobs,
+  UnrunnableJobs,
   ClientOverload,
 };
 
--- a/src/pool/FailureEvidence.cpp
+++ b/src/pool/FailureEvidence.cpp
@@ -9,7 +9,7 @@
 /// A step that has failed on so many different workers, and of which nothing is
 /// done, is at fault. Few workers fail at a time, so that tasks of a sound step
 /// rarely meet two of them before another task is done.
-constexpr std::size_t kWorkersToBlameStep = 2;
+constexpr std::size_t kWorkersOfFaultyStep = 2;
 /// Failures in a row after which a worker gets no tasks for a while. A single
 /// failure is mostly the fault of the task itself; two in a row on one worker
 /// are rare.
@@ -26,12 +26,12 @@
 StepFailures::OnFailure(const WorkerId& aWorker, std::size_t aWorkers)
 {
   if (std::ranges::find(m_workers, aWorker) == m_workers.end() &&
-      m_workers.size() < kWorkersToBlameStep) {
+      m_workers.size() < kWorkersOfFaultyStep) {
     m_workers.push_back(aWorker);
   }
   const bool wasAtFault = m_atFault;
   m_atFault =
-    !m_done && m_workers.size() >= std::min(kWorkersToBlameStep, aWorkers);
+    !m_done && m_workers.size() >= std::min(kWorkersOfFaultyStep, aWorkers);
   return m_atFault && !wasAtFault;
 }
 
@@ -62,7 +62,7 @@
 }
 
 void
-WorkerFailures::Forgive(const StepId& aStep)
+WorkerFailures::Discard(const StepId& aStep)
 {
   if (std::erase(m_steps, aStep) > 0 && m_steps.size() < kFailuresToAvoid) {
     m_avoidUntil = {};
--- a/src/pool/FailureEvidence.h
+++ b/src/pool/FailureEvidence.h
@@ -40,7 +40,7 @@
   void OnFailure(Time aNow, const StepId& aStep);
   void OnSuccess();
   /// Forgets the failures of a step that is at fault itself.
-  void Forgive(const StepId& aStep);
+  void Discard(const StepId& aStep);
   /// The worker gets no new tasks before that time.
   Time AvoidUntil() const { return m_avoidUntil; }
 
--- a/src/pool/JobRows.cpp
+++ b/src/pool/JobRows.cpp
@@ -86,10 +86,10 @@
 
 /// Each worker with its runs: [name, [[job, step, index], ...]].
 Json
-EncodeSilent(const std::vector<SilentWorker>& aWorkers)
+EncodeCordoned(const std::vector<CordonedWorker>& aWorkers)
 {
   Json result = Json::array();
-  for (const SilentWorker& worker : aWorkers) {
+  for (const CordonedWorker& worker : aWorkers) {
     Json runs = Json::array();
     for (const TaskRef& run : worker.m_runs) {
       runs.push_back({ run.m_job.Value(), run.m_step, run.m_index });
@@ -99,12 +99,12 @@
   return result;
 }
 
-std::vector<SilentWorker>
-DecodeSilent(const Json& aJson)
+std::vector<CordonedWorker>
+DecodeCordoned(const Json& aJson)
 {
-  std::vector<SilentWorker> result;
+  std::vector<CordonedWorker> result;
   for (const Json& item : aJson) {
-    SilentWorker& worker = result.emplace_back();
+    CordonedWorker& worker = result.emplace_back();
     worker.m_worker = WorkerId(item.at(0).get<std::string>());
     for (const Json& run : item.at(1)) {
       worker.m_runs.push_back({ JobId(run.at(0).get<std::string>()),
@@ -223,7 +223,7 @@
                 { "incarnation", aRow.m_incarnation },
                 { "term", aRow.m_term },
                 { "workers", EncodeIds(aRow.m_workers) },
-                { "silent", EncodeSilent(aRow.m_silent) },
+                { "cordoned", EncodeCordoned(aRow.m_cordoned) },
                 { "settled", aRow.m_settled },
                 { "renewal_grace_ms", ToMilliseconds(aRow.m_renewalGrace) } });
 }
@@ -300,8 +300,8 @@
     for (auto& name : TypedField<std::vector<std::string>>(json, "workers")) {
       row.m_workers.emplace_back(std::move(name));
     }
-    if (json.contains("silent")) {
-      row.m_silent = DecodeSilent(ArrayField(json, "silent"));
+    if (json.contains("cordoned")) {
+      row.m_cordoned = DecodeCordoned(ArrayField(json, "cordoned"));
     }
     row.m_settled = json.value("settled", false);
     if (json.contains("renewal_grace_ms")) {
--- a/src/pool/JobRows.h
+++ b/src/pool/JobRows.h
@@ -97,13 +97,14 @@
   bool operator==(const JobProgress&) const = default;
 };
 
-/// A worker that its leader has lost contact with and gives no new tasks.
-struct SilentWorker
+/// A worker to which its leader gives no new tasks: it drains, or has not
+/// answered lately.
+struct CordonedWorker
 {
   WorkerId m_worker;
   std::vector<TaskRef> m_runs; ///< all that may go on there
 
-  bool operator==(const SilentWorker&) const = default;
+  bool operator==(const CordonedWorker&) const = default;
 };
 
 /// Longest time by which a leader's row can extend the wait of its successors.
@@ -117,7 +118,7 @@
   std::uint64_t m_term = 0; ///< fencing token of the leader at all workers
   /// Workers on which any of its tasks may run.
   std::vector<WorkerId> m_workers;
-  std::vector<SilentWorker> m_silent = {};
+  std::vector<CordonedWorker> m_cordoned = {};
   /// No leader before this one can send commands, and none of its leases is
   /// valid any more.
   bool m_settled = false;
--- a/src/pool/LeaderElection.cpp
+++ b/src/pool/LeaderElection.cpp
@@ -103,7 +103,7 @@
   ElectionAction action{ aStep, m_version, m_self };
   action.m_row.m_term = aTerm;
   action.m_row.m_workers = m_workers;
-  action.m_row.m_silent = m_silent;
+  action.m_row.m_cordoned = m_cordoned;
   action.m_row.m_settled = m_settled;
   action.m_row.m_renewalGrace = RenewalGrace(aStep);
   if (m_resigned) {
@@ -142,7 +142,7 @@
     // Tasks of the previous leader may run on its workers until they report to
     // this one, so the row must still name them for a successor.
     m_workers = m_row.m_workers;
-    m_silent = m_row.m_silent;
+    m_cordoned = m_row.m_cordoned;
     m_settled = false;
     return Write(aNow, ElectionStep::Claim, m_row.m_term + 1);
   }
@@ -252,7 +252,7 @@
   }
   m_row = aLeader;
   m_row.m_workers.clear();
-  m_row.m_silent.clear();
+  m_row.m_cordoned.clear();
   m_probeResult = LeaderProbeResult::Leads;
   m_changedAt = aNow;
   // A claim needs the version of the row and the workers that it names.
--- a/src/pool/LeaderElection.h
+++ b/src/pool/LeaderElection.h
@@ -116,10 +116,10 @@
   /// Workers to be named in the next renewal, and those that the leader has
   /// lost contact with.
   void SetWorkers(std::vector<WorkerId> aWorkers,
-                  std::vector<SilentWorker> aSilent)
+                  std::vector<CordonedWorker> aCordoned)
   {
     m_workers = std::move(aWorkers);
-    m_silent = std::move(aSilent);
+    m_cordoned = std::move(aCordoned);
   }
   /// Whether the next renewal marks the leadership as settled.
   void SetSettled(bool aSettled) { m_settled = aSettled; }
@@ -158,7 +158,7 @@
   Time m_retryAt = Time::min();
   LeaderProbeResult m_probeResult = LeaderProbeResult::Leads;
   std::vector<WorkerId> m_workers;
-  std::vector<SilentWorker> m_silent;
+  std::vector<CordonedWorker> m_cordoned;
   bool m_settled = false;
   Duration m_loopLag{};
   bool m_loading = false;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -20,7 +20,7 @@
 constexpr int kTurnsOfACommand = 3;
 /// Runs that a leader's row lists at most, so that it stays far below the 64 kB
 /// of a row; further workers are named as ones that may run anything.
-constexpr std::size_t kMostRecordedRuns = 500;
+constexpr std::size_t kMostRecordedRuns = 800;
 /// Leases are extended before they end, also with both of these.
 constexpr Duration kMostAllowance = milliseconds(1500);
 constexpr Duration kMostExtensionPause = seconds(1);
@@ -63,9 +63,9 @@
 }
 
 void
-PoolScheduler::SetPreviousRuns(const std::vector<SilentWorker>& aSilent)
+PoolScheduler::SetPreviousRuns(const std::vector<CordonedWorker>& aCordoned)
 {
-  for (const SilentWorker& worker : aSilent) {
+  for (const CordonedWorker& worker : aCordoned) {
     m_unreportedRuns[worker.m_worker] = worker.m_runs;
   }
 }
@@ -413,10 +413,11 @@
 }
 
 bool
-PoolScheduler::IsInContact(Time aNow, const WorkerRecord& aWorker) const
+PoolScheduler::IsCordoned(Time aNow, const WorkerRecord& aWorker) const
 {
-  return aWorker.m_listed && !aWorker.m_silent &&
-         aNow <
+  return !aWorker.m_listed || aWorker.m_silent || aWorker.m_evacuated ||
+         aWorker.m_info.m_draining || aWorker.HasTimedOut(aNow) ||
+         aNow >=
            aWorker.m_lastResponse + kUnresponsiveAfter + ResponseAllowance();
 }
 
@@ -426,26 +427,24 @@
   RecordedWorkers result;
   std::size_t runs = 0;
   for (auto& [id, worker] : m_workers) {
-    const bool lost = !worker.HasTimedOut(aNow) && !IsInContact(aNow, worker);
+    const std::size_t present = worker.m_placements.size();
     const bool listsRuns =
-      (lost || worker.HasTimedOut(aNow)) &&
-      runs + worker.m_placements.size() <= kMostRecordedRuns;
-    worker.m_toRecord =
-      !listsRuns && (!worker.HasTimedOut(aNow) || !worker.m_placements.empty());
+      IsCordoned(aNow, worker) && runs + present <= kMostRecordedRuns;
+    worker.m_toRecord = !listsRuns;
     if (worker.m_toRecord) {
       result.m_workers.push_back(id);
       continue;
     }
     worker.m_recorded = false;
-    if (worker.m_placements.empty()) {
+    if (present == 0) {
       continue;
     }
-    SilentWorker& silent = result.m_silent.emplace_back();
-    silent.m_worker = id;
+    CordonedWorker& cordoned = result.m_cordoned.emplace_back();
+    cordoned.m_worker = id;
     for (const auto& [task, placement] : worker.m_placements) {
-      silent.m_runs.push_back(task);
+      cordoned.m_runs.push_back(task);
     }
-    runs += silent.m_runs.size();
+    runs += present;
   }
   for (const WorkerId& id : m_unreportedWorkers) {
     const auto it = m_workers.find(id);
@@ -454,7 +453,7 @@
     }
   }
   for (const auto& [id, unreported] : m_unreportedRuns) {
-    result.m_silent.push_back({ id, unreported });
+    result.m_cordoned.push_back({ id, unreported });
   }
   return result;
 }
@@ -584,7 +583,7 @@
 }
 
 bool
-PoolScheduler::IsToLeaveWorker(const StartTask& aStart) const
+PoolScheduler::IsForDrainingWorker(const StartTask& aStart) const
 {
   const auto worker = m_workers.find(aStart.m_worker);
   return worker != m_workers.end() &&
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -122,7 +122,7 @@
 struct RecordedWorkers
 {
   std::vector<WorkerId> m_workers; ///< any task may run there
-  std::vector<SilentWorker> m_silent;
+  std::vector<CordonedWorker> m_cordoned;
 
   bool operator==(const RecordedWorkers&) const = default;
 };
@@ -156,7 +156,7 @@
   /// Runs that may go on at workers that the previous leader had lost contact
   /// with; their tasks wait like those that may run on its other workers, but
   /// no other task waits for these.
-  void SetPreviousRuns(const std::vector<SilentWorker>& aSilent);
+  void SetPreviousRuns(const std::vector<CordonedWorker>& aCordoned);
   /// All earlier leaders have ended: none can hear of jobs any more.
   void SetPreviousEnded() { m_previousEnded = true; }
   /// Adds a job that this leader learns of. Known jobs are left as they are.
@@ -270,7 +270,7 @@
   bool IsBeingStopped(const StartTask& aStart) const;
   /// True if the worker takes no new tasks any more, so that the start must not
   /// be sent again.
-  bool IsToLeaveWorker(const StartTask& aStart) const;
+  bool IsForDrainingWorker(const StartTask& aStart) const;
   /// True if the worker has reported the run.
   bool IsListed(const StartTask& aStart) const;
   /// True if the worker has restarted since the start was decided. The present
@@ -461,8 +461,8 @@
   {
     return !m_unreportedWorkers.empty() || IsUnreportedRun(aTask);
   }
-  /// False if the worker gets no commands that start tasks.
-  bool IsInContact(Time aNow, const WorkerRecord& aWorker) const;
+  /// True if the worker gets no commands that start tasks.
+  bool IsCordoned(Time aNow, const WorkerRecord& aWorker) const;
   bool AwaitsFirstInventories(Time aNow) const;
   /// True while a worker of the previous leader that still holds a lease has
   /// listed only some of its ends.
@@ -601,8 +601,8 @@
   std::uint64_t m_term;
   std::set<WorkerId>
     m_unreportedWorkers; ///< the previous leader's, not reported yet
-  /// Runs on workers that the previous leader had lost contact with and that
-  /// have not reported.
+  /// Runs on workers that the previous leader had cordoned and that have not
+  /// reported.
   std::map<WorkerId, std::vector<TaskRef>> m_unreportedRuns;
   bool m_allReported = false;       ///< that may run any task
   bool m_unreportedChanged = false; ///< since the marks of tasks were cleared
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -264,7 +264,7 @@
   if (failures.OnFailure(aWorker.m_info.m_id, m_workers.size())) {
     m_failingJobs.push_back(aTask.m_job);
     for (auto& [id, worker] : m_workers) {
-      worker.m_failures.Forgive(step);
+      worker.m_failures.Discard(step);
     }
   }
   if (!failures.IsAtFault()) {
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -657,16 +657,16 @@
 {
   // A gang is as slow as its slowest member, and its other members hold their
   // workers meanwhile.
-  std::vector<WorkerRecord*> sound;
+  std::vector<WorkerRecord*> preferred;
   std::uint32_t capacity = 0;
   for (WorkerRecord* worker : aWorkers) {
     if (SpeedOf(worker->m_runtimeRatio, m_runtimeRatio) <= SpeedClass::Usual) {
-      sound.push_back(worker);
+      preferred.push_back(worker);
       capacity += TasksThatFitOn(*worker, aCandidate);
     }
   }
   if (capacity >= aCandidate.Spec().m_tasks) {
-    aWorkers = std::move(sound);
+    aWorkers = std::move(preferred);
   }
 }
 
--- a/tests/correctness/PoolFailureEvidence.cpp
+++ b/tests/correctness/PoolFailureEvidence.cpp
@@ -61,7 +61,7 @@
   failures.OnFailure(kStart, kStep);
   failures.OnFailure(kStart, kStep);
   ASSERT_GT(failures.AvoidUntil(), kStart);
-  failures.Forgive(kStep);
+  failures.Discard(kStep);
   EXPECT_LE(failures.AvoidUntil(), kStart);
 }
 
@@ -71,7 +71,7 @@
   failures.OnFailure(kStart, kStep);
   failures.OnFailure(kStart, kOtherStep);
   failures.OnFailure(kStart, kOtherStep);
-  failures.Forgive(kStep);
+  failures.Discard(kStep);
   EXPECT_GT(failures.AvoidUntil(), kStart);
 }
 
--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -117,6 +117,13 @@
   EXPECT_GT(ViolationsOf(options), 0U);
 }
 
+TEST(PoolHistories, ChecksDetectASuccessorThatIgnoresRunsOfCordonedWorkers)
+{
+  PoolSimulationOptions options;
+  options.m_waitForCordonedRuns = false;
+  EXPECT_GT(ViolationsOf(options), 0U);
+}
+
 TEST(PoolHistories, ChecksDetectWorkersThatAcceptCommandsOfDeposedLeaders)
 {
   PoolSimulationOptions options;
--- a/tests/correctness/PoolLeaderChange.cpp
+++ b/tests/correctness/PoolLeaderChange.cpp
@@ -232,7 +232,7 @@
 /// Load pattern: a few workers had left or were silent when the leader was
 /// killed. All loaded tasks waited six seconds for these, also on workers that
 /// had answered.
-TEST(PoolLeaderChange, OnlyTasksOfSilentWorkersWaitForThem)
+TEST(PoolLeaderChange, OnlyTasksOfCordonedWorkersWaitForThem)
 {
   PoolFixture fixture(
     { PoolWorker("w1"), PoolWorker("w2") }, PoolSample(), 2, { kW2 });
@@ -258,7 +258,7 @@
   EXPECT_TRUE(fixture.m_scheduler.IsSettled());
 }
 
-TEST(PoolLeaderChange, SilentWorkerThatReportsReleasesItsTasks)
+TEST(PoolLeaderChange, CordonedWorkerThatReportsReleasesItsTasks)
 {
   PoolFixture fixture(
     { PoolWorker("w1"), PoolWorker("w2") }, PoolSample(), 2, {});
@@ -274,28 +274,28 @@
   EXPECT_EQ(fixture.Plan().m_starts.size(), 1U);
 }
 
-/// A successor that is replaced before a silent worker has reported must pass
+/// A successor that is replaced before a cordoned worker has reported must pass
 /// on what may run there.
-TEST(PoolLeaderChange, RunsOfSilentWorkersStayInTheRowUntilTheyReport)
+TEST(PoolLeaderChange, RunsOfCordonedWorkersStayInTheRowUntilTheyReport)
 {
   PoolFixture fixture(
     { PoolWorker("w1"), PoolWorker("w2") }, PoolSample(), 2, {});
-  const std::vector<pool::SilentWorker> silent{
+  const std::vector<pool::CordonedWorker> cordoned{
     { kW1, { { JobId("lost"), 0, 0 } } }
   };
-  fixture.m_scheduler.SetPreviousRuns(silent);
+  fixture.m_scheduler.SetPreviousRuns(cordoned);
   fixture.ReportInventory(kW2, {}, {});
   fixture.Plan();
-  EXPECT_EQ(fixture.m_scheduler.ListWorkersToRecord(fixture.m_now).m_silent,
-            silent);
+  EXPECT_EQ(fixture.m_scheduler.ListWorkersToRecord(fixture.m_now).m_cordoned,
+            cordoned);
   fixture.ReportInventory(kW1, {}, {});
   fixture.Plan();
   EXPECT_TRUE(
-    fixture.m_scheduler.ListWorkersToRecord(fixture.m_now).m_silent.empty());
+    fixture.m_scheduler.ListWorkersToRecord(fixture.m_now).m_cordoned.empty());
 }
 
-/// A gang of which one member runs on a silent worker may be whole.
-TEST(PoolLeaderChange, GangWithAMemberOnASilentWorkerIsNotStopped)
+/// A gang of which one member runs on a cordoned worker may be whole.
+TEST(PoolLeaderChange, GangWithAMemberOnACordonedWorkerIsNotStopped)
 {
   PoolFixture fixture(
     { PoolWorker("w1"), PoolWorker("w2") }, PoolSample(), 2, { kW2 });
--- a/tests/correctness/PoolRecordedWorkers.cpp
+++ b/tests/correctness/PoolRecordedWorkers.cpp
@@ -56,9 +56,9 @@
   fixture.m_now += seconds(3);
   const auto recorded = fixture.m_scheduler.ListWorkersToRecord(fixture.m_now);
   EXPECT_FALSE(Contains(recorded.m_workers, kW1));
-  const std::vector<pool::SilentWorker> expected{ { kW1,
-                                                    { starts[0].m_task } } };
-  EXPECT_EQ(recorded.m_silent, expected);
+  const std::vector<pool::CordonedWorker> expected{ { kW1,
+                                                      { starts[0].m_task } } };
+  EXPECT_EQ(recorded.m_cordoned, expected);
 }
 
 /// The stored row says which runs may go on at the worker, so it must not get
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -38,7 +38,7 @@
   bool m_waitForPreviousWorkers = true;
   /// Likewise, if false: the successor does not wait for the runs on workers
   /// that its predecessor had lost contact with.
-  bool m_waitForSilentRuns = true;
+  bool m_waitForCordonedRuns = true;
   /// Likewise, if false: workers execute commands of deposed leaders.
   bool m_workersCheckTerms = true;
   /// Likewise, if false: a start without a reply counts as not sent.
@@ -224,8 +224,8 @@
     // A deposed leader stops within 0.8 s here; its leases expire later.
     leader->m_scheduler = std::make_unique<pool::PoolScheduler>(
       m_now, m_term, previous, m_now + seconds(7));
-    if (m_options.m_waitForSilentRuns) {
-      leader->m_scheduler->SetPreviousRuns(m_rowWorkers.m_silent);
+    if (m_options.m_waitForCordonedRuns) {
+      leader->m_scheduler->SetPreviousRuns(m_rowWorkers.m_cordoned);
     }
     leader->m_scheduler->SetConfig(m_now, PoolSample(kTeamLimit));
     leader->m_scheduler->SetWorkers(m_now, m_infos);
