--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -117,11 +117,21 @@
   EXPECT_GT(ViolationsOf(options), 0U);
 }
 
+/// A run has to go on for longer than its worker has been silent before the
+/// change of the leader, which is rare.
 TEST(PoolHistories, ChecksDetectASuccessorThatIgnoresRunsOfCordonedWorkers)
 {
+  constexpr std::uint64_t kMostSeeds = 1000;
   PoolSimulationOptions options;
   options.m_waitForCordonedRuns = false;
-  EXPECT_GT(ViolationsOf(options), 0U);
+  std::size_t violations = 0;
+  for (options.m_seed = 1; options.m_seed <= kMostSeeds && violations == 0;
+       ++options.m_seed) {
+    PoolSimulation simulation(options);
+    simulation.Run();
+    violations = simulation.Violations().size();
+  }
+  EXPECT_GT(violations, 0U);
 }
 
 TEST(PoolHistories, ChecksDetectWorkersThatAcceptCommandsOfDeposedLeaders)
