--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -34,12 +34,6 @@
   /// No task of a job starts later than this after its cancellation was
   /// confirmed.
   Duration m_cancelBound = seconds(3);
-  /// A worker ends a run within this time after a stop.
-  Duration m_stopBound = milliseconds(900);
-  /// Work between two checkpoints of a task, and the time that a run spends
-  /// before it continues from one.
-  Duration m_checkpointInterval = seconds(2);
-  Duration m_resumeTime = milliseconds(600);
   /// Memory that this process may use; 0 if it is not limited.
   std::size_t m_memoryLimitBytes = 0;
   /// File descriptors that this process may use; 0 if they are not limited.
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -153,8 +153,8 @@
   /// itself.
   void SetEvacuations(std::set<DomainId> aDomains);
 
-  /// Runs that may go on at workers that the previous leader had lost contact
-  /// with; their tasks wait like those that may run on its other workers, but
+  /// Runs that may go on at workers that got no new tasks of the previous
+  /// leader. Their tasks wait like those that may run on its other workers, but
   /// no other task waits for these.
   void SetPreviousRuns(const std::vector<CordonedWorker>& aCordoned);
   /// All earlier leaders have ended: none can hear of jobs any more.
