--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -145,9 +145,10 @@
         return;
       }
       std::string outcome = aPage.m_read.m_ok ? "absent" : "not read";
-      for (const auto& [key, row] : aPage.m_read.m_rows) {
+      for (const auto& item : aPage.m_read.m_rows) {
         const auto decoded = TryDecode<bool>([&]() -> Result<bool> {
-          BOOST_LEAF_CHECK(self->m_scheduler.Runtimes().Decode(row.m_value));
+          BOOST_LEAF_CHECK(
+            self->m_scheduler.Runtimes().Decode(item.second.m_value));
           return true;
         });
         outcome = decoded ? "read" : "unreadable";
@@ -669,8 +670,9 @@
   pool::RecordedWorkers workers =
     m_scheduler.ListWorkersToRecord(net::Loop::Now());
   std::ranges::sort(workers.m_workers);
-  const auto [first, last] = std::ranges::unique(workers.m_workers);
-  workers.m_workers.erase(first, last);
+  const auto end =
+    std::unique(workers.m_workers.begin(), workers.m_workers.end());
+  workers.m_workers.erase(end, workers.m_workers.end());
   return workers;
 }
 
