Bound the relay port by its connections, not by shorter frames

Frames of up to 8 MiB are part of the connection's contract and of its test (FrameConnections), which a bound of 2 MiB broke. Four connections hold at most 32 MiB.

--- a/src/edge/RelayServer.cpp
+++ b/src/edge/RelayServer.cpp
@@ -13,7 +13,7 @@
 
 /// One leader sends orders at a time, and its connection may be made anew. More
 /// connections would only take memory, up to a frame each.
-constexpr std::size_t kMostSessions = 16;
+constexpr std::size_t kMostSessions = 4;
 
 /// Answers of this time leave in one frame.
 constexpr Duration kFlushPeriod = milliseconds(4);
--- a/src/net/FrameConnection.h
+++ b/src/net/FrameConnection.h
@@ -32,7 +32,7 @@
 {
 public:
   /// Longest frame; a peer that announces a longer one is cut off.
-  static constexpr std::size_t kMaxFrameBytes = 2 * 1024 * 1024;
+  static constexpr std::size_t kMaxFrameBytes = 8 * 1024 * 1024;
 
   /// Takes over a connected socket.
   FrameConnection(Loop& aLoop, int aSocket, FrameHooks aHooks);
