Log why runs are given up, and lease ends and clocks of starts

The logs told neither why the leader had given the first run up, nor which lease end its start named, nor whether its worker had restarted.

Each run whose end no worker has reported and that is no longer counted on has a line run_given_up: lease ended, former incarnation, not listed, or stop confirmed, with the incarnation known of the worker, the ages, and what was left of the lease. A start line has the lease end that was sent and the worker's clock, as heard before and as in the answer; relays pass the clock on. No decision changes. The optional field of the relay's answer is ignored by daemons without it.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -717,6 +717,7 @@
     LookUp(job, JobSource::LookUp);
   }
   LogUnrunnable(actions);
+  LogGivenUp(actions);
   if (m_scheduler.HasUnsaved()) {
     m_hooks.m_onUnsaved();
   }
@@ -744,6 +745,28 @@
   }
 }
 
+void
+PoolLeader::LogGivenUp(const pool::Actions& aActions)
+{
+  for (const pool::GivenUpRun& run : aActions.m_givenUp) {
+    m_context.m_log.Write(
+      settings::LogLevel::Info,
+      "run_given_up",
+      { { "request", run.m_task.m_job.Value() },
+        { "step", static_cast<std::int64_t>(run.m_task.m_step) },
+        { "task", static_cast<std::int64_t>(run.m_task.m_index) },
+        { "run", static_cast<std::int64_t>(run.m_run) },
+        { "worker", run.m_worker.Value() },
+        { "reason", std::string(NameOf(run.m_reason)) },
+        { "incarnation", run.m_incarnation },
+        { "answered", run.m_answered },
+        { "listed", run.m_listed },
+        { "age_ms", ToMilliseconds(run.m_age) },
+        { "silent_ms", ToMilliseconds(run.m_silence) },
+        { "lease_left_ms", ToMilliseconds(run.m_leaseLeft) } });
+  }
+}
+
 void
 PoolLeader::LookUp(const JobId& aJob, JobSource aSource)
 {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -165,6 +165,8 @@
   void Plan();
   /// Logs jobs that were found to fail on every worker or to fit on none.
   void LogUnrunnable(const pool::Actions& aActions);
+  /// Logs why runs were given up whose end no worker has reported.
+  void LogGivenUp(const pool::Actions& aActions);
   /// Reads an unknown job and its progress, until it is found or is known not
   /// to exist.
   void LookUp(const JobId& aJob, JobSource aSource);
--- a/src/edge/RelayServer.cpp
+++ b/src/edge/RelayServer.cpp
@@ -151,7 +151,8 @@
           self->Reply({ call,
                         aResult.m_state,
                         pool::StartOutcome::Unknown,
-                        aResult.m_inventory });
+                        aResult.m_inventory,
+                        0 });
         }
       });
   }
@@ -160,18 +161,21 @@
                const relay::Order& aOrder,
                const relay::StartCommand& aCommand)
   {
-    m_server.m_workers.Start(
-      aOrder.m_address,
-      aCommand.m_start,
-      aFrame.m_term,
-      aCommand.m_deadlineMs,
-      StartTimeout(aFrame, aOrder),
-      [weak = weak_from_this(),
-       call = aOrder.m_call](const platform::StartResult& aResult) {
-        if (const auto self = weak.lock()) {
-          self->Reply({ call, aResult.m_state, aResult.m_outcome, {} });
-        }
-      });
+    m_server.m_workers.Start(aOrder.m_address,
+                             aCommand.m_start,
+                             aFrame.m_term,
+                             aCommand.m_deadlineMs,
+                             StartTimeout(aFrame, aOrder),
+                             [weak = weak_from_this(), call = aOrder.m_call](
+                               const platform::StartResult& aResult) {
+                               if (const auto self = weak.lock()) {
+                                 self->Reply({ call,
+                                               aResult.m_state,
+                                               aResult.m_outcome,
+                                               {},
+                                               aResult.m_clockMs });
+                               }
+                             });
   }
 
   void Execute(const relay::OrderFrame& aFrame,
@@ -186,7 +190,7 @@
       [weak = weak_from_this(),
        call = aOrder.m_call](platform::CommandState aState) {
         if (const auto self = weak.lock()) {
-          self->Reply({ call, aState, pool::StartOutcome::Unknown, {} });
+          self->Reply({ call, aState, pool::StartOutcome::Unknown, {}, 0 });
         }
       });
   }
--- a/src/edge/WorkerCalls.cpp
+++ b/src/edge/WorkerCalls.cpp
@@ -34,13 +34,14 @@
 {
   const bool relayed =
     m_relays != nullptr &&
-    m_relays->Call(aDomain,
-                   aAddress,
-                   relay::StartCommand{ aStart, aDeadlineMs },
-                   aTimeout,
-                   [aDone](const relay::Answer& aAnswer) {
-                     aDone({ aAnswer.m_state, aAnswer.m_outcome });
-                   });
+    m_relays->Call(
+      aDomain,
+      aAddress,
+      relay::StartCommand{ aStart, aDeadlineMs },
+      aTimeout,
+      [aDone](const relay::Answer& aAnswer) {
+        aDone({ aAnswer.m_state, aAnswer.m_outcome, aAnswer.m_clockMs });
+      });
   if (!relayed) {
     m_client.Start(
       aAddress, aStart, aTerm, aDeadlineMs, aTimeout, std::move(aDone));
--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -249,10 +249,13 @@
     return;
   }
   const auto address = AddressOf(aStart.m_worker);
-  const std::int64_t deadline =
-    m_hooks.m_maySendCommands() ? m_scheduler.NextDeadline(now, aStart.m_worker)
-                                : 0;
-  if (!address || deadline == 0) {
+  StartAttempt attempt{ aStart, aInDoubt, 0, 0 };
+  if (address && m_hooks.m_maySendCommands()) {
+    attempt.m_deadlineMs = m_scheduler.NextDeadline(now, aStart.m_worker);
+    attempt.m_knownClockMs =
+      m_scheduler.Workers().at(aStart.m_worker).m_clockMs;
+  }
+  if (attempt.m_deadlineMs == 0) {
     if (aInDoubt) {
       StartLater(aStart, true);
       return;
@@ -260,57 +263,67 @@
     platform::StartResult result;
     result.m_state = platform::CommandState::NotSent;
     result.m_outcome = pool::StartOutcome::NotSent;
-    m_loop.After(Duration::zero(), [weak = weak_from_this(), aStart, result] {
+    m_loop.After(Duration::zero(), [weak = weak_from_this(), attempt, result] {
       if (const auto self = weak.lock(); self && !self->m_closed) {
-        self->OnStarted(aStart, false, result);
+        self->OnStarted(attempt, result);
       }
     });
     return;
   }
-  m_calls.Start(DomainOf(aStart.m_worker),
-                *address,
-                aStart,
-                m_term,
-                deadline,
-                kCommandTimeout + m_scheduler.CommandAllowance(),
-                [weak = weak_from_this(), aStart, aInDoubt](
-                  const platform::StartResult& aResult) {
-                  if (const auto self = weak.lock(); self && !self->m_closed) {
-                    self->OnStarted(aStart, aInDoubt, aResult);
-                  }
-                });
+  m_calls.Start(
+    DomainOf(aStart.m_worker),
+    *address,
+    aStart,
+    m_term,
+    attempt.m_deadlineMs,
+    kCommandTimeout + m_scheduler.CommandAllowance(),
+    [weak = weak_from_this(), attempt](const platform::StartResult& aResult) {
+      if (const auto self = weak.lock(); self && !self->m_closed) {
+        self->OnStarted(attempt, aResult);
+      }
+    });
 }
 
 void
-WorkerLinks::OnStarted(const pool::StartTask& aStart,
-                       bool aInDoubt,
+WorkerLinks::OnStarted(const StartAttempt& aAttempt,
                        const platform::StartResult& aResult)
 {
   using pool::StartOutcome;
+  const pool::StartTask& start = aAttempt.m_start;
   if (aResult.m_state == platform::CommandState::Fenced) {
-    Fenced(aStart.m_worker);
+    Fenced(start.m_worker);
   }
-  m_log.Write(
-    settings::LogLevel::Info,
-    "start",
-    CommandFields(
-      aStart.m_worker, aStart.m_task, aStart.m_run, NameOf(aResult.m_outcome)));
+  LogStart(aAttempt, aResult);
   const Time now = net::Loop::Now();
   const StartOutcome outcome = aResult.m_outcome;
-  const bool conclusive = outcome == StartOutcome::Started || !aInDoubt;
+  const bool conclusive =
+    outcome == StartOutcome::Started || !aAttempt.m_inDoubt;
   if (outcome != StartOutcome::Unknown && conclusive) {
-    m_scheduler.OnStartOutcome(now, aStart, outcome);
+    m_scheduler.OnStartOutcome(now, start, outcome);
     m_hooks.m_onChange();
     return;
   }
   if (outcome != StartOutcome::Unknown && outcome != StartOutcome::NotSent) {
     // The earlier command may still be executed. A stop makes the worker refuse
     // it.
-    m_scheduler.AbandonStart(now, aStart);
+    m_scheduler.AbandonStart(now, start);
     m_hooks.m_onChange();
     return;
   }
-  StartLater(aStart, true);
+  StartLater(start, true);
+}
+
+void
+WorkerLinks::LogStart(const StartAttempt& aAttempt,
+                      const platform::StartResult& aResult)
+{
+  const pool::StartTask& start = aAttempt.m_start;
+  observe::Fields fields = CommandFields(
+    start.m_worker, start.m_task, start.m_run, NameOf(aResult.m_outcome));
+  fields.emplace_back("deadline_ms", aAttempt.m_deadlineMs);
+  fields.emplace_back("known_clock_ms", aAttempt.m_knownClockMs);
+  fields.emplace_back("clock_ms", aResult.m_clockMs);
+  m_log.Write(settings::LogLevel::Info, "start", fields);
 }
 
 void
--- a/src/edge/WorkerLinks.h
+++ b/src/edge/WorkerLinks.h
@@ -50,12 +50,22 @@
   void OnLeaseExtended(const pool::WorkerId& aWorker,
                        Time aSentAt,
                        const platform::LeaseExtensionResult& aResult);
+  /// One attempt to start a task.
+  struct StartAttempt
+  {
+    pool::StartTask m_start;
+    bool m_inDoubt = false;          ///< an earlier attempt was not answered
+    std::int64_t m_deadlineMs = 0;   ///< lease end sent, on the worker's clock
+    std::int64_t m_knownClockMs = 0; ///< last heard of the worker before it
+  };
+
   void SendStart(const pool::StartTask& aStart, bool aInDoubt);
   void StartLater(const pool::StartTask& aStart, bool aInDoubt);
   void StopLater(const pool::StopTask& aStop);
-  void OnStarted(const pool::StartTask& aStart,
-                 bool aInDoubt,
+  void OnStarted(const StartAttempt& aAttempt,
                  const platform::StartResult& aResult);
+  void LogStart(const StartAttempt& aAttempt,
+                const platform::StartResult& aResult);
   void LogRestart(const pool::WorkerRecord& aWorker,
                   const pool::Inventory& aInventory);
   void LogNewEnds(const pool::WorkerRecord& aWorker,
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -252,7 +252,7 @@
     }
   }
   for (const TaskRef& task : ended) {
-    DropPlacement(aWorker, task);
+    GiveUp(aNow, aWorker, task, GiveUpReason::Restarted);
   }
   WorkerRecord restarted;
   restarted.m_info = std::move(aWorker.m_info);
@@ -746,7 +746,10 @@
     }
     worker->m_leaseCheckDue = false;
     if (aNow > worker->LeaseEnd() + kLeaseMargin) {
-      DropAllPlacements(*worker);
+      while (!worker->m_placements.empty()) {
+        const TaskRef task = worker->m_placements.begin()->first;
+        GiveUp(aNow, *worker, task, GiveUpReason::LeaseEnded);
+      }
     } else if (!worker->m_placements.empty()) {
       CheckLeaseLater(*worker);
     }
@@ -804,12 +807,24 @@
 }
 
 void
-PoolScheduler::DropAllPlacements(WorkerRecord& aWorker)
-{
-  while (!aWorker.m_placements.empty()) {
-    const TaskRef task = aWorker.m_placements.begin()->first;
-    DropPlacement(aWorker, task);
-  }
+PoolScheduler::GiveUp(Time aNow,
+                      WorkerRecord& aWorker,
+                      const TaskRef& aTask,
+                      GiveUpReason aReason)
+{
+  const Placement& placement = aWorker.m_placements.at(aTask);
+  GivenUpRun& run = m_givenUp.emplace_back();
+  run.m_worker = aWorker.m_info.m_id;
+  run.m_task = aTask;
+  run.m_run = placement.m_run;
+  run.m_reason = aReason;
+  run.m_incarnation = aWorker.m_info.m_incarnation;
+  run.m_answered = placement.m_confirmedAt.has_value();
+  run.m_listed = placement.m_wasListed;
+  run.m_age = aNow - placement.m_since;
+  run.m_silence = aNow - aWorker.m_lastResponse;
+  run.m_leaseLeft = aWorker.LeaseEnd() - aNow;
+  DropPlacement(aWorker, aTask);
 }
 
 void
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -14,6 +14,7 @@
 /// confirmed after that view would not end the starts in time.
 #pragma once
 
+#include "pool/GivenUpRun.h"
 #include "pool/PlanPacer.h"
 #include "pool/PoolConfig.h"
 #include "pool/RuntimeModel.h"
@@ -83,6 +84,8 @@
   /// Jobs with a gang that does not fit on all usable workers together, even if
   /// they were empty. No capacity is reserved for it.
   std::vector<JobId> m_tooLargeJobs;
+  /// Runs that were given up since the last plan.
+  std::vector<GivenUpRun> m_givenUp;
   std::size_t m_considered = 0; ///< steps
 };
 
@@ -585,7 +588,11 @@
                     const Placement& aPlacement);
   /// Releases the resources; the task waits again if this was its present run.
   void DropPlacement(WorkerRecord& aWorker, const TaskRef& aTask);
-  void DropAllPlacements(WorkerRecord& aWorker);
+  /// Drops a placement whose end was not reported.
+  void GiveUp(Time aNow,
+              WorkerRecord& aWorker,
+              const TaskRef& aTask,
+              GiveUpReason aReason);
   void MarkDirty(TrackedJob& aJob);
   TrackedJob* Find(const JobId& aJob);
   /// Time by which a worker's next response may be late without its fault.
@@ -638,9 +645,10 @@
   Duration m_longestViewAge{};
   Time m_loadedAt = Time::max();
   Time m_began{};
-  std::vector<StopTask> m_stops;    ///< decided since the last plan
-  std::vector<JobId> m_failingJobs; ///< likewise, found
-  RuntimeRatio m_runtimeRatio;      ///< of all workers
+  std::vector<StopTask> m_stops;     ///< decided since the last plan
+  std::vector<JobId> m_failingJobs;  ///< likewise, found
+  std::vector<GivenUpRun> m_givenUp; ///< likewise
+  RuntimeRatio m_runtimeRatio;       ///< of all workers
   RuntimeModel m_runtimes;
   int m_openPatientRequests =
     0; ///< to the policy service, in flight, for patient steps
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -390,7 +390,7 @@
 }
 
 void
-PoolScheduler::DropMissingRuns(Time,
+PoolScheduler::DropMissingRuns(Time aNow,
                                WorkerRecord& aWorker,
                                const Inventory& aInventory)
 {
@@ -403,7 +403,7 @@
   for (const ReportedRun& run : aInventory.m_running) {
     listed.insert(run.m_task);
   }
-  std::vector<TaskRef> lost;
+  std::vector<std::pair<TaskRef, GiveUpReason>> lost;
   for (auto& [task, placement] : aWorker.m_placements) {
     if (!placement.m_confirmed || listed.contains(task)) {
       continue;
@@ -415,13 +415,16 @@
     const bool refusedSince =
       placement.m_stopConfirmedAt &&
       *placement.m_stopConfirmedAt < aInventory.m_requestedAt;
-    if (endedWithRestart || refusedSince ||
-        placement.m_missingInventories >= kMissingInventoriesForLost) {
-      lost.push_back(task);
+    if (endedWithRestart) {
+      lost.emplace_back(task, GiveUpReason::Restarted);
+    } else if (refusedSince) {
+      lost.emplace_back(task, GiveUpReason::StopConfirmed);
+    } else if (placement.m_missingInventories >= kMissingInventoriesForLost) {
+      lost.emplace_back(task, GiveUpReason::NotListed);
     }
   }
-  for (const TaskRef& task : lost) {
-    DropPlacement(aWorker, task);
+  for (const auto& [task, reason] : lost) {
+    GiveUp(aNow, aWorker, task, reason);
   }
 }
 
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -66,6 +66,7 @@
   actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
   m_lookups.clear();
   actions.m_failingJobs = std::exchange(m_failingJobs, {});
+  actions.m_givenUp = std::exchange(m_givenUp, {});
   if (AwaitsFirstInventories(aNow) || !MayStart(aNow)) {
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
--- a/src/relay/RelayFrames.cpp
+++ b/src/relay/RelayFrames.cpp
@@ -257,6 +257,7 @@
   aOut.set_call(aIn.m_call);
   aOut.set_state(static_cast<std::uint32_t>(aIn.m_state));
   aOut.set_outcome(static_cast<std::uint32_t>(aIn.m_outcome));
+  aOut.set_clock_ms(aIn.m_clockMs);
   if (aIn.m_inventory) {
     Write(*aIn.m_inventory, *aOut.mutable_inventory());
   }
@@ -270,6 +271,7 @@
   answer.m_state = aReader.Value<platform::CommandState>(aIn.state(), "state");
   answer.m_outcome =
     aReader.Value<pool::StartOutcome>(aIn.outcome(), "outcome");
+  answer.m_clockMs = aIn.clock_ms();
   if (aIn.has_inventory()) {
     answer.m_inventory = Read(aIn.inventory(), aReader);
   }
--- a/src/relay/RelayFrames.h
+++ b/src/relay/RelayFrames.h
@@ -59,6 +59,7 @@
   platform::CommandState m_state = platform::CommandState::Unknown;
   pool::StartOutcome m_outcome = pool::StartOutcome::Unknown; ///< of a start
   std::optional<pool::Inventory> m_inventory; ///< of a lease extension
+  std::int64_t m_clockMs = 0; ///< the worker's, in its answer to a start
 };
 
 struct AnswerFrame
