Show two runs of a task after a restart that the leader doesn't hear of

A start without an answer is given up when the lease that the leader has sent is over, 4.9 s after the worker's last response. A worker that has restarted meanwhile takes the lease end for a far one and holds the run for the longest lease. The simulated pool has workers that restart while their answers and entries are cut off, and a tenth of its runs then outlasts the leases; before, no run lasted longer than 1.5 s, so that no history could show this.

--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -187,6 +187,30 @@
   EXPECT_GT(restarts, 0U);
 }
 
+/// A worker that restarted took starts by their lease end on its former clock
+/// and held them for the longest lease. The leader, which heard nothing,
+/// counted with the shorter one that it had sent and started the tasks again
+/// (TWICE).
+TEST(PoolHistories, RestartsThatTheLeaderDoesNotHearOfDuplicateNothing)
+{
+  std::size_t restarts = 0;
+  PoolSimulationOptions options = WithARelay();
+  options.m_leaderChanges = false;
+  options.m_unresponsiveWorkers = false;
+  options.m_restartsBehindCuts = true;
+  for (options.m_seed = 1; options.m_seed <= 3 * kSeeds; ++options.m_seed) {
+    PoolSimulation simulation(options);
+    simulation.Run();
+    EXPECT_EQ(simulation.Completed(), simulation.Jobs())
+      << "seed " << options.m_seed;
+    for (const std::string& violation : simulation.Violations()) {
+      ADD_FAILURE() << "seed " << options.m_seed << ": " << violation;
+    }
+    restarts += simulation.Restarts();
+  }
+  EXPECT_GT(restarts, 0U);
+}
+
 /// Numbers of runs and terms stop most late orders too. What remains is a
 /// worker that has restarted while the relay held an order for it, which is
 /// rare, so histories are played until one shows the fault.
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -117,6 +117,19 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// The leader had no answer to a start and heard nothing of the worker's
+/// restart. It counted with the lease that it had sent, but the new incarnation
+/// held the run for the longest lease: two runs at the same time (TWICE).
+TEST_F(PoolWorkerRestarts, UnansweredStartMayHoldTheLongestLeaseUnheard)
+{
+  Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+  Scheduler().OnNoAnswer(m_start.m_worker);
+  m_fixture.m_now += milliseconds(6100);
+  EXPECT_EQ(StartsNow(), 0U);
+  m_fixture.m_now += seconds(2);
+  EXPECT_EQ(StartsNow(), 1U);
+}
+
 /// A start that an inventory has listed was sent again until it was answered;
 /// the new incarnation could execute a further copy.
 TEST_F(PoolWorkerRestarts, ListedStartIsKnownToTheSender)
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -60,6 +60,9 @@
   /// Workers restart under their ids, at the earliest `kReuseAfter` after their
   /// end. Only with the relay.
   bool m_workersRestart = false;
+  /// Workers restart while their answers and their entries are cut off, but not
+  /// the commands to them. Part of the runs outlast all leases.
+  bool m_restartsBehindCuts = false;
   /// False only to show that the checks detect the fault: the relay passes on
   /// orders of any age, also after a change of the leader.
   bool m_relayChecksOrders = true;
@@ -160,6 +163,7 @@
     Time m_lastLapse{};
     std::map<std::uint64_t, Time> m_endTimes;
     Time m_unresponsiveUntil{};
+    Time m_answersCutUntil{}; ///< commands reach it, and no answer comes back
   };
   struct SimLeader
   {
@@ -418,30 +422,57 @@
     // An order that the relay holds can outlive its worker.
     if (m_options.m_workersRestart &&
         Chance(m_relay.IsPaused() ? 0.008 : 0.002)) {
-      Restart(Pick(0, static_cast<std::uint32_t>(m_infos.size()) - 1));
+      Restart(PickWorker());
     }
+    if (m_options.m_restartsBehindCuts && Chance(0.004)) {
+      RestartBehindCut(PickWorker());
+    }
+  }
+
+  std::size_t PickWorker()
+  {
+    return Pick(0, static_cast<std::uint32_t>(m_infos.size()) - 1);
   }
 
-  /// Ends the worker, and all that it holds and knows; it is back later.
   void Restart(std::size_t aIndex)
   {
-    pool::WorkerInfo& info = m_infos[aIndex];
-    SimWorker& worker = m_workers.at(info.m_id);
-    if (m_now < worker.m_bornAt) {
+    SimWorker& worker = m_workers.at(m_infos[aIndex].m_id);
+    if (m_now < std::max(worker.m_bornAt, worker.m_answersCutUntil)) {
       return;
     }
+    const Time bornAt = m_now + kReuseAfter + Between(0, 2000);
+    Replace(aIndex, bornAt, bornAt + Between(50, 500));
+  }
+
+  void RestartBehindCut(std::size_t aIndex)
+  {
+    SimWorker& worker = m_workers.at(m_infos[aIndex].m_id);
+    if (m_now < std::max(worker.m_bornAt, worker.m_answersCutUntil)) {
+      return;
+    }
+    const Time bornAt = m_now + Between(20, 400);
+    const Time cutUntil = bornAt + Between(500, 9000);
+    Replace(aIndex, bornAt, cutUntil + Between(50, 500));
+    worker.m_answersCutUntil = cutUntil;
+  }
+
+  /// Ends the worker, and all that it holds and knows; its next incarnation
+  /// begins at `aBornAt`, and its entry shows that at `aListedAt`.
+  void Replace(std::size_t aIndex, Time aBornAt, Time aListedAt)
+  {
+    pool::WorkerInfo& info = m_infos[aIndex];
+    SimWorker& worker = m_workers.at(info.m_id);
     SimWorker next;
     next.m_incarnation = worker.m_incarnation + 1;
-    next.m_bornAt = m_now + kReuseAfter + Between(0, 2000);
+    next.m_bornAt = aBornAt;
     worker = next;
     ++m_restarts;
-    At(next.m_bornAt + Between(50, 500),
-       [this, &info, incarnation = next.m_incarnation] {
-         info.m_incarnation = incarnation;
-         for (const auto& leader : m_leaders) {
-           leader->m_scheduler->SetWorkers(m_now, m_infos);
-         }
-       });
+    At(aListedAt, [this, &info, incarnation = next.m_incarnation] {
+      info.m_incarnation = incarnation;
+      for (const auto& leader : m_leaders) {
+        leader->m_scheduler->SetWorkers(m_now, m_infos);
+      }
+    });
   }
 
   static std::int64_t ToWorkerClock(const SimWorker& aWorker, Time aTime)
@@ -563,6 +594,11 @@
     return m_now < worker.m_unresponsiveUntil || m_now < worker.m_bornAt;
   }
 
+  bool AnswersAreCut(const pool::WorkerId& aWorker) const
+  {
+    return m_now < m_workers.at(aWorker).m_answersCutUntil;
+  }
+
   /// Writes the leader's row if the workers to record have changed.
   void Record(const std::shared_ptr<SimLeader>& aLeader)
   {
@@ -650,7 +686,8 @@
                   const pool::Inventory& aInventory,
                   bool& aOpen)
   {
-    if (IsUnresponsive(aWorker) || !std::exchange(aOpen, false)) {
+    if (IsUnresponsive(aWorker) || AnswersAreCut(aWorker) ||
+        !std::exchange(aOpen, false)) {
       return;
     }
     aLeader.m_scheduler->OnInventory(m_now, aWorker, aInventory);
@@ -730,7 +767,7 @@
            return;
          }
          const auto outcome = ExecuteStart(*aLeader, aStart, deadline);
-         if (!late) {
+         if (!late && !AnswersAreCut(aStart.m_worker)) {
            *answered = true;
            AnswerStart(aLeader, aStart, aInDoubt, outcome);
          }
@@ -775,7 +812,9 @@
         const RelaySimulation::Reply& aReply) {
         if (!IsUnresponsive(aStart.m_worker)) {
           const auto outcome = ExecuteStart(*aLeader, aStart, aDeadline);
-          aReply([end, outcome] { end(outcome); });
+          if (!AnswersAreCut(aStart.m_worker)) {
+            aReply([end, outcome] { end(outcome); });
+          }
         }
       },
       [end] { end(pool::StartOutcome::NotSent); });
@@ -835,11 +874,17 @@
       std::to_string(aStart.m_run) + " " + std::to_string(Clock()));
     Extend(worker, aDeadline);
     worker.m_running[aStart.m_task] = { aStart.m_run,
-                                        m_now + Between(100, 1500),
+                                        m_now + RunTime(),
                                         ResourcesOf(aStart.m_task) };
     return StartOutcome::Started;
   }
 
+  Duration RunTime()
+  {
+    const bool isLong = m_options.m_restartsBehindCuts && Chance(0.1);
+    return isLong ? Between(5500, 8000) : Between(100, 1500);
+  }
+
   Resources ResourcesOf(const TaskRef& aTask) const
   {
     return m_jobs.at(aTask.m_job).m_steps[aTask.m_step].m_each;
@@ -953,7 +998,7 @@
     }
     worker.m_past[aStop.m_task] =
       std::max(worker.m_past[aStop.m_task], aStop.m_run);
-    return true;
+    return !AnswersAreCut(aStop.m_worker);
   }
 
   static constexpr Resources kTeamLimit{ 30'000, 0, 0 };
