Wait for the longest lease where a restarted worker may have taken a start

Cause: a command names the worker's id, which a restarted worker keeps. Its clock begins anew, so that it takes the lease end in a start for its former incarnation for a far one and shortens it to the longest lease that it accepts. The leader counted with the lease that it had sent, 4.8 s by the former clock, unless it had heard of the restart. If answers and the worker's entry are cut off it hears nothing, and started the task elsewhere 4.95 s after the worker's last response. Class: a bound that holds for one incarnation of a process is applied to the next one.

Change: the leader keeps the time by which the commands that it has sent have reached the worker or never do. A run that the known incarnation has neither answered nor listed is given up only when the longest lease, counted from then, is over. Runs that the known incarnation holds are given up with their lease as before, so that the loss of a worker costs no more time for these.

Why it works: an incarnation that the leader hasn't heard of can only hold runs by commands sent before, each of which arrives by that time and gives at most the longest lease.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -1,5 +1,9 @@
 #include "edge/WorkerLinks.h"
 
+#include "relay/OrderGate.h"
+
+#include <algorithm>
+
 namespace lacewing::edge {
 
 namespace {
@@ -28,6 +32,14 @@
            { "outcome", std::string(aOutcome) } };
 }
 
+/// Time after which a worker can't have a command any more whose call takes up
+/// to `aCallTime`, also through a relay.
+Duration
+LatestArrival(Duration aCallTime)
+{
+  return std::max(aCallTime + relay::kTransit, relay::kStartDelivery);
+}
+
 /// What the leader knows about the job of a reported end.
 std::string
 KnowledgeOf(const pool::TrackedJob* aJob)
@@ -119,23 +131,25 @@
   extension.m_address = *address;
   extension.m_term = m_term;
   extension.m_savedEnds = worker.SavedEnds();
-  extension.m_deadlineMs = m_scheduler.NextDeadline(net::Loop::Now(), aWorker);
+  const Time sentAt = net::Loop::Now();
+  const Duration wait = kLeaseExtensionWait + m_scheduler.ExtensionPause();
+  const Duration answerTime =
+    kLeaseExtensionTimeout + m_scheduler.CommandAllowance();
+  extension.m_deadlineMs =
+    m_scheduler.NextDeadline(sentAt, aWorker, LatestArrival(wait + answerTime));
   // Without a lease the worker has to respond at once, so that the lease can be
   // extended.
-  extension.m_wait = extension.m_deadlineMs == 0
-                       ? Duration::zero()
-                       : kLeaseExtensionWait + m_scheduler.ExtensionPause();
-  const Time sentAt = net::Loop::Now();
-  m_calls.ExtendLease(
-    worker.m_info.m_domain,
-    extension,
-    extension.m_wait + kLeaseExtensionTimeout + m_scheduler.CommandAllowance(),
-    [weak = weak_from_this(), aWorker, sentAt](
-      const platform::LeaseExtensionResult& aResult) {
-      if (const auto self = weak.lock(); self && !self->m_closed) {
-        self->OnLeaseExtended(aWorker, sentAt, aResult);
-      }
-    });
+  extension.m_wait = extension.m_deadlineMs == 0 ? Duration::zero() : wait;
+  m_calls.ExtendLease(worker.m_info.m_domain,
+                      extension,
+                      extension.m_wait + answerTime,
+                      [weak = weak_from_this(), aWorker, sentAt](
+                        const platform::LeaseExtensionResult& aResult) {
+                        if (const auto self = weak.lock();
+                            self && !self->m_closed) {
+                          self->OnLeaseExtended(aWorker, sentAt, aResult);
+                        }
+                      });
 }
 
 void
@@ -249,9 +263,11 @@
     return;
   }
   const auto address = AddressOf(aStart.m_worker);
+  const Duration callTime = kCommandTimeout + m_scheduler.CommandAllowance();
   StartAttempt attempt{ aStart, aInDoubt, 0, 0 };
   if (address && m_hooks.m_maySendCommands()) {
-    attempt.m_deadlineMs = m_scheduler.NextDeadline(now, aStart.m_worker);
+    attempt.m_deadlineMs =
+      m_scheduler.NextDeadline(now, aStart.m_worker, LatestArrival(callTime));
     attempt.m_knownClockMs =
       m_scheduler.Workers().at(aStart.m_worker).m_clockMs;
   }
@@ -276,7 +292,7 @@
     aStart,
     m_term,
     attempt.m_deadlineMs,
-    kCommandTimeout + m_scheduler.CommandAllowance(),
+    callTime,
     [weak = weak_from_this(), attempt](const platform::StartResult& aResult) {
       if (const auto self = weak.lock(); self && !self->m_closed) {
         self->OnStarted(attempt, aResult);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -238,6 +238,7 @@
   for (auto& [task, placement] : aWorker.m_placements) {
     if (MayRunAfterRestart(task, placement, aInventory)) {
       placement.m_sentBeforeRestart = true;
+      placement.m_isHeld = false;
       if (placement.m_state == PlacementState::Stopping) {
         // The new incarnation does not know of the stop and may still take the
         // start.
@@ -269,6 +270,7 @@
   restarted.m_placements = std::move(aWorker.m_placements);
   restarted.m_unknownRuns = aWorker.m_unknownRuns;
   restarted.m_used = aWorker.m_used;
+  restarted.m_commandsUntil = aWorker.m_commandsUntil;
   if (!restarted.m_placements.empty()) {
     // A start that was sent before the restart names the end of its lease on
     // the clock of the previous incarnation. The new one takes it for a later
@@ -295,6 +297,8 @@
   }
   worker.m_silent = false;
   worker.m_lastResponse = aNow;
+  worker.m_provenAt =
+    std::max(worker.m_provenAt, std::min(aInventory.m_requestedAt, aNow));
   worker.m_clockMs = std::max(worker.m_clockMs, aInventory.m_clockMs);
   if (!worker.m_adopted) {
     worker.m_adopted = true;
@@ -347,6 +351,7 @@
     case StartOutcome::Started:
       placement.m_confirmed = true;
       placement.m_confirmedAt = aNow;
+      placement.m_isHeld = !placement.m_sentBeforeRestart;
       if (placement.m_state == PlacementState::Starting) {
         placement.m_state = PlacementState::Running;
         placement.m_progressAt = aNow;
@@ -530,7 +535,9 @@
 }
 
 std::int64_t
-PoolScheduler::NextDeadline(Time aNow, const WorkerId& aWorker)
+PoolScheduler::NextDeadline(Time aNow,
+                            const WorkerId& aWorker,
+                            Duration aDelivery)
 {
   const auto it = m_workers.find(aWorker);
   if (it == m_workers.end() || it->second.m_clockMs == 0) {
@@ -553,6 +560,7 @@
     worker.m_clockMs + ToMilliseconds(aNow - worker.m_lastResponse) +
     ToMilliseconds(std::min(kLeaseLength, m_longestLease));
   worker.m_deadlineMs = std::max(worker.m_deadlineMs, deadline);
+  worker.m_commandsUntil = std::max(worker.m_commandsUntil, aNow + aDelivery);
   return deadline;
 }
 
@@ -745,22 +753,37 @@
       continue;
     }
     worker->m_leaseCheckDue = false;
-    if (aNow > worker->LeaseEnd() + kLeaseMargin) {
-      while (!worker->m_placements.empty()) {
-        const TaskRef task = worker->m_placements.begin()->first;
-        GiveUp(aNow, *worker, task, GiveUpReason::LeaseEnded);
-      }
-    } else if (!worker->m_placements.empty()) {
-      CheckLeaseLater(*worker);
+    const Time leaseEnd = worker->LeaseEnd() + kLeaseMargin;
+    const bool isOver = aNow > leaseEnd;
+    if (isOver) {
+      GiveUpExpired(aNow, *worker);
+    }
+    if (!worker->m_placements.empty()) {
+      CheckLeaseAfter(isOver ? UnheardLeaseEnd(*worker) : leaseEnd, *worker);
     }
   }
 }
 
 void
-PoolScheduler::CheckLeaseLater(WorkerRecord& aWorker)
+PoolScheduler::GiveUpExpired(Time aNow, WorkerRecord& aWorker)
+{
+  const bool isUnheardOver = aNow > UnheardLeaseEnd(aWorker);
+  std::vector<TaskRef> expired;
+  for (const auto& [task, placement] : aWorker.m_placements) {
+    if (isUnheardOver || !aWorker.MayRunUnheard(placement)) {
+      expired.push_back(task);
+    }
+  }
+  for (const TaskRef& task : expired) {
+    GiveUp(aNow, aWorker, task, GiveUpReason::LeaseEnded);
+  }
+}
+
+void
+PoolScheduler::CheckLeaseAfter(Time aTime, WorkerRecord& aWorker)
 {
   if (!std::exchange(aWorker.m_leaseCheckDue, true)) {
-    m_leaseChecks.emplace(aWorker.LeaseEnd() + kLeaseMargin, aWorker.m_slot);
+    m_leaseChecks.emplace(aTime, aWorker.m_slot);
   }
 }
 
@@ -776,7 +799,7 @@
   }
   aWorker.m_used += aPlacement.m_resources;
   m_teamUse[aPlacement.m_team] += aPlacement.m_resources;
-  CheckLeaseLater(aWorker);
+  CheckLeaseAfter(aWorker.LeaseEnd() + kLeaseMargin, aWorker);
 }
 
 void
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -7,8 +7,10 @@
 /// end is stored or is known to have no effect. A task that may run on a worker
 /// that has not reported to this leader is not started elsewhere until that
 /// worker's lease has expired. A start whose outcome is unknown keeps its
-/// resources and its run number until the worker confirms it or the worker's
-/// lease has expired. Resources are released only when an end is reported.
+/// resources and its run number until the worker confirms it or the longest
+/// lease has expired that the worker can have taken, also after a restart of
+/// which nothing was heard. Resources are released only when an end is
+/// reported.
 ///
 /// Nothing starts by an old view of the stored jobs: a cancellation that is
 /// confirmed after that view would not end the starts in time.
@@ -263,8 +265,11 @@
   bool HasUnsaved() const { return !m_dirty.empty(); }
 
   /// The lease end to send to a worker, on its clock; 0 if it may get none or
-  /// its clock is not known. Counts as sent.
-  std::int64_t NextDeadline(Time aNow, const WorkerId& aWorker);
+  /// its clock is not known. Counts as sent: the worker has it within
+  /// `aDelivery` or never.
+  std::int64_t NextDeadline(Time aNow,
+                            const WorkerId& aWorker,
+                            Duration aDelivery = kUsualDelivery);
   /// True while the command is still needed; false once its outcome no longer
   /// matters.
   bool IsWanted(const StartTask& aStart) const;
@@ -523,8 +528,10 @@
   /// How long the task may go without progress.
   Duration StuckTimeout(const TaskRef& aTask) const;
   void ExpireLeases(Time aNow);
-  /// Makes sure that the end of the worker's lease is looked at.
-  void CheckLeaseLater(WorkerRecord& aWorker);
+  /// Makes sure that the worker's leases are looked at after that time.
+  void CheckLeaseAfter(Time aTime, WorkerRecord& aWorker);
+  /// Gives up the runs of a worker whose lease is over.
+  void GiveUpExpired(Time aNow, WorkerRecord& aWorker);
 
   void OnReportedEnd(Time aNow, WorkerRecord& aWorker, const ReportedEnd& aEnd);
   /// Learns from a whole run how long such tasks take, and how fast the worker
@@ -602,6 +609,12 @@
   }
   /// Workers that have or had a slot.
   WorkerSlot Slots() const { return static_cast<WorkerSlot>(m_bySlot.size()); }
+  /// When no incarnation of the worker can run anything any more without a new
+  /// lease.
+  Time UnheardLeaseEnd(const WorkerRecord& aWorker) const
+  {
+    return aWorker.UnheardLeaseEnd(m_longestLease) + kLeaseMargin;
+  }
   /// Null if the run is not on the worker any more.
   const Placement* PlacementOf(const StartTask& aStart) const;
 
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -295,6 +295,7 @@
   Placement& placement = it->second;
   placement.m_confirmed = true;
   placement.m_wasListed = true;
+  placement.m_isHeld = true;
   placement.m_sentBeforeRestart = false;
   if (placement.m_state == PlacementState::Starting) {
     placement.m_state = PlacementState::Running;
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -97,6 +97,16 @@
   return m_lastResponse + Scale(left, 1 / (1 - kWorkerClockError));
 }
 
+Time
+WorkerRecord::UnheardLeaseEnd(Duration aLongestLease) const
+{
+  // Its clock begins anew, so that it takes the lease end in a command for a
+  // far one and shortens it, counted from the arrival.
+  return std::max(LeaseEnd(),
+                  m_commandsUntil +
+                    Scale(aLongestLease, 1 / (1 - kWorkerClockError)));
+}
+
 bool
 WorkerRecord::HasTimedOut(Time aNow) const
 {
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -59,6 +59,8 @@
   std::optional<Time> m_confirmedAt;
   /// An inventory of the worker's present incarnation has listed it.
   bool m_wasListed = false;
+  /// The known incarnation of the worker has answered its start or listed it.
+  bool m_isHeld = false;
   /// The worker has restarted since the start was sent: it runs on the new
   /// incarnation or not at all.
   bool m_sentBeforeRestart = false;
@@ -155,6 +157,10 @@
   Time m_lastResponse{};
   std::int64_t m_clockMs = 0;    ///< its clock at its last response
   std::int64_t m_deadlineMs = 0; ///< latest lease end sent, on its clock
+  /// Commands with a lease end that were sent so far reach it by this time.
+  Time m_commandsUntil{};
+  /// Its known incarnation has answered a request that was sent at this time.
+  Time m_provenAt{};
   std::map<TaskRef, Placement> m_placements;
   int m_unknownRuns = 0; ///< placements whose resources are not known
   Resources m_used;
@@ -177,6 +183,14 @@
   /// Latest time, on this process's clock, at which a run on the worker can
   /// still go on without a new lease.
   Time LeaseEnd() const;
+  /// The same for a run that a later incarnation than the known one may have
+  /// taken. It holds the run for the longest lease that workers accept.
+  Time UnheardLeaseEnd(Duration aLongestLease) const;
+  /// True if a later incarnation than the known one may have the run.
+  bool MayRunUnheard(const Placement& aPlacement) const
+  {
+    return !aPlacement.m_isHeld && m_commandsUntil > m_provenAt;
+  }
   /// True if it has not responded to this leader for `kWorkerTimeout`, or
   /// never.
   bool HasTimedOut(Time aNow) const;
@@ -207,6 +221,10 @@
 /// leader can have sent, unless the settings name another.
 inline constexpr Duration kDefaultLongestLease = milliseconds(6000);
 
+/// A worker has a command within this time or never, unless its sender names
+/// another.
+inline constexpr Duration kUsualDelivery = seconds(1);
+
 /// Added to the end of a lease for the resolution of the clocks.
 inline constexpr Duration kLeaseMargin = milliseconds(50);
 
