Take the clock in a start's answer for a sign of a restart

Cause: a worker that restarts under its id can answer a start before its inventory or its entry tells of the new incarnation. The answer counted as one of the known incarnation, so that the run was believed to end with the lease that had been sent, and further starts and lease ends on the former clock followed.

Change: the leader knows the least that a worker's clock can show: the last one heard, and the time since then on the slowest clock. A lower one in the answer to a start is that of a later incarnation. Until an inventory tells which, the worker gets neither tasks nor leases, nothing is acknowledged to it, and the run counts as one that it may hold for the longest lease.

Measured: EdgeWorkerLinks.WorkerThatAnswersWithAnEarlierClockGetsNoLease fails without the check in WorkerLinks (run) and passes with it; PoolWorkerRestarts, PoolLostOrders, PoolLateLeader and the 120 histories pass.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -17,6 +17,8 @@
 /// Delay before an unanswered command is sent again.
 constexpr Duration kRetryPause = milliseconds(150);
 constexpr Duration kLeaseRetryDelay = milliseconds(200);
+/// By so much clocks may differ for having been cut to whole milliseconds.
+constexpr std::int64_t kClockResolutionMs = 2;
 
 observe::Fields
 CommandFields(const pool::WorkerId& aWorker,
@@ -264,12 +266,12 @@
   }
   const auto address = AddressOf(aStart.m_worker);
   const Duration callTime = kCommandTimeout + m_scheduler.CommandAllowance();
-  StartAttempt attempt{ aStart, aInDoubt, 0, 0 };
+  StartAttempt attempt{ aStart, now, aInDoubt, 0, 0 };
   if (address && m_hooks.m_maySendCommands()) {
     attempt.m_deadlineMs =
       m_scheduler.NextDeadline(now, aStart.m_worker, LatestArrival(callTime));
-    attempt.m_knownClockMs =
-      m_scheduler.Workers().at(aStart.m_worker).m_clockMs;
+    attempt.m_leastClockMs =
+      m_scheduler.Workers().at(aStart.m_worker).LeastClockMs(now);
   }
   if (attempt.m_deadlineMs == 0) {
     if (aInDoubt) {
@@ -314,6 +316,10 @@
   const StartOutcome outcome = aResult.m_outcome;
   const bool conclusive =
     outcome == StartOutcome::Started || !aAttempt.m_inDoubt;
+  if (aResult.m_clockMs != 0 &&
+      aResult.m_clockMs + kClockResolutionMs < aAttempt.m_leastClockMs) {
+    m_scheduler.OnOtherClock(now, aAttempt.m_sentAt, start.m_worker);
+  }
   if (outcome != StartOutcome::Unknown && conclusive) {
     m_scheduler.OnStartOutcome(now, start, outcome);
     m_hooks.m_onChange();
@@ -337,7 +343,7 @@
   observe::Fields fields = CommandFields(
     start.m_worker, start.m_task, start.m_run, NameOf(aResult.m_outcome));
   fields.emplace_back("deadline_ms", aAttempt.m_deadlineMs);
-  fields.emplace_back("known_clock_ms", aAttempt.m_knownClockMs);
+  fields.emplace_back("least_clock_ms", aAttempt.m_leastClockMs);
   fields.emplace_back("clock_ms", aResult.m_clockMs);
   m_log.Write(settings::LogLevel::Info, "start", fields);
 }
--- a/src/edge/WorkerLinks.h
+++ b/src/edge/WorkerLinks.h
@@ -54,9 +54,11 @@
   struct StartAttempt
   {
     pool::StartTask m_start;
-    bool m_inDoubt = false;          ///< an earlier attempt was not answered
-    std::int64_t m_deadlineMs = 0;   ///< lease end sent, on the worker's clock
-    std::int64_t m_knownClockMs = 0; ///< last heard of the worker before it
+    Time m_sentAt{};
+    bool m_inDoubt = false;        ///< an earlier attempt was not answered
+    std::int64_t m_deadlineMs = 0; ///< lease end sent, on the worker's clock
+    /// The worker's clock as it is at least, unless it has restarted.
+    std::int64_t m_leastClockMs = 0;
   };
 
   void SendStart(const pool::StartTask& aStart, bool aInDoubt);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -296,6 +296,9 @@
     BeginIncarnation(aNow, worker, aInventory.m_incarnation, &aInventory);
   }
   worker.m_silent = false;
+  if (worker.m_otherClockSince < aInventory.m_requestedAt) {
+    worker.m_otherClockSince.reset();
+  }
   worker.m_lastResponse = aNow;
   worker.m_provenAt =
     std::max(worker.m_provenAt, std::min(aInventory.m_requestedAt, aNow));
@@ -337,6 +340,15 @@
   }
 }
 
+void
+PoolScheduler::OnOtherClock(Time aNow, Time aSentAt, const WorkerId& aWorker)
+{
+  const auto it = m_workers.find(aWorker);
+  if (it != m_workers.end() && aSentAt >= it->second.m_incarnationSince) {
+    it->second.m_otherClockSince = aNow;
+  }
+}
+
 void
 PoolScheduler::OnStartOutcome(Time aNow,
                               const StartTask& aStart,
@@ -351,7 +363,8 @@
     case StartOutcome::Started:
       placement.m_confirmed = true;
       placement.m_confirmedAt = aNow;
-      placement.m_isHeld = !placement.m_sentBeforeRestart;
+      placement.m_isHeld =
+        !placement.m_sentBeforeRestart && !worker.m_otherClockSince;
       if (placement.m_state == PlacementState::Starting) {
         placement.m_state = PlacementState::Running;
         placement.m_progressAt = aNow;
@@ -420,8 +433,9 @@
 bool
 PoolScheduler::IsCordoned(Time aNow, const WorkerRecord& aWorker) const
 {
-  return !aWorker.m_listed || aWorker.m_silent || aWorker.m_evacuated ||
-         aWorker.m_info.m_draining || aWorker.HasTimedOut(aNow) ||
+  return !aWorker.m_listed || aWorker.MayHaveRestarted() ||
+         aWorker.m_evacuated || aWorker.m_info.m_draining ||
+         aWorker.HasTimedOut(aNow) ||
          aNow >=
            aWorker.m_lastResponse + kUnresponsiveAfter + ResponseAllowance();
 }
@@ -551,7 +565,7 @@
     // more must expire, so that its tasks can start elsewhere.
     return 0;
   }
-  if (worker.m_silent) {
+  if (worker.MayHaveRestarted()) {
     // A worker that has restarted would take the time on its former clock for a
     // far one, and a lease never gets shorter.
     return 0;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -212,6 +212,10 @@
                    const Inventory& aInventory);
   /// The worker did not answer a lease extension.
   void OnNoAnswer(const WorkerId& aWorker);
+  /// The clock in the worker's answer to a start that was sent at `aSentAt` is
+  /// below the least that the incarnation known then can have: the worker has
+  /// restarted. Call this before `OnStartOutcome`.
+  void OnOtherClock(Time aNow, Time aSentAt, const WorkerId& aWorker);
   void OnStartOutcome(Time aNow,
                       const StartTask& aStart,
                       StartOutcome aOutcome);
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -73,7 +73,7 @@
 std::uint64_t
 WorkerRecord::SavedEnds() const
 {
-  if (m_silent) {
+  if (MayHaveRestarted()) {
     return 0;
   }
   return m_unsavedEnds.empty() ? m_highestEnd : *m_unsavedEnds.begin() - 1;
@@ -89,6 +89,15 @@
          (1 << std::min(m_repeatedInventories, kMaxDelayDoublings));
 }
 
+std::int64_t
+WorkerRecord::LeastClockMs(Time aNow) const
+{
+  return m_clockMs == 0
+           ? 0
+           : m_clockMs + ToMilliseconds(
+                           Scale(aNow - m_lastResponse, 1 - kWorkerClockError));
+}
+
 Time
 WorkerRecord::LeaseEnd() const
 {
@@ -116,8 +125,8 @@
 bool
 WorkerRecord::CanAcceptTasks(Time aNow, Duration aAllowance) const
 {
-  return m_listed && IsDescribed() && m_recorded && m_adopted && !m_silent &&
-         !m_info.m_draining && !m_evacuated &&
+  return m_listed && IsDescribed() && m_recorded && m_adopted &&
+         !MayHaveRestarted() && !m_info.m_draining && !m_evacuated &&
          aNow < m_lastResponse + kUnresponsiveAfter + aAllowance &&
          aNow >= m_avoidUntil && aNow >= m_failures.AvoidUntil() &&
          m_unknownRuns == 0;
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -150,6 +150,8 @@
   bool m_restarted = false;
   /// It did not answer the last lease extension, so it may have restarted.
   bool m_silent = false;
+  /// Since then the clock in an answer is that of a later incarnation.
+  std::optional<Time> m_otherClockSince;
   bool m_recorded = false; ///< the stored row of the leader names it
   bool m_toRecord = false; ///< the next row names it
   /// The scheduler will look at the end of its lease.
@@ -180,6 +182,11 @@
   /// Delay before the next inventory is requested. While ends are not stored
   /// the worker responds at once, with the same ends.
   Duration DelayBeforeNextInventory() const;
+  /// The least that its clock can show now if it has not restarted; 0 if it is
+  /// not known.
+  std::int64_t LeastClockMs(Time aNow) const;
+  /// True if an answer or the lack of one shows that it may have restarted.
+  bool MayHaveRestarted() const { return m_silent || m_otherClockSince; }
   /// Latest time, on this process's clock, at which a run on the worker can
   /// still go on without a new lease.
   Time LeaseEnd() const;
--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -26,8 +26,9 @@
       if (aRequest.m_path != "/api/hold") {
         m_commands.push_back(aRequest.m_path);
         const bool stop = aRequest.m_path == "/api/run-stop";
+        const bool accepted = stop ? m_acceptsStops : m_acceptsStarts;
         return std::optional(
-          net::JsonResponse(stop && m_acceptsStops ? 200 : 500, "{}"));
+          net::JsonResponse(accepted ? 200 : 500, R"({"clock_ms":1})"));
       }
       const auto body = nlohmann::json::parse(aRequest.m_body);
       m_acknowledged.push_back(body.at("last_seen").get<int>());
@@ -110,6 +111,8 @@
 
   bool m_answers = true;
   bool m_acceptsStops = true;
+  /// Answers to starts have the clock of a later incarnation.
+  bool m_acceptsStarts = false;
   std::int64_t m_incarnation = 1;
   std::vector<std::string> m_commands; ///< paths of starts and stops
   std::vector<int> m_acknowledged;     ///< by each lease extension
@@ -155,6 +158,19 @@
   EXPECT_GT(cell.m_leaseEnds.back(), 0);
 }
 
+/// The clock in the answer to a start shows a restart of which nothing else was
+/// heard. The leader went on to send lease ends on the former clock.
+TEST(EdgeWorkerLinks, WorkerThatAnswersWithAnEarlierClockGetsNoLease)
+{
+  LinkCell cell;
+  cell.m_acceptsStarts = true;
+  ASSERT_TRUE(cell.RunExtensions(3));
+  EXPECT_EQ(std::ranges::count(cell.m_leaseEnds, 0), 1); // clock not known yet
+  ASSERT_TRUE(cell.SendStart());
+  ASSERT_TRUE(cell.RunExtensions(3));
+  EXPECT_EQ(std::ranges::count(cell.m_leaseEnds, 0), 2);
+}
+
 /// A start without an answer was sent again to a worker that had restarted
 /// meanwhile, perhaps as one of another kind.
 TEST(EdgeWorkerLinks, StartInDoubtIsNotRepeatedAtANewIncarnation)
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -130,6 +130,21 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// The new incarnation answered a start before anything else was heard of it.
+/// The leader took the answer for one of the known incarnation and counted with
+/// the lease that it had sent (TWICE).
+TEST_F(PoolWorkerRestarts, AnswerWithAnotherClockMayComeWithTheLongestLease)
+{
+  Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+  Scheduler().OnOtherClock(m_fixture.m_now, m_fixture.m_now, m_start.m_worker);
+  Confirm();
+  EXPECT_EQ(Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker), 0);
+  m_fixture.m_now += milliseconds(6100);
+  EXPECT_EQ(StartsNow(), 0U);
+  m_fixture.m_now += seconds(2);
+  EXPECT_EQ(StartsNow(), 1U);
+}
+
 /// A start that an inventory has listed was sent again until it was answered;
 /// the new incarnation could execute a further copy.
 TEST_F(PoolWorkerRestarts, ListedStartIsKnownToTheSender)
