Count the longest lease from the last lease end that is under way

Cause: when a restarted worker reports, the leader counts the longest lease from the report. A lease end for the former incarnation that is still under way then comes later, is taken for a far one again, and begins the longest lease anew. If the worker falls silent right after its report, its runs go on for longer than the leader waits.

Change: the longest lease is counted from the time by which all commands sent before have arrived.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -276,11 +276,19 @@
     // the clock of the previous incarnation. The new one takes it for a later
     // time and shortens it to the longest lease.
     restarted.m_lastResponse = aNow;
-    restarted.m_deadlineMs = ToMilliseconds(m_longestLease);
+    restarted.m_deadlineMs = LongestLeaseMs(aNow, restarted);
   }
   aWorker = std::move(restarted);
 }
 
+std::int64_t
+PoolScheduler::LongestLeaseMs(Time aNow, const WorkerRecord& aWorker) const
+{
+  const Duration underWay =
+    std::max(Duration::zero(), aWorker.m_commandsUntil - aNow);
+  return ToMilliseconds(m_longestLease + underWay);
+}
+
 void
 PoolScheduler::OnInventory(Time aNow,
                            const WorkerId& aWorker,
@@ -309,7 +317,7 @@
     // worker may have taken a command for its earlier incarnation.
     if (!aInventory.m_running.empty() || worker.m_restarted) {
       worker.m_deadlineMs = std::max(
-        worker.m_deadlineMs, worker.m_clockMs + ToMilliseconds(m_longestLease));
+        worker.m_deadlineMs, worker.m_clockMs + LongestLeaseMs(aNow, worker));
     }
   }
   worker.m_endsTruncated = aInventory.m_endsTruncated;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -594,6 +594,9 @@
                         WorkerRecord& aWorker,
                         std::int64_t aIncarnation,
                         const Inventory* aInventory);
+  /// How much longer a worker can hold runs by commands for its former
+  /// incarnation, of which some may still be under way.
+  std::int64_t LongestLeaseMs(Time aNow, const WorkerRecord& aWorker) const;
   void AddPlacement(WorkerRecord& aWorker,
                     const TaskRef& aTask,
                     const Placement& aPlacement);
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -166,6 +166,19 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// A lease end for the former incarnation was still under way when the new one
+/// reported. It came later and began the longest lease anew, while the leader
+/// counted from the report.
+TEST_F(PoolWorkerRestarts, LeaseEndUnderWayAtTheReportBeginsALaterLease)
+{
+  Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+  ReportRestarted({ RunOf(m_start) }, m_fixture.m_now);
+  m_fixture.m_now += milliseconds(7100);
+  EXPECT_EQ(StartsNow(), 0U);
+  m_fixture.m_now += milliseconds(200);
+  EXPECT_EQ(StartsNow(), 1U);
+}
+
 /// A worker came back as another kind under its id. Until the leader had read
 /// its new entry, it gave the worker tasks by the labels of the former one.
 TEST_F(PoolWorkerRestarts, NewIncarnationGetsTasksOnlyOnceItsEntryIsRead)
