Start no task beside a run of it that is being stopped

Cause: a worker reports a run of a task that waits, with a number below the latest one, as a late copy of an earlier start leaves it. The leader stops that run and starts the task at once beside it, on the same worker in the place of the record of the first run, whose room stays taken.

Change: a run that is reported and not needed is counted with its task until it has ended, and its task starts only then.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -844,6 +844,7 @@
     return;
   }
   TaskRecord& task = job->Task(aTask);
+  task.m_surplusRuns -= placement.m_surplus ? 1 : 0;
   if (task.m_state == TaskState::Placed && task.m_run == placement.m_run &&
       task.m_worker == aWorker.m_info.m_id) {
     task.m_state = TaskState::Waiting;
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -342,6 +342,8 @@
   const bool adoptable = !job->IsOver() && task.m_state == TaskState::Waiting &&
                          aRun.m_run >= task.m_run;
   if (!adoptable) {
+    placement.m_surplus = true;
+    ++task.m_surplusRuns;
     Stop(aNow, aWorker, aRun.m_task, StopReason::Unknown);
     return;
   }
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -505,7 +505,7 @@
   aCandidate.Record().m_lacksCapacity = false;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const TaskRecord& task = tasks[index];
-    if (task.m_state != TaskState::Waiting || task.m_mayRunUnreported) {
+    if (!task.MayStart()) {
       continue;
     }
     if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
@@ -581,10 +581,8 @@
 {
   const StepSpec& spec = aCandidate.Spec();
   const auto& tasks = aCandidate.Record().m_tasks;
-  const bool allWait = std::ranges::all_of(tasks, [](const TaskRecord& aTask) {
-    return aTask.m_state == TaskState::Waiting && !aTask.m_mayRunUnreported;
-  });
-  if (!allWait || !HasQuotaFor(aCandidate)) {
+  if (!std::ranges::all_of(tasks, &TaskRecord::MayStart) ||
+      !HasQuotaFor(aCandidate)) {
     return true; // waits for something other than capacity
   }
   std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -34,6 +34,16 @@
   WorkerId m_lastFailure; ///< worker on which it failed last
   /// It may run on a worker that has not reported to this leader yet.
   bool m_mayRunUnreported = false;
+  /// Runs besides the placed one that workers have reported and that are being
+  /// stopped.
+  int m_surplusRuns = 0;
+
+  /// True if a run of it can start without another one beside it.
+  bool MayStart() const
+  {
+    return m_state == TaskState::Waiting && !m_mayRunUnreported &&
+           m_surplusRuns == 0;
+  }
 };
 
 /// Number of a worker within one leadership, used as an index into tables of
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -69,6 +69,8 @@
   int m_missingInventories = 0; ///< inventories in a row without it
   /// The worker reports it, and this leader does not know its job yet.
   bool m_unknown = false;
+  /// Its task runs or is to run as another one.
+  bool m_surplus = false;
   bool m_adopted = false; ///< started by an earlier leader
   bool m_resumed = false; ///< it continues from a checkpoint
 };
