Show chunked bodies that take more memory than is counted at lacewingd

Suspected cause: the listener counts the bytes that arrive, but evhttp moves the blocks of its input buffer to that of the body, each with what it has allocated. The limit on bodies bounds only the bytes too.

The client for chunks of one byte is a part of the stand-ins. It makes the server read each write by itself; writes that are read together take less.

--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -22,6 +22,7 @@
   lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
   lacewing-standin flood --to=ADDR --mode=MODE --path=PATH --connections=N
                    --bytes=N
+  lacewing-standin chunks --to=ADDR --path=PATH --connections=N --pieces=N
 
 Options:
   --listen=ADDR      IP:PORT to listen on.
@@ -44,6 +45,7 @@
   --path=PATH        Path of these requests.
   --connections=N    Connections of this client.
   --bytes=N          Bytes that it sends on each at most.
+  --pieces=N         Writes on each of a body in chunks of one byte.
 )";
 
 using lacewing::milliseconds;
@@ -73,6 +75,15 @@
             static_cast<std::size_t>(aOptions["--connections"].asLong()),
             static_cast<std::size_t>(aOptions["--bytes"].asLong()) });
       }
+      if (aOptions["chunks"].asBool()) {
+        BOOST_LEAF_AUTO(
+          to, lacewing::net::ParseAddress(aOptions["--to"].asString()));
+        return lacewing::standin::RunChunks(
+          to,
+          { aOptions["--path"].asString(),
+            static_cast<std::size_t>(aOptions["--connections"].asLong()),
+            static_cast<std::size_t>(aOptions["--pieces"].asLong()) });
+      }
       BOOST_LEAF_AUTO(
         listen, lacewing::net::ParseAddress(aOptions["--listen"].asString()));
       if (aOptions["table"].asBool()) {
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -76,6 +76,18 @@
 int
 RunFlood(const net::Address& aTo, const FloodOptions& aOptions);
 
+struct ChunkOptions
+{
+  std::string m_path;
+  std::size_t m_connections = 1;
+  std::size_t m_pieces = 0; ///< writes on each connection
+};
+
+/// Sends bodies without end in chunks of one byte, a part of two chunks in each
+/// write.
+int
+RunChunks(const net::Address& aTo, const ChunkOptions& aOptions);
+
 } // namespace lacewing::standin
 
 template<>
