Show with real processes that a restart unheard starts no task twice

The tests so far are of the scheduler and of a simulated pool.

The stand-in of the platform can restart a worker under its id while it executes commands and answers nothing, and counts starts of tasks that another worker runs. Its workers now take the lease end also from a start that is there already or is refused as old, as the platform's pages say; without that a repeated start was lost on the lease, and the test could not fail.

--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -35,6 +35,7 @@
     PlatformWorker m_model;
     net::Address m_address;
     Time m_start;
+    Time m_answersCutUntil; ///< commands are executed and not answered
     std::unique_ptr<net::HttpServer> m_server;
   };
 
@@ -51,6 +52,11 @@
                   const net::HttpReply& aReply,
                   Time aUntil);
   void Control(const net::HttpRequest& aRequest);
+  /// The worker starts again under its id; for that time nothing tells so.
+  void RestartUnheard(const std::string& aId, Duration aTime);
+  /// Counts a start of a task that another worker runs.
+  void CountOverlap(const WorkerProcess& aWorker,
+                    const net::HttpRequest& aRequest);
   std::string Starts() const;
   static std::int64_t ClockOf(const WorkerProcess& aWorker);
 
@@ -60,6 +66,7 @@
   net::HttpServer m_storeServer;
   net::HttpServer m_policyServer;
   std::vector<std::unique_ptr<WorkerProcess>> m_workers;
+  int m_overlaps = 0; ///< starts of tasks that ran elsewhere
 };
 
 Platform::Platform(net::Loop& aLoop, const net::Address& aListen, int aWorkers)
@@ -83,8 +90,12 @@
   constexpr std::int64_t kIncarnation = 1'000;
   for (int number = 0; number < aWorkers; ++number) {
     const std::string id = "i-" + std::to_string(number);
-    auto worker = std::make_unique<WorkerProcess>(WorkerProcess{
-      PlatformWorker(id, kIncarnation), aListen, net::Loop::Now(), nullptr });
+    auto worker = std::make_unique<WorkerProcess>(
+      WorkerProcess{ PlatformWorker(id, kIncarnation),
+                     aListen,
+                     net::Loop::Now(),
+                     {},
+                     nullptr });
     worker->m_address.m_port =
       static_cast<std::uint16_t>(aListen.m_port + 2 + number);
     WorkerProcess* raw = worker.get();
@@ -186,14 +197,60 @@
 {
   const net::HttpResponse answer =
     aWorker.m_model.Handle(ClockOf(aWorker), aRequest);
+  if (answer.m_status == kOk && aRequest.m_path == "/api/run-start") {
+    CountOverlap(aWorker, aRequest);
+  }
+  if (net::Loop::Now() < aWorker.m_answersCutUntil) {
+    return;
+  }
   if (aWorker.m_model.HasEnds() || net::Loop::Now() >= aUntil ||
       answer.m_status != kOk) {
     aReply(answer);
     return;
   }
-  m_loop.After(kPollInterval, [this, &aWorker, aRequest, aReply, aUntil] {
-    WaitForEnd(aWorker, aRequest, aReply, aUntil);
-  });
+  const std::int64_t incarnation = aWorker.m_model.Incarnation();
+  m_loop.After(kPollInterval,
+               [this, &aWorker, aRequest, aReply, aUntil, incarnation] {
+                 // A request ends with the process that has taken it.
+                 if (aWorker.m_model.Incarnation() == incarnation) {
+                   WaitForEnd(aWorker, aRequest, aReply, aUntil);
+                 }
+               });
+}
+
+void
+Platform::RestartUnheard(const std::string& aId, Duration aTime)
+{
+  for (const auto& worker : m_workers) {
+    if (worker->m_model.Id() != aId) {
+      continue;
+    }
+    const std::int64_t next = worker->m_model.Incarnation() + 1;
+    worker->m_model = PlatformWorker(aId, next);
+    worker->m_start = net::Loop::Now();
+    worker->m_answersCutUntil = net::Loop::Now() + aTime;
+    m_loop.After(aTime, [this, raw = worker.get(), next] {
+      if (raw->m_model.Incarnation() == next) {
+        m_store.Put("servers",
+                    raw->m_model.Id(),
+                    raw->m_model.Entry(raw->m_address.ToString(), 1).dump());
+      }
+    });
+  }
+}
+
+void
+Platform::CountOverlap(const WorkerProcess& aWorker,
+                       const net::HttpRequest& aRequest)
+{
+  const Json body = Json::parse(aRequest.m_body);
+  const auto task = body.at("task").get<std::string>();
+  for (const auto& other : m_workers) {
+    other->m_model.Advance(ClockOf(*other));
+    if (other.get() != &aWorker && other->m_model.IsRunning(task)) {
+      ++m_overlaps;
+    }
+  }
 }
 
 void
@@ -202,6 +259,9 @@
   if (aRequest.m_method == "POST" && !aRequest.m_body.empty()) {
     m_store.Put("op", "config", aRequest.m_body);
   }
+  if (const std::string id = aRequest.Query("restart_unheard"); !id.empty()) {
+    RestartUnheard(id, milliseconds(std::stoll(aRequest.Query("for_ms"))));
+  }
   const std::string mode = aRequest.Query("store");
   if (mode == "works") {
     m_store.SetMode(StoreMode::Works);
@@ -218,7 +278,9 @@
 Platform::Starts() const
 {
   std::map<std::string, int> sum;
+  Json byWorker = Json::object();
   for (const auto& worker : m_workers) {
+    byWorker[worker->m_model.Id()] = worker->m_model.Starts().size();
     for (const auto& [task, count] : worker->m_model.Starts()) {
       sum[task] += count;
     }
@@ -227,7 +289,12 @@
   for (const auto& [task, count] : sum) {
     most = std::max(most, count);
   }
-  return Json{ { "tasks", sum.size() }, { "most_of_one", most } }.dump();
+  return Json{
+    { "tasks", sum.size() },
+    { "most_of_one", most },
+    { "by_worker", byWorker },
+    { "overlaps", m_overlaps }
+  }.dump();
 }
 
 } // namespace
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -75,6 +75,8 @@
   const auto run = aBody.at("run").get<std::uint64_t>();
   const auto deadline = aBody.at("deadline_ms").get<std::int64_t>();
   const Json done = { { "clock_ms", aClockMs } };
+  // Also a start that is refused as old, or that is there already, extends.
+  Extend(aClockMs, deadline);
   if (const auto it = m_running.find(task);
       it != m_running.end() && it->second.m_run == run) {
     return net::JsonResponse(kOk, done.dump());
@@ -85,7 +87,6 @@
   if (deadline <= aClockMs) {
     return Refusal(aClockMs, "late");
   }
-  m_leaseMs = std::max(m_leaseMs, std::min(deadline, aClockMs + kLeaseMaxMs));
   m_running[task] = {
     run, aClockMs, aClockMs + RunTimeOf(aBody.at("spec").get<std::string>())
   };
@@ -93,6 +94,13 @@
   return net::JsonResponse(kOk, done.dump());
 }
 
+void
+PlatformWorker::Extend(std::int64_t aClockMs, std::int64_t aDeadlineMs)
+{
+  m_leaseMs =
+    std::max(m_leaseMs, std::min(aDeadlineMs, aClockMs + kLeaseMaxMs));
+}
+
 net::HttpResponse
 PlatformWorker::Stop(std::int64_t aClockMs, const Json& aBody)
 {
@@ -110,8 +118,7 @@
 PlatformWorker::HandleLeaseExtension(std::int64_t aClockMs, const Json& aBody)
 {
   if (aBody.contains("deadline_ms")) {
-    const auto deadline = aBody.at("deadline_ms").get<std::int64_t>();
-    m_leaseMs = std::max(m_leaseMs, std::min(deadline, aClockMs + kLeaseMaxMs));
+    Extend(aClockMs, aBody.at("deadline_ms").get<std::int64_t>());
   }
   const auto seen = aBody.at("last_seen").get<std::uint64_t>();
   std::erase_if(m_ended, [&](const auto& aEnd) { return aEnd.first <= seen; });
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -30,6 +30,12 @@
   /// ended.
   bool Advance(std::int64_t aClockMs);
   bool HasEnds() const { return !m_ended.empty(); }
+  bool IsRunning(const std::string& aTask) const
+  {
+    return m_running.contains(aTask);
+  }
+  const std::string& Id() const { return m_id; }
+  std::int64_t Incarnation() const { return m_incarnation; }
   Json Entry(const std::string& aAddress, std::int64_t aClockMs) const;
   /// Number of starts that the worker has executed, by task name.
   const std::map<std::string, int>& Starts() const { return m_starts; }
@@ -52,6 +58,8 @@
   net::HttpResponse Stop(std::int64_t aClockMs, const Json& aBody);
   net::HttpResponse HandleLeaseExtension(std::int64_t aClockMs,
                                          const Json& aBody);
+  /// A lease never gets shorter, nor longer than the longest one.
+  void Extend(std::int64_t aClockMs, std::int64_t aDeadlineMs);
   void Finish(const std::string& aTask, const char* aHow);
   static net::HttpResponse Refusal(std::int64_t aClockMs, const char* aReason);
 
