Show a lease end under way that is forgotten with its worker's record

SetWorkers erases the record of an idle worker whose entry is away, and with it the time by which commands for that incarnation have arrived. If the worker comes back under its id, its new record counts neither as restarted nor as having commands under way.

--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -179,6 +179,32 @@
   EXPECT_EQ(StartsNow(), 1U);
 }
 
+/// The entry of an idle worker was away for a moment, and the leader forgot
+/// that a lease end for the former incarnation was under way. It reached the
+/// new one, which held a run for longer than the leader counted with (TWICE).
+TEST_F(PoolWorkerRestarts, LeaseEndUnderWayOutlastsTheRecordOfItsWorker)
+{
+  Scheduler().OnStartOutcome(
+    m_fixture.m_now, m_start, pool::StartOutcome::Refused);
+  m_fixture.m_now += seconds(2);
+  m_fixture.ReportInventory(m_start.m_worker, {}, {});
+  Scheduler().NextDeadline(
+    m_fixture.m_now, m_start.m_worker, milliseconds(1850));
+  const Time arrival = m_fixture.m_now + milliseconds(1850);
+  Scheduler().SetWorkers(m_fixture.m_now, {});
+  m_fixture.m_now += milliseconds(800);
+  m_fixture.m_workers = { PoolWorker(m_start.m_worker.Value()) };
+  ShowRestartInStore();
+  ReportRestarted({}, m_fixture.m_now);
+  const auto starts = m_fixture.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 1U);
+  Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+  ReportRestarted({ RunOf(starts[0]) }, m_fixture.m_now);
+  m_fixture.m_now = arrival + milliseconds(6000);
+  m_fixture.Plan();
+  EXPECT_TRUE(Scheduler().IsWanted(starts[0]));
+}
+
 /// A worker came back as another kind under its id. Until the leader had read
 /// its new entry, it gave the worker tasks by the labels of the former one.
 TEST_F(PoolWorkerRestarts, NewIncarnationGetsTasksOnlyOnceItsEntryIsRead)
