Show second runs by a restart after the report to a successor

A successor that all workers of its predecessor have answered starts loaded tasks, since the workers refuse the predecessor from then on. A worker that restarts after its answer has seen no term, and takes starts of the predecessor while that still sends.

--- a/tests/correctness/PoolHistories.cpp
+++ b/tests/correctness/PoolHistories.cpp
@@ -237,6 +237,20 @@
   }
 }
 
+/// Histories whose successor had heard from all workers and so started tasks
+/// before its predecessor had stopped. A worker restarted after its report,
+/// which made it forget the later term, and took starts of the predecessor
+/// (TWICE).
+TEST(PoolHistories, RestartAfterTheReportToASuccessorDuplicatesNothing)
+{
+  PoolSimulationOptions options = WithUnheardRestartsAndLeaderChanges();
+  options.m_seed = 273;
+  ExpectCompleteAndSafe(options);
+  options.m_unresponsiveWorkers = true;
+  options.m_seed = 231;
+  ExpectCompleteAndSafe(options);
+}
+
 TEST(PoolHistories, ChecksDetectASuccessorThatWaitsForTheUsualLeaseOnly)
 {
   PoolSimulationOptions options = WithUnheardRestartsAndLeaderChanges();
