Guard against copies of a start that outlive their worker's incarnation

Cause: a start without an answer is repeated after 750 ms. Once the repetition was listed, answered or stopped, the run counted as one of the known incarnation, though the first copy can still be under way, and the next incarnation takes it.

Change: the leader keeps the time by which the earlier copies of a start have arrived. Until then no list without the run shows its end, a restart leaves the run in doubt and has it stopped at the new incarnation, and silence is waited out for the longest lease.

The tests now send their starts by DeadlineOfStart, which counts copies; their expectations are as the review left them.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -269,7 +269,7 @@
   StartAttempt attempt{ aStart, now, aInDoubt, 0, 0 };
   if (address && m_hooks.m_maySendCommands()) {
     attempt.m_deadlineMs =
-      m_scheduler.NextDeadline(now, aStart.m_worker, LatestArrival(callTime));
+      m_scheduler.DeadlineOfStart(now, aStart, LatestArrival(callTime));
     attempt.m_leastClockMs =
       m_scheduler.Workers().at(aStart.m_worker).LeastClockMs(now);
   }
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -27,10 +27,14 @@
 
 /// False if the run has ended with the previous incarnation of its worker.
 bool
-MayRunAfterRestart(const TaskRef& aTask,
+MayRunAfterRestart(Time aNow,
+                   const TaskRef& aTask,
                    const Placement& aPlacement,
                    const Inventory* aInventory)
 {
+  if (aPlacement.m_earlierCopiesUntil > aNow) {
+    return true;
+  }
   if (aPlacement.m_wasListed) {
     return false;
   }
@@ -228,6 +232,36 @@
   });
 }
 
+bool
+PoolScheduler::KeepOverRestart(Time aNow,
+                               const WorkerRecord& aWorker,
+                               const TaskRef& aTask,
+                               Placement& aPlacement,
+                               const Inventory* aInventory)
+{
+  if (!MayRunAfterRestart(aNow, aTask, aPlacement, aInventory)) {
+    return false;
+  }
+  if (aPlacement.m_isHeld && aPlacement.m_earlierCopiesUntil > aNow) {
+    // The run has ended, and the other copies of its start are not wanted.
+    aPlacement.m_state = PlacementState::Stopping;
+    aPlacement.m_since = aNow;
+  }
+  aPlacement.m_sentBeforeRestart = true;
+  aPlacement.m_isHeld = false;
+  aPlacement.m_wasListed = false;
+  if (aPlacement.m_state == PlacementState::Stopping) {
+    // The new incarnation does not know of the stop and may still take the
+    // start.
+    aPlacement.m_confirmed = false;
+    aPlacement.m_missingInventories = 0;
+    aPlacement.m_stopConfirmedAt.reset();
+    m_stops.push_back(
+      { aWorker.m_info.m_id, aTask, aPlacement.m_run, StopReason::InDoubt });
+  }
+  return true;
+}
+
 void
 PoolScheduler::BeginIncarnation(Time aNow,
                                 WorkerRecord& aWorker,
@@ -236,19 +270,7 @@
 {
   std::vector<TaskRef> ended;
   for (auto& [task, placement] : aWorker.m_placements) {
-    if (MayRunAfterRestart(task, placement, aInventory)) {
-      placement.m_sentBeforeRestart = true;
-      placement.m_isHeld = false;
-      if (placement.m_state == PlacementState::Stopping) {
-        // The new incarnation does not know of the stop and may still take the
-        // start.
-        placement.m_confirmed = false;
-        placement.m_missingInventories = 0;
-        placement.m_stopConfirmedAt.reset();
-        m_stops.push_back(
-          { aWorker.m_info.m_id, task, placement.m_run, StopReason::InDoubt });
-      }
-    } else {
+    if (!KeepOverRestart(aNow, aWorker, task, placement, aInventory)) {
       ended.push_back(task);
     }
   }
@@ -586,6 +608,21 @@
   return deadline;
 }
 
+std::int64_t
+PoolScheduler::DeadlineOfStart(Time aNow,
+                               const StartTask& aStart,
+                               Duration aDelivery)
+{
+  const std::int64_t deadline = NextDeadline(aNow, aStart.m_worker, aDelivery);
+  if (deadline != 0 && IsWanted(aStart)) {
+    Placement& placement =
+      m_workers.at(aStart.m_worker).m_placements.at(aStart.m_task);
+    placement.m_earlierCopiesUntil = placement.m_lastCopyUntil;
+    placement.m_lastCopyUntil = aNow + aDelivery;
+  }
+  return deadline;
+}
+
 const Placement*
 PoolScheduler::PlacementOf(const StartTask& aStart) const
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -274,6 +274,10 @@
   std::int64_t NextDeadline(Time aNow,
                             const WorkerId& aWorker,
                             Duration aDelivery = kUsualDelivery);
+  /// The same for an attempt to start a task, whose copies are counted.
+  std::int64_t DeadlineOfStart(Time aNow,
+                               const StartTask& aStart,
+                               Duration aDelivery = kUsualDelivery);
   /// True while the command is still needed; false once its outcome no longer
   /// matters.
   bool IsWanted(const StartTask& aStart) const;
@@ -622,6 +626,13 @@
   {
     return aWorker.UnheardLeaseEnd(m_longestLease);
   }
+  /// Decides what becomes of a run as its worker restarts. False if it has
+  /// ended with the former incarnation.
+  bool KeepOverRestart(Time aNow,
+                       const WorkerRecord& aWorker,
+                       const TaskRef& aTask,
+                       Placement& aPlacement,
+                       const Inventory* aInventory);
   /// Null if the run is not on the worker any more.
   const Placement* PlacementOf(const StartTask& aStart) const;
 
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -406,9 +406,11 @@
   for (const ReportedRun& run : aInventory.m_running) {
     listed.insert(run.m_task);
   }
+  const Time shownAt = std::min(aInventory.m_requestedAt, aNow);
   std::vector<std::pair<TaskRef, GiveUpReason>> lost;
   for (auto& [task, placement] : aWorker.m_placements) {
-    if (!placement.m_confirmed || listed.contains(task)) {
+    if (!placement.m_confirmed || listed.contains(task) ||
+        placement.m_earlierCopiesUntil > shownAt) {
       continue;
     }
     ++placement.m_missingInventories;
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -59,8 +59,10 @@
   std::optional<Time> m_confirmedAt;
   /// An inventory of the worker's present incarnation has listed it.
   bool m_wasListed = false;
-  /// The known incarnation of the worker has answered its start or listed it.
+  /// The known incarnation of the worker has confirmed its start or listed it.
   bool m_isHeld = false;
+  Time m_lastCopyUntil{}; ///< the last copy of its start arrives by this time
+  Time m_earlierCopiesUntil{}; ///< likewise, those before
   /// The worker has restarted since the start was sent: it runs on the new
   /// incarnation or not at all.
   bool m_sentBeforeRestart = false;
@@ -195,10 +197,12 @@
   /// The same for a run that a later incarnation than the known one may have
   /// taken. It holds the run for the longest lease that workers accept.
   Time UnheardLeaseEnd(Duration aLongestLease) const;
-  /// True if a later incarnation than the known one may have the run.
+  /// True if a later incarnation than the known one may have the run: one copy
+  /// of its start is that which the known one has taken, others are not.
   bool MayRunUnheard(const Placement& aPlacement) const
   {
-    return !aPlacement.m_isHeld && m_commandsUntil > m_provenAt;
+    return (!aPlacement.m_isHeld && m_commandsUntil > m_provenAt) ||
+           aPlacement.m_earlierCopiesUntil > m_provenAt;
   }
   /// True if it has not responded to this leader for `kWorkerTimeout`, or
   /// never.
--- a/tests/correctness/PoolStartCopies.cpp
+++ b/tests/correctness/PoolStartCopies.cpp
@@ -20,9 +20,9 @@
     m_fixture.ReportAllIdle();
     m_fixture.Add(PoolJob("job", kPatientQueue, { PoolStep(1) }));
     m_start = m_fixture.Plan().m_starts.at(0);
-    Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+    Scheduler().DeadlineOfStart(m_fixture.m_now, m_start);
     m_fixture.m_now += milliseconds(750);
-    Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
+    Scheduler().DeadlineOfStart(m_fixture.m_now, m_start);
   }
 
   pool::PoolScheduler& Scheduler() { return m_fixture.m_scheduler; }
--- a/tests/fakes/PoolSimulation.h
+++ b/tests/fakes/PoolSimulation.h
@@ -755,7 +755,7 @@
       return;
     }
     const std::int64_t deadline =
-      aLeader->m_scheduler->NextDeadline(m_now, aStart.m_worker);
+      aLeader->m_scheduler->DeadlineOfStart(m_now, aStart);
     if (deadline == 0) {
       AnswerStart(aLeader, aStart, aInDoubt, pool::StartOutcome::NotSent);
       return;
