Keep a worker's record while commands to it are under way

Cause: the record of a worker without runs is erased as soon as the store lists it no more, and with it the time by which commands for it have arrived. If it is back within that time as a new incarnation, a lease end that is still under way gives it the longest lease, and the leader counts with its own.

Change: the record stays until the commands have arrived. A lease extension counts as under way for the time to reach the worker, without the time that the worker may delay its answer.

--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -138,7 +138,7 @@
   const Duration answerTime =
     kLeaseExtensionTimeout + m_scheduler.CommandAllowance();
   extension.m_deadlineMs =
-    m_scheduler.NextDeadline(sentAt, aWorker, LatestArrival(wait + answerTime));
+    m_scheduler.NextDeadline(sentAt, aWorker, LatestArrival(answerTime));
   // Without a lease the worker has to respond at once, so that the lease can be
   // extended.
   extension.m_wait = extension.m_deadlineMs == 0 ? Duration::zero() : wait;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -222,9 +222,11 @@
     worker.m_listed = true;
     worker.m_evacuated = m_evacuations.contains(info.m_domain);
   }
-  std::erase_if(m_workers, [this](const auto& aItem) {
+  std::erase_if(m_workers, [this, aNow](const auto& aItem) {
     const WorkerRecord& worker = aItem.second;
-    const bool gone = !worker.m_listed && worker.m_placements.empty();
+    // What is under way to it also reaches its next incarnation.
+    const bool gone = !worker.m_listed && worker.m_placements.empty() &&
+                      aNow >= worker.m_commandsUntil;
     if (gone) {
       m_bySlot[worker.m_slot] = nullptr;
     }
