--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -138,7 +138,7 @@
   const Duration answerTime =
     kLeaseExtensionTimeout + m_scheduler.CommandAllowance();
   extension.m_deadlineMs =
-    m_scheduler.NextDeadline(sentAt, aWorker, LatestArrival(wait + answerTime));
+    m_scheduler.NextDeadline(sentAt, aWorker, LatestArrival(answerTime));
   // Without a lease the worker has to respond at once, so that the lease can be
   // extended.
   extension.m_wait = extension.m_deadlineMs == 0 ? Duration::zero() : wait;
@@ -269,7 +269,7 @@
   StartAttempt attempt{ aStart, now, aInDoubt, 0, 0 };
   if (address && m_hooks.m_maySendCommands()) {
     attempt.m_deadlineMs =
-      m_scheduler.NextDeadline(now, aStart.m_worker, LatestArrival(callTime));
+      m_scheduler.DeadlineOfStart(now, aStart, LatestArrival(callTime));
     attempt.m_leastClockMs =
       m_scheduler.Workers().at(aStart.m_worker).LeastClockMs(now);
   }
