Count the memory that received bytes take, not the bytes

Cause: the bound on all connections of a listener counted bytes. libevent keeps the block of each read whose bytes belong to a chunked body, at least 1 KiB for as little as a byte, and its blocks have up to twice the size of what is in them.

Change: a read counts with the memory that it takes at most. Which connections are closed, and the limits, stay as they are. A request inside the limits counts a few KiB until it has arrived, and then its body's length as before.

--- a/src/net/ConnectionBook.h
+++ b/src/net/ConnectionBook.h
@@ -15,8 +15,8 @@
 struct ConnectionLimits
 {
   std::size_t m_maxConnections = 4096;
-  /// Bytes that all connections together have received and that are not handled
-  /// yet, and those of requests under way.
+  /// Memory of what all connections together have received and that is not
+  /// handled yet, and bytes of requests under way.
   std::size_t m_maxBytes = std::size_t{ 64 } * 1024 * 1024;
 };
 
@@ -32,6 +32,7 @@
 
   /// A connection was accepted.
   Id Open();
+  /// `aBytes` is the memory that the received bytes take.
   void OnReceived(Id aConnection, std::size_t aBytes);
   /// A whole request has arrived. Of the bytes received, `aUnread` belong to
   /// later requests; the request holds `aRequestBytes` until its response.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <bit>
 #include <memory>
 #include <utility>
 
@@ -28,6 +29,17 @@
 constexpr Duration kCloseBound = kIdleConnectionTime + seconds(1);
 constexpr const char* kRetryAfterSeconds = "1";
 
+/// Memory that libevent takes at most for a read of that many bytes. Its
+/// blocks have sizes of powers of two, and a block whose bytes belong to a
+/// chunked body is kept as it is.
+std::size_t
+MemoryOfRead(std::size_t aBytes)
+{
+  constexpr std::size_t kLeastBlock = 1024;
+  constexpr std::size_t kBlockHeader = 64;
+  return std::max(kLeastBlock, std::bit_ceil(aBytes + kBlockHeader));
+}
+
 std::string
 MethodName(evhttp_cmd_type aCommand)
 {
@@ -273,7 +285,7 @@
 {
   const auto* accepted = static_cast<Accepted*>(aAccepted);
   accepted->m_server->m_state->m_book.OnReceived(accepted->m_id,
-                                                 aInfo->n_added);
+                                                 MemoryOfRead(aInfo->n_added));
   accepted->m_server->ShedSoon();
 }
 
