--- a/src/edge/WorkerLinks.cpp
+++ b/src/edge/WorkerLinks.cpp
@@ -318,7 +318,8 @@
     outcome == StartOutcome::Started || !aAttempt.m_inDoubt;
   if (aResult.m_clockMs != 0 &&
       aResult.m_clockMs + kClockResolutionMs < aAttempt.m_leastClockMs) {
-    m_scheduler.OnOtherClock(now, aAttempt.m_sentAt, start.m_worker);
+    m_scheduler.OnClockOfLaterIncarnation(
+      now, aAttempt.m_sentAt, start.m_worker);
   }
   if (outcome != StartOutcome::Unknown && conclusive) {
     m_scheduler.OnStartOutcome(now, start, outcome);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -328,12 +328,12 @@
     BeginIncarnation(aNow, worker, aInventory.m_incarnation, &aInventory);
   }
   worker.m_silent = false;
-  if (worker.m_otherClockSince < aInventory.m_requestedAt) {
-    worker.m_otherClockSince.reset();
+  if (worker.m_laterClockSince < aInventory.m_requestedAt) {
+    worker.m_laterClockSince.reset();
   }
   worker.m_lastResponse = aNow;
-  worker.m_provenAt =
-    std::max(worker.m_provenAt, std::min(aInventory.m_requestedAt, aNow));
+  worker.m_knownAliveAt =
+    std::max(worker.m_knownAliveAt, std::min(aInventory.m_requestedAt, aNow));
   worker.m_clockMs = std::max(worker.m_clockMs, aInventory.m_clockMs);
   if (!worker.m_adopted) {
     worker.m_adopted = true;
@@ -373,11 +373,13 @@
 }
 
 void
-PoolScheduler::OnOtherClock(Time aNow, Time aSentAt, const WorkerId& aWorker)
+PoolScheduler::OnClockOfLaterIncarnation(Time aNow,
+                                         Time aSentAt,
+                                         const WorkerId& aWorker)
 {
   const auto it = m_workers.find(aWorker);
   if (it != m_workers.end() && aSentAt >= it->second.m_incarnationSince) {
-    it->second.m_otherClockSince = aNow;
+    it->second.m_laterClockSince = aNow;
   }
 }
 
@@ -396,7 +398,7 @@
       placement.m_confirmed = true;
       placement.m_confirmedAt = aNow;
       placement.m_isHeld =
-        !placement.m_sentBeforeRestart && !worker.m_otherClockSince;
+        !placement.m_sentBeforeRestart && !worker.m_laterClockSince;
       if (placement.m_state == PlacementState::Starting) {
         placement.m_state = PlacementState::Running;
         placement.m_progressAt = aNow;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -9,8 +9,8 @@
 /// worker's lease has expired. A start whose outcome is unknown keeps its
 /// resources and its run number until the worker confirms it or the longest
 /// lease has expired that the worker can have taken, also after a restart of
-/// which nothing was heard. Resources are released only when an end is
-/// reported.
+/// which nothing was heard. Resources are released
+/// when an end is reported, or when a run can't go on any more.
 ///
 /// Nothing starts by an old view of the stored jobs: a cancellation that is
 /// confirmed after that view would not end the starts in time.
@@ -215,7 +215,9 @@
   /// The clock in the worker's answer to a start that was sent at `aSentAt` is
   /// below the least that the incarnation known then can have: the worker has
   /// restarted. Call this before `OnStartOutcome`.
-  void OnOtherClock(Time aNow, Time aSentAt, const WorkerId& aWorker);
+  void OnClockOfLaterIncarnation(Time aNow,
+                                 Time aSentAt,
+                                 const WorkerId& aWorker);
   void OnStartOutcome(Time aNow,
                       const StartTask& aStart,
                       StartOutcome aOutcome);
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -71,7 +71,7 @@
   int m_missingInventories = 0; ///< inventories in a row without it
   /// The worker reports it, and this leader does not know its job yet.
   bool m_unknown = false;
-  /// Its task runs or is to run as another one.
+  /// It is not needed and being stopped; its task waits for its end.
   bool m_surplus = false;
   bool m_adopted = false; ///< started by an earlier leader
   bool m_resumed = false; ///< it continues from a checkpoint
@@ -155,7 +155,7 @@
   /// It did not answer the last lease extension, so it may have restarted.
   bool m_silent = false;
   /// Since then the clock in an answer is that of a later incarnation.
-  std::optional<Time> m_otherClockSince;
+  std::optional<Time> m_laterClockSince;
   bool m_recorded = false; ///< the stored row of the leader names it
   bool m_toRecord = false; ///< the next row names it
   /// The scheduler will look at the end of its lease.
@@ -163,10 +163,11 @@
   Time m_lastResponse{};
   std::int64_t m_clockMs = 0;    ///< its clock at its last response
   std::int64_t m_deadlineMs = 0; ///< latest lease end sent, on its clock
-  /// Commands with a lease end that were sent so far reach it by this time.
+  /// Commands with a lease end that were sent so far are taken to have reached
+  /// it by this time, or never to do so.
   Time m_commandsUntil{};
   /// Its known incarnation has answered a request that was sent at this time.
-  Time m_provenAt{};
+  Time m_knownAliveAt{};
   std::map<TaskRef, Placement> m_placements;
   int m_unknownRuns = 0; ///< placements whose resources are not known
   Resources m_used;
@@ -190,7 +191,7 @@
   /// not known.
   std::int64_t LeastClockMs(Time aNow) const;
   /// True if an answer or the lack of one shows that it may have restarted.
-  bool MayHaveRestarted() const { return m_silent || m_otherClockSince; }
+  bool MayHaveRestarted() const { return m_silent || m_laterClockSince; }
   /// Latest time, on this process's clock, at which a run on the worker can
   /// still go on without a new lease.
   Time LeaseEnd() const;
@@ -201,8 +202,8 @@
   /// of its start is that which the known one has taken, others are not.
   bool MayRunUnheard(const Placement& aPlacement) const
   {
-    return (!aPlacement.m_isHeld && m_commandsUntil > m_provenAt) ||
-           aPlacement.m_earlierCopiesUntil > m_provenAt;
+    return (!aPlacement.m_isHeld && m_commandsUntil > m_knownAliveAt) ||
+           aPlacement.m_earlierCopiesUntil > m_knownAliveAt;
   }
   /// True if it has not responded to this leader for `kWorkerTimeout`, or
   /// never.
@@ -234,8 +235,8 @@
 /// leader can have sent, unless the settings name another.
 inline constexpr Duration kDefaultLongestLease = milliseconds(6000);
 
-/// A worker has a command within this time or never, unless its sender names
-/// another.
+/// A worker is taken to have a command within this time or never, unless its
+/// sender names another.
 inline constexpr Duration kUsualDelivery = seconds(1);
 
 /// Added to the end of a lease for the resolution of the clocks.
--- a/tests/correctness/PoolWorkerRestarts.cpp
+++ b/tests/correctness/PoolWorkerRestarts.cpp
@@ -136,7 +136,8 @@
 TEST_F(PoolWorkerRestarts, AnswerWithAnotherClockMayComeWithTheLongestLease)
 {
   Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker);
-  Scheduler().OnOtherClock(m_fixture.m_now, m_fixture.m_now, m_start.m_worker);
+  Scheduler().OnClockOfLaterIncarnation(
+    m_fixture.m_now, m_fixture.m_now, m_start.m_worker);
   Confirm();
   EXPECT_EQ(Scheduler().NextDeadline(m_fixture.m_now, m_start.m_worker), 0);
   m_fixture.m_now += milliseconds(6100);
