--- a/standins/FloodClient.cpp
+++ b/standins/FloodClient.cpp
@@ -1,5 +1,6 @@
 // A client that keeps to no limit: opens several connections, sends on all of
-// them as much as the server takes, and reads nothing.
+// them as much as the server takes, and reads nothing. It may stay connected
+// until it is killed, and connect again wherever the server closes.
 #include "Servers.h"
 
 #include <arpa/inet.h>
@@ -77,8 +78,8 @@
   return socket;
 }
 
-/// Sends the next bytes of the script; closes the connection at its end or when
-/// the server has closed it.
+/// Sends the next bytes of the script; closes the connection when the server
+/// has closed it.
 void
 SendMore(const Script& aScript, std::size_t aLimit, Connection& aConnection)
 {
@@ -104,40 +105,97 @@
   }
 }
 
-} // namespace
-
-int
-RunFlood(const net::Address& aTo, const FloodOptions& aOptions)
+/// All connections of the client.
+class Crowd
 {
-  const Script script = ScriptOf(aOptions);
-  std::vector<Connection> connections(aOptions.m_connections);
-  for (Connection& connection : connections) {
-    connection.m_socket = Connect(aTo);
+public:
+  Crowd(const net::Address& aTo, const FloodOptions& aOptions)
+    : m_to(aTo)
+    , m_options(aOptions)
+    , m_script(ScriptOf(aOptions))
+    , m_connections(aOptions.m_connections)
+  {
+    for (Connection& connection : m_connections) {
+      connection.m_socket = Connect(m_to);
+    }
+  }
+
+  ~Crowd()
+  {
+    for (const Connection& connection : m_connections) {
+      if (connection.m_socket >= 0) {
+        close(connection.m_socket);
+      }
+    }
   }
-  for (bool stalled = false; !stalled;) {
+  Crowd(const Crowd&) = delete;
+  Crowd& operator=(const Crowd&) = delete;
+
+  /// Sends on each connection that takes something. False if none did.
+  bool SendOnce()
+  {
     std::vector<pollfd> ready;
     std::vector<Connection*> owners;
-    for (Connection& connection : connections) {
-      if (connection.m_socket >= 0 && connection.m_sent < aOptions.m_bytes) {
+    for (Connection& connection : m_connections) {
+      if (connection.m_socket >= 0 && connection.m_sent < m_options.m_bytes) {
         ready.push_back({ connection.m_socket, POLLOUT, 0 });
         owners.push_back(&connection);
       }
     }
-    stalled = ready.empty() || poll(ready.data(), ready.size(), kStallMs) == 0;
+    if (ready.empty() || poll(ready.data(), ready.size(), kStallMs) == 0) {
+      return false;
+    }
     for (std::size_t index = 0; index < ready.size(); ++index) {
       if (ready[index].revents != 0) {
-        SendMore(script, aOptions.m_bytes, *owners[index]);
+        SendMore(m_script, m_options.m_bytes, *owners[index]);
+        Reconnect(*owners[index]);
       }
     }
+    return true;
+  }
+
+  std::size_t Sent() const
+  {
+    std::size_t sent = 0;
+    for (const Connection& connection : m_connections) {
+      sent += connection.m_sent;
+    }
+    return sent;
+  }
+
+private:
+  void Reconnect(Connection& aConnection)
+  {
+    if (m_options.m_reconnects && aConnection.m_socket < 0) {
+      aConnection = { Connect(m_to), 0 };
+    }
+  }
+
+  net::Address m_to;
+  FloodOptions m_options;
+  Script m_script;
+  std::vector<Connection> m_connections;
+};
+
+} // namespace
+
+int
+RunFlood(const net::Address& aTo, const FloodOptions& aOptions)
+{
+  Crowd crowd(aTo, aOptions);
+  if (aOptions.m_holds) {
+    // The test begins once each connection has had its turn to send.
+    crowd.SendOnce();
+    std::cout << "holding" << std::endl;
+  }
+  while (crowd.SendOnce()) {
   }
-  std::size_t sent = 0;
-  for (const Connection& connection : connections) {
-    sent += connection.m_sent;
-    if (connection.m_socket >= 0) {
-      close(connection.m_socket);
+  std::cout << "sent " << crowd.Sent() << " bytes" << std::endl;
+  while (aOptions.m_holds) {
+    if (!crowd.SendOnce()) {
+      poll(nullptr, 0, kStallMs);
     }
   }
-  std::cout << "sent " << sent << " bytes" << std::endl;
   return 0;
 }
 
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -21,7 +21,7 @@
   lacewing-standin platform --listen=ADDR [--count=N]
   lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
   lacewing-standin flood --to=ADDR --mode=MODE --path=PATH --connections=N
-                   --bytes=N
+                   --bytes=N [--hold] [--reconnect]
 
 Options:
   --listen=ADDR      IP:PORT to listen on.
@@ -44,6 +44,8 @@
   --path=PATH        Path of these requests.
   --connections=N    Connections of this client.
   --bytes=N          Bytes that it sends on each at most.
+  --hold             It stays connected until it is killed.
+  --reconnect        It connects again wherever the server closes.
 )";
 
 using lacewing::milliseconds;
@@ -71,7 +73,9 @@
           { *mode,
             aOptions["--path"].asString(),
             static_cast<std::size_t>(aOptions["--connections"].asLong()),
-            static_cast<std::size_t>(aOptions["--bytes"].asLong()) });
+            static_cast<std::size_t>(aOptions["--bytes"].asLong()),
+            aOptions["--hold"].asBool(),
+            aOptions["--reconnect"].asBool() });
       }
       BOOST_LEAF_AUTO(
         listen, lacewing::net::ParseAddress(aOptions["--listen"].asString()));
--- a/standins/Servers.h
+++ b/standins/Servers.h
@@ -70,9 +70,15 @@
   std::string m_path;
   std::size_t m_connections = 1;
   std::size_t m_bytes = 0; ///< on each connection, at most
+  /// Stays connected, and sends as soon as the server takes more, until it is
+  /// killed. Prints "holding" first.
+  bool m_holds = false;
+  /// Connects again wherever the server has closed the connection.
+  bool m_reconnects = false;
 };
 
-/// Sends until the server takes nothing more, or all is sent.
+/// Sends until the server takes nothing more, or all is sent; then prints the
+/// number of bytes sent.
 int
 RunFlood(const net::Address& aTo, const FloodOptions& aOptions);
 
