Count a request that comes with its connection as being handled

Callers saw: beside clients that send requests ahead and stay connected, a request got no answer, and the daemon ended ("Assertion TAILQ_FIRST(&evcon->requests) == req failed in evhttp_send", or a segmentation fault).

Cause: evhttp tells its object for a connection only a turn of the loop after the connection was accepted. A request that is there by then, as that of every client which connects and sends at once, was handled before the connection was known, and not counted. ConnectionBook took the connection for one that was never used, and closed it first when there were too many, even while its request was being handled; the reply then went to a request that had been freed. A backtrace shows it: the reply to a job's submission, sent once the store had answered.

Change: connections are found by their buffer event, which is known from the start, and are identified at their first request at the latest.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -221,6 +221,7 @@
   evbuffer_add_cb(bufferevent_get_input(events), OnInput, accepted.get());
   const ConnectionBook::Id id = accepted->m_id;
   self->m_accepted.emplace(id, std::move(accepted));
+  self->m_ids[events] = id;
   self->m_loop.After(Duration::zero(),
                      [weak = std::weak_ptr(self->m_state), self, id] {
                        if (!weak.expired()) {
@@ -247,7 +248,6 @@
   }
   auto* connection = static_cast<evhttp_connection*>(argument);
   it->second->m_connection = connection;
-  m_ids[connection] = aId;
   evhttp_connection_set_closecb(connection, OnClosed, this);
   ShedSoon();
 }
@@ -263,7 +263,7 @@
   evbuffer_remove_cb(
     bufferevent_get_input(accepted.m_events), OnInput, &accepted);
   bufferevent_decref(accepted.m_events);
-  m_ids.erase(accepted.m_connection);
+  m_ids.erase(accepted.m_events);
   m_accepted.erase(it);
   m_state->m_book.OnClosed(aId);
 }
@@ -421,15 +421,19 @@
 ConnectionBook::Id
 HttpServer::Count(evhttp_connection* aConnection, const HttpRequest& aRequest)
 {
-  const auto known = m_ids.find(aConnection);
+  bufferevent* events = evhttp_connection_get_bufferevent(aConnection);
+  const auto known = m_ids.find(events);
   if (known == m_ids.end()) {
     return 0;
   }
-  const evbuffer* input =
-    bufferevent_get_input(evhttp_connection_get_bufferevent(aConnection));
-  m_state->m_book.OnRequest(
-    known->second, evbuffer_get_length(input), aRequest.m_body.size());
-  return known->second;
+  const ConnectionBook::Id id = known->second;
+  // A request that came with its connection is here first. Were it not counted,
+  // the connection could be closed while the request is being handled.
+  Identify(id);
+  m_state->m_book.OnRequest(id,
+                            evbuffer_get_length(bufferevent_get_input(events)),
+                            aRequest.m_body.size());
+  return id;
 }
 
 void
@@ -437,7 +441,8 @@
 {
   auto* self = static_cast<HttpServer*>(aSelf);
   self->m_connections.erase(aConnection);
-  const auto known = self->m_ids.find(aConnection);
+  const auto known =
+    self->m_ids.find(evhttp_connection_get_bufferevent(aConnection));
   if (known != self->m_ids.end()) {
     self->Forget(ConnectionBook::Id(known->second));
   }
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -100,7 +100,7 @@
   /// Learns evhttp's object for the connection, and of its end.
   void Identify(ConnectionBook::Id aId);
   void Forget(ConnectionBook::Id aId);
-  /// Counts the request; its connection's id, or 0 if that is not known yet.
+  /// Counts the request; its connection's id.
   ConnectionBook::Id Count(evhttp_connection* aConnection,
                            const HttpRequest& aRequest);
   /// Closes connections that are in excess.
@@ -121,7 +121,7 @@
   /// Connections that have sent a request.
   std::set<evhttp_connection*> m_connections;
   std::map<ConnectionBook::Id, std::unique_ptr<Accepted>> m_accepted;
-  std::map<evhttp_connection*, ConnectionBook::Id> m_ids;
+  std::map<bufferevent*, ConnectionBook::Id> m_ids;
   bool m_shedding = false; ///< `Shed` will run
   Time m_closeBegan{};
   Time m_lastRequest{};
--- /dev/null
+++ b/tests/error/HttpServerShed.cpp
@@ -0,0 +1,116 @@
+/// Guards against closing a connection whose request is being handled when a
+/// server has too many connections: the reply would then go to a request that
+/// has been freed, and the process would end.
+#include "fakes/FreeAddress.h"
+#include "net/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace lacewing::net {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kTurns = 50;
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A client with one connection, on which it sends what it is told to.
+class Client
+{
+public:
+  explicit Client(const Address& aTo)
+    : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(aTo.m_port);
+    inet_pton(AF_INET, aTo.m_ip.c_str(), &to.sin_addr);
+    EXPECT_EQ(connect(m_socket, reinterpret_cast<sockaddr*>(&to), sizeof to),
+              0);
+  }
+  ~Client() { close(m_socket); }
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  void Send(const std::string& aText)
+  {
+    EXPECT_EQ(send(m_socket, aText.data(), aText.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(aText.size()));
+  }
+
+  /// What has come so far.
+  std::string Read()
+  {
+    std::string text(4096, '\0');
+    const ssize_t count =
+      recv(m_socket, text.data(), text.size(), MSG_DONTWAIT);
+    text.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    return text;
+  }
+
+private:
+  int m_socket;
+};
+
+/// A server that takes two connections and replies when it is told to.
+class SmallServer
+{
+public:
+  SmallServer()
+    : m_address(fakes::FreeAddress())
+    , m_server(m_loop,
+               { .m_connections = { .m_maxConnections = 2 } },
+               [this](const HttpRequest&, const HttpReply& aReply) {
+                 m_replies.push_back(aReply);
+               })
+  {
+    leaf::try_handle_all([&] { return m_server.Listen(m_address); },
+                         [] { ADD_FAILURE() << "cannot listen"; });
+  }
+
+  void Run()
+  {
+    for (int turn = 0; turn < kTurns; ++turn) {
+      m_loop.Poll();
+    }
+  }
+
+  void ReplyToAll()
+  {
+    for (const HttpReply& reply : std::exchange(m_replies, {})) {
+      reply(JsonResponse(kOk, "{}"));
+    }
+  }
+
+  const Address& At() const { return m_address; }
+
+private:
+  Loop m_loop;
+  Address m_address;
+  std::vector<HttpReply> m_replies;
+  HttpServer m_server;
+};
+
+/// The request is there before the server has taken the connection, as that of
+/// a client which connects while the server is busy.
+TEST(HttpServerShed, RequestThatCameWithItsConnectionIsAnswered)
+{
+  SmallServer server;
+  Client client(server.At());
+  client.Send(kRequest);
+  server.Run();
+  const Client second(server.At());
+  const Client third(server.At());
+  server.Run();
+  server.ReplyToAll();
+  server.Run();
+  EXPECT_TRUE(client.Read().starts_with("HTTP/1.1 200"));
+}
+
+} // namespace
+
+} // namespace lacewing::net
