Close clients that send ahead before those that have just connected

Callers saw: beside clients that send requests ahead and read nothing, a request of the load balancer was now and then closed without an answer; if those clients connect again, at each port.

Cause: above their number the least recently used connections were closed. A client that sends all the time is always the last used, so that one which had just connected was the first to go. Where the others all had a request under way, it was the only one that could.

Change: ConnectionBook closes first those whose clients have sent further requests ahead, then new ones above half of the number (those that hold most first), then used ones by their last use, and other new ones last. A client that sends ahead and has a request under way ends with its response; until then the number may be exceeded by a quarter. No request under way is cut. No new setting.

--- a/src/net/ConnectionBook.cpp
+++ b/src/net/ConnectionBook.cpp
@@ -5,6 +5,17 @@
 
 namespace lacewing::net {
 
+namespace {
+
+/// Part of the connections that may be new ones without a request, before these
+/// are closed ahead of used ones.
+constexpr std::size_t kNewPart = 2;
+/// Part of the connections by which their number may be exceeded while others
+/// that are to end wait for their responses.
+constexpr std::size_t kEndingPart = 4;
+
+} // namespace
+
 ConnectionBook::Id
 ConnectionBook::Open()
 {
@@ -18,6 +29,7 @@
   const auto it = m_connections.find(aConnection);
   if (it != m_connections.end()) {
     it->second.m_received += aBytes;
+    it->second.m_ahead |= it->second.m_handling;
     m_bytes += aBytes;
   }
 }
@@ -37,6 +49,8 @@
   connection.m_request = aRequestBytes;
   m_bytes += connection.m_received + connection.m_request;
   connection.m_handling = true;
+  connection.m_ahead = aUnread > 0;
+  connection.m_used = true;
   connection.m_lastUse = ++m_uses;
 }
 
@@ -62,36 +76,83 @@
   }
 }
 
-std::vector<ConnectionBook::Id>
-ConnectionBook::Excess() const
+bool
+ConnectionBook::EndsWithResponse(Id aConnection) const
 {
-  std::vector<std::pair<Id, const Connection*>> idle;
+  const auto it = m_connections.find(aConnection);
+  return it != m_connections.end() && it->second.m_ahead &&
+         m_connections.size() > m_limits.m_maxConnections;
+}
+
+std::vector<ConnectionBook::Item>
+ConnectionBook::Closable() const
+{
+  std::vector<Item> result;
+  std::vector<Item> used;
+  std::vector<Item> young;
   for (const auto& [id, connection] : m_connections) {
     if (!connection.m_handling) {
-      idle.emplace_back(id, &connection);
+      (connection.m_ahead  ? result
+       : connection.m_used ? used
+                           : young)
+        .emplace_back(id, &connection);
     }
   }
+  const auto lastUse = [](const Item& aItem) {
+    return aItem.second->m_lastUse;
+  };
+  std::ranges::sort(result, {}, lastUse);
+  std::ranges::sort(used, {}, lastUse);
+  // A client that connects is about to send its request; it would never be
+  // answered if those that send all the time counted as more recently used.
+  // One that has sent much without a whole request has had its chance.
+  std::ranges::sort(young, {}, [](const Item& aItem) {
+    const Connection& connection = *aItem.second;
+    return std::pair{ ~connection.m_received, connection.m_lastUse };
+  });
+  const auto split =
+    young.end() - static_cast<std::ptrdiff_t>(std::min(
+                    young.size(), m_limits.m_maxConnections / kNewPart));
+  result.insert(result.end(), young.begin(), split);
+  result.insert(result.end(), used.begin(), used.end());
+  result.insert(result.end(), split, young.end());
+  return result;
+}
+
+std::size_t
+ConnectionBook::Surplus() const
+{
+  const auto ending = static_cast<std::size_t>(
+    std::ranges::count_if(m_connections, [](const auto& aItem) {
+      return aItem.second.m_handling && aItem.second.m_ahead;
+    }));
+  const std::size_t bound =
+    m_limits.m_maxConnections +
+    std::min(ending, m_limits.m_maxConnections / kEndingPart);
+  return m_connections.size() - std::min(m_connections.size(), bound);
+}
+
+std::vector<ConnectionBook::Id>
+ConnectionBook::Excess() const
+{
+  std::vector<Item> closable = Closable();
   std::vector<Id> result;
   std::size_t bytes = m_bytes;
   const auto close = [&](std::size_t aIndex) {
-    bytes -= idle[aIndex].second->m_received;
-    result.push_back(idle[aIndex].first);
+    bytes -= closable[aIndex].second->m_received;
+    result.push_back(closable[aIndex].first);
   };
-  const std::size_t surplus =
-    m_connections.size() -
-    std::min(m_connections.size(), m_limits.m_maxConnections);
-  std::ranges::sort(
-    idle, {}, [](const auto& aItem) { return aItem.second->m_lastUse; });
-  const std::size_t oldest = std::min(surplus, idle.size());
-  for (std::size_t index = 0; index < oldest; ++index) {
+  const std::size_t surplus = std::min(Surplus(), closable.size());
+  for (std::size_t index = 0; index < surplus; ++index) {
     close(index);
   }
-  idle.erase(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(oldest));
-  std::ranges::sort(idle, std::greater{}, [](const auto& aItem) {
+  closable.erase(closable.begin(),
+                 closable.begin() + static_cast<std::ptrdiff_t>(surplus));
+  std::ranges::sort(closable, std::greater{}, [](const Item& aItem) {
     return aItem.second->m_received;
   });
   for (std::size_t index = 0;
-       index < idle.size() && bytes > m_limits.m_maxBytes;
+       index < closable.size() && bytes > m_limits.m_maxBytes;
        ++index) {
     close(index);
   }
--- a/src/net/ConnectionBook.h
+++ b/src/net/ConnectionBook.h
@@ -47,10 +47,16 @@
   {
     return IsFull() || m_connections.size() > m_limits.m_maxConnections;
   }
-  /// Connections to close: the least recently used ones if there are too many,
-  /// and those that hold most if they hold too much. None whose request is
-  /// being handled.
+  /// Connections to close. If there are too many: those whose clients send
+  /// requests ahead, then new ones above half of the number, then the least
+  /// recently used ones, and other new ones last. Of new ones, those that hold
+  /// most go first. If they hold too much: those that hold most. None whose
+  /// request is being handled.
   std::vector<Id> Excess() const;
+  /// True if the connection must end with the response to its request: there
+  /// are too many, and its client sends requests ahead. Ask before
+  /// `OnResponse`.
+  bool EndsWithResponse(Id aConnection) const;
   std::size_t Connections() const { return m_connections.size(); }
   std::size_t Bytes() const { return m_bytes; }
 
@@ -60,8 +66,16 @@
     std::size_t m_received = 0; ///< and not handled yet
     std::size_t m_request = 0;  ///< of the request under way
     bool m_handling = false;
+    bool m_ahead = false;        ///< more was sent than the request under way
+    bool m_used = false;         ///< has sent a request
     std::uint64_t m_lastUse = 0; ///< order of the last use
   };
+  using Item = std::pair<Id, const Connection*>;
+
+  /// Connections that may be closed, in the order in which they are.
+  std::vector<Item> Closable() const;
+  /// Connections above the number, without those that end by themselves.
+  std::size_t Surplus() const;
 
   ConnectionLimits m_limits;
   std::map<Id, Connection> m_connections;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -198,7 +198,7 @@
 void
 HttpServer::SetOnOverload(OnOverload aOnOverload)
 {
-  m_onOverload = std::move(aOnOverload);
+  m_state->m_onOverload = std::move(aOnOverload);
 }
 
 bufferevent*
@@ -300,7 +300,7 @@
     if (it == m_accepted.end() || it->second->m_connection == nullptr) {
       continue;
     }
-    m_onOverload(OverloadAction::ConnectionClosed);
+    m_state->m_onOverload(OverloadAction::ConnectionClosed);
     evhttp_connection_free(it->second->m_connection);
     Forget(id);
   }
@@ -373,7 +373,7 @@
   const HttpRequest request = ToRequest(aRequest);
   const ConnectionBook::Id id = self->Count(connection, request);
   if (self->m_state->m_book.IsFull()) {
-    self->m_onOverload(OverloadAction::RequestRefused);
+    self->m_state->m_onOverload(OverloadAction::RequestRefused);
     HttpResponse response =
       ErrorResponse({ Verdict::NotRun,
                       ErrorCode::Unavailable,
@@ -411,10 +411,14 @@
   self->m_handler(request,
                   [aRequest, state, id](const HttpResponse& aResponse) {
                     --state->m_open;
+                    const bool ends = state->m_book.EndsWithResponse(id);
+                    if (ends) {
+                      state->m_onOverload(OverloadAction::ConnectionClosed);
+                    }
                     state->m_book.OnResponse(id);
                     // A request whose client has gone is freed by evhttp in
                     // this call.
-                    Send(aRequest, aResponse, state->m_closing);
+                    Send(aRequest, aResponse, ends || state->m_closing);
                   });
 }
 
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -91,6 +91,7 @@
     std::size_t m_open = 0;
     bool m_closing = false;
     ConnectionBook m_book;
+    OnOverload m_onOverload = [](OverloadAction) {};
   };
 
   static bufferevent* OnAccept(event_base* aBase, void* aSelf);
@@ -114,7 +115,6 @@
   Loop& m_loop;
   HttpServerLimits m_limits;
   HttpHandler m_handler;
-  OnOverload m_onOverload = [](OverloadAction) {};
   evhttp* m_server;
   evhttp_bound_socket* m_socket = nullptr;
   std::shared_ptr<State> m_state;
--- a/tests/correctness/ConnectionBook.cpp
+++ b/tests/correctness/ConnectionBook.cpp
@@ -61,6 +61,102 @@
   EXPECT_EQ(book.Connections(), 0U);
 }
 
+/// Guards against closing a client before its first request has arrived, since
+/// those that send all the time were used later.
+TEST(ConnectionBook, ClientThatSendsAheadIsClosedBeforeANewOne)
+{
+  ConnectionBook book({ 2, 1000 });
+  const auto served = book.Open();
+  book.OnRequest(served, 0, 0);
+  book.OnResponse(served);
+  const auto ahead = book.Open();
+  book.Open();
+  book.OnRequest(ahead, 50, 0);
+  book.OnResponse(ahead);
+  EXPECT_EQ(book.Excess(), Ids{ ahead });
+}
+
+/// Guards against counting as ahead a client that has caught up.
+TEST(ConnectionBook, ClientThatHasCaughtUpNoLongerSendsAhead)
+{
+  ConnectionBook book({ 2, 1000 });
+  const auto first = book.Open();
+  const auto second = book.Open();
+  book.OnRequest(second, 0, 0);
+  book.OnResponse(second);
+  book.OnRequest(first, 50, 0);
+  book.OnResponse(first);
+  book.OnRequest(first, 0, 0);
+  book.OnResponse(first);
+  book.Open();
+  EXPECT_EQ(book.Excess(), Ids{ second });
+}
+
+/// Guards against new connections without a request that keep out all others.
+TEST(ConnectionBook, NewConnectionsKeepToHalf)
+{
+  ConnectionBook book({ 4, 1000 });
+  const auto served = book.Open();
+  const auto oldest = book.Open();
+  book.Open();
+  book.Open();
+  book.Open();
+  book.OnRequest(served, 0, 0);
+  book.OnResponse(served);
+  EXPECT_EQ(book.Excess(), Ids{ oldest });
+}
+
+/// Guards against closing a client that has just connected before those that
+/// send bodies without end and connect again.
+TEST(ConnectionBook, NewConnectionThatHoldsMostIsClosedFirst)
+{
+  ConnectionBook book({ 2, 1000 });
+  book.Open();
+  const auto large = book.Open();
+  const auto small = book.Open();
+  book.OnReceived(large, 20);
+  book.OnReceived(small, 10);
+  EXPECT_EQ(book.Excess(), Ids{ large });
+}
+
+/// Guards against a used connection that keeps out new ones as long as these
+/// are few.
+TEST(ConnectionBook, UsedConnectionIsClosedBeforeANewOne)
+{
+  ConnectionBook book({ 4, 1000 });
+  const auto older = book.Open();
+  book.Open();
+  for (int count = 0; count < 2; ++count) {
+    const auto later = book.Open();
+    book.OnRequest(later, 0, 0);
+    book.OnResponse(later);
+  }
+  book.Open();
+  book.OnRequest(older, 0, 0);
+  book.OnResponse(older);
+  EXPECT_EQ(book.Excess(), Ids{ older + 2 });
+}
+
+/// Guards against closing a new client while all others have requests under way
+/// and send further ones.
+TEST(ConnectionBook, ClientThatSendsAheadEndsWithItsResponse)
+{
+  ConnectionBook book({ 4, 1000 });
+  Ids crowd;
+  for (int count = 0; count < 4; ++count) {
+    crowd.push_back(book.Open());
+    book.OnRequest(crowd.back(), 0, 0);
+    book.OnReceived(crowd.back(), 50);
+  }
+  EXPECT_FALSE(book.EndsWithResponse(crowd.front()));
+  book.Open();
+  EXPECT_EQ(book.Excess(), Ids{});
+  EXPECT_TRUE(book.EndsWithResponse(crowd.front()));
+  const auto second = book.Open();
+  ASSERT_GT(second, crowd.back());
+  EXPECT_EQ(book.Excess().size(), 1U);
+}
+
 /// A reply may come after its connection has gone.
 TEST(ConnectionBook, EventsOfAClosedConnectionChangeNothing)
 {
--- a/tests/error/HttpServerShed.cpp
+++ b/tests/error/HttpServerShed.cpp
@@ -1,6 +1,7 @@
-/// Guards against closing a connection whose request is being handled when a
-/// server has too many connections: the reply would then go to a request that
-/// has been freed, and the process would end.
+/// Guards against closing the wrong connection when a server has too many: one
+/// whose request is being handled (the reply would go to a request that has
+/// been freed, and the process would end), or that of a new client beside those
+/// that send requests ahead.
 #include "fakes/FreeAddress.h"
 #include "net/HttpServer.h"
 
@@ -10,6 +11,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <list>
+#include <utility>
+
 namespace lacewing::net {
 
 namespace {
@@ -56,14 +61,14 @@
   int m_socket;
 };
 
-/// A server that takes two connections and replies when it is told to.
+/// A server that takes few connections and replies when it is told to.
 class SmallServer
 {
 public:
-  SmallServer()
+  explicit SmallServer(std::size_t aConnections)
     : m_address(fakes::FreeAddress())
     , m_server(m_loop,
-               { .m_connections = { .m_maxConnections = 2 } },
+               { .m_connections = { .m_maxConnections = aConnections } },
                [this](const HttpRequest&, const HttpReply& aReply) {
                  m_replies.push_back(aReply);
                })
@@ -99,7 +104,7 @@
 /// a client which connects while the server is busy.
 TEST(HttpServerShed, RequestThatCameWithItsConnectionIsAnswered)
 {
-  SmallServer server;
+  SmallServer server(2);
   Client client(server.At());
   client.Send(kRequest);
   server.Run();
@@ -111,6 +116,30 @@
   EXPECT_TRUE(client.Read().starts_with("HTTP/1.1 200"));
 }
 
+/// Clients that sent requests ahead go first, also while each of them has one
+/// under way.
+TEST(HttpServerShed, NewClientIsAnsweredBesideThoseThatSendAhead)
+{
+  constexpr std::size_t kConnections = 4;
+  SmallServer server(kConnections);
+  const std::string requests = std::string(kRequest) + kRequest + kRequest;
+  std::list<Client> crowd;
+  for (std::size_t count = 0; count < kConnections; ++count) {
+    crowd.emplace_back(server.At()).Send(requests);
+  }
+  server.Run();
+  Client client(server.At());
+  server.ReplyToAll();
+  server.Run();
+  server.ReplyToAll();
+  server.Run();
+  client.Send(kRequest);
+  server.Run();
+  server.ReplyToAll();
+  server.Run();
+  EXPECT_TRUE(client.Read().starts_with("HTTP/1.1 200"));
+}
+
 } // namespace
 
 } // namespace lacewing::net
