--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -210,7 +210,7 @@
 void
 HttpServer::SetOnOverload(OnOverload aOnOverload)
 {
-  m_onOverload = std::move(aOnOverload);
+  m_state->m_onOverload = std::move(aOnOverload);
 }
 
 bufferevent*
@@ -233,6 +233,7 @@
   evbuffer_add_cb(bufferevent_get_input(events), OnInput, accepted.get());
   const ConnectionBook::Id id = accepted->m_id;
   self->m_accepted.emplace(id, std::move(accepted));
+  self->m_ids[events] = id;
   self->m_loop.After(Duration::zero(),
                      [weak = std::weak_ptr(self->m_state), self, id] {
                        if (!weak.expired()) {
@@ -259,7 +260,6 @@
   }
   auto* connection = static_cast<evhttp_connection*>(argument);
   it->second->m_connection = connection;
-  m_ids[connection] = aId;
   evhttp_connection_set_closecb(connection, OnClosed, this);
   ShedSoon();
 }
@@ -275,7 +275,7 @@
   evbuffer_remove_cb(
     bufferevent_get_input(accepted.m_events), OnInput, &accepted);
   bufferevent_decref(accepted.m_events);
-  m_ids.erase(accepted.m_connection);
+  m_ids.erase(accepted.m_events);
   m_accepted.erase(it);
   m_state->m_book.OnClosed(aId);
 }
@@ -312,7 +312,7 @@
     if (it == m_accepted.end() || it->second->m_connection == nullptr) {
       continue;
     }
-    m_onOverload(OverloadAction::ConnectionClosed);
+    m_state->m_onOverload(OverloadAction::ConnectionClosed);
     evhttp_connection_free(it->second->m_connection);
     Forget(id);
   }
@@ -385,7 +385,7 @@
   const HttpRequest request = ToRequest(aRequest);
   const ConnectionBook::Id id = self->Count(connection, request);
   if (self->m_state->m_book.IsFull()) {
-    self->m_onOverload(OverloadAction::RequestRefused);
+    self->m_state->m_onOverload(OverloadAction::RequestRefused);
     HttpResponse response =
       ErrorResponse({ Verdict::NotRun,
                       ErrorCode::Unavailable,
@@ -423,25 +423,33 @@
   self->m_handler(request,
                   [aRequest, state, id](const HttpResponse& aResponse) {
                     --state->m_open;
+                    const bool ends = state->m_book.EndsWithResponse(id);
+                    if (ends) {
+                      state->m_onOverload(OverloadAction::ConnectionClosed);
+                    }
                     state->m_book.OnResponse(id);
                     // A request whose client has gone is freed by evhttp in
                     // this call.
-                    Send(aRequest, aResponse, state->m_closing);
+                    Send(aRequest, aResponse, ends || state->m_closing);
                   });
 }
 
 ConnectionBook::Id
 HttpServer::Count(evhttp_connection* aConnection, const HttpRequest& aRequest)
 {
-  const auto known = m_ids.find(aConnection);
+  bufferevent* events = evhttp_connection_get_bufferevent(aConnection);
+  const auto known = m_ids.find(events);
   if (known == m_ids.end()) {
     return 0;
   }
-  const evbuffer* input =
-    bufferevent_get_input(evhttp_connection_get_bufferevent(aConnection));
-  m_state->m_book.OnRequest(
-    known->second, evbuffer_get_length(input), aRequest.m_body.size());
-  return known->second;
+  const ConnectionBook::Id id = known->second;
+  // A request that came with its connection is here first. Were it not counted,
+  // the connection could be closed while the request is being handled.
+  Identify(id);
+  m_state->m_book.OnRequest(id,
+                            evbuffer_get_length(bufferevent_get_input(events)),
+                            aRequest.m_body.size());
+  return id;
 }
 
 void
@@ -449,7 +457,8 @@
 {
   auto* self = static_cast<HttpServer*>(aSelf);
   self->m_connections.erase(aConnection);
-  const auto known = self->m_ids.find(aConnection);
+  const auto known =
+    self->m_ids.find(evhttp_connection_get_bufferevent(aConnection));
   if (known != self->m_ids.end()) {
     self->Forget(ConnectionBook::Id(known->second));
   }
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -21,7 +21,7 @@
   lacewing-standin platform --listen=ADDR [--count=N]
   lacewing-standin link --listen=ADDR --to=ADDR --control=ADDR
   lacewing-standin flood --to=ADDR --mode=MODE --path=PATH --connections=N
-                   --bytes=N
+                   --bytes=N [--hold] [--reconnect]
   lacewing-standin chunks --to=ADDR --path=PATH --connections=N --pieces=N
 
 Options:
@@ -46,6 +46,8 @@
   --connections=N    Connections of this client.
   --bytes=N          Bytes that it sends on each at most.
   --pieces=N         Writes on each of a body in chunks of one byte.
+  --hold             It stays connected until it is killed.
+  --reconnect        It connects again wherever the server closes.
 )";
 
 using lacewing::milliseconds;
@@ -73,7 +75,9 @@
           { *mode,
             aOptions["--path"].asString(),
             static_cast<std::size_t>(aOptions["--connections"].asLong()),
-            static_cast<std::size_t>(aOptions["--bytes"].asLong()) });
+            static_cast<std::size_t>(aOptions["--bytes"].asLong()),
+            aOptions["--hold"].asBool(),
+            aOptions["--reconnect"].asBool() });
       }
       if (aOptions["chunks"].asBool()) {
         BOOST_LEAF_AUTO(
