Give the clock of a later incarnation only in answers to started tasks

The worker in EdgeWorkerLinks gave it in refusals, too, so that the tests of starts in doubt saw no lease for another reason than the one that they guard. They use the former answers again.

--- a/tests/correctness/EdgeWorkerLinks.cpp
+++ b/tests/correctness/EdgeWorkerLinks.cpp
@@ -26,9 +26,11 @@
       if (aRequest.m_path != "/api/hold") {
         m_commands.push_back(aRequest.m_path);
         const bool stop = aRequest.m_path == "/api/run-stop";
-        const bool accepted = stop ? m_acceptsStops : m_acceptsStarts;
+        if (!stop && m_acceptsStarts) {
+          return std::optional(net::JsonResponse(200, R"({"clock_ms":1})"));
+        }
         return std::optional(
-          net::JsonResponse(accepted ? 200 : 500, R"({"clock_ms":1})"));
+          net::JsonResponse(stop && m_acceptsStops ? 200 : 500, "{}"));
       }
       const auto body = nlohmann::json::parse(aRequest.m_body);
       m_acknowledged.push_back(body.at("last_seen").get<int>());
