Count a job whose starts are in doubt as waiting

Cause: a job counted as begun once a start of it was decided, also while no worker had confirmed it.

Change: a job counts as waiting until a task of it is done or placed by a start that is not in doubt. A start is in doubt once it was repeated without an answer, or while its worker is silent.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -47,6 +47,43 @@
   return !confirmedBefore || aInventory->Lists(aTask, aPlacement.m_run);
 }
 
+/// True if the start was repeated without an answer, or if its worker is
+/// silent.
+bool
+IsInDoubt(const WorkerRecord& aWorker, const Placement& aPlacement)
+{
+  return !aPlacement.m_confirmed && (aWorker.MayHaveRestarted() ||
+                                     aPlacement.m_earlierCopiesUntil > Time());
+}
+
+/// True if a task of the job is done, or placed by a start that is not in
+/// doubt.
+bool
+HasBegunForCertain(const PoolScheduler::WorkerMap& aWorkers,
+                   const TrackedJob& aJob)
+{
+  for (std::uint32_t step = 0; step < aJob.Steps(); ++step) {
+    const auto& tasks = aJob.Step(step).m_tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+      if (tasks[index].m_state == TaskState::Waiting) {
+        continue;
+      }
+      const auto worker = aWorkers.find(tasks[index].m_worker);
+      if (tasks[index].m_state == TaskState::Done || worker == aWorkers.end()) {
+        return true;
+      }
+      const auto& placements = worker->second.m_placements;
+      const auto placement = placements.find({ aJob.Spec().m_id, step, index });
+      const bool inDoubt = placement != placements.end() &&
+                           IsInDoubt(worker->second, placement->second);
+      if (!inDoubt) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 PoolScheduler::PoolScheduler(Time aNow,
@@ -714,7 +751,7 @@
   std::map<QueueId, std::size_t> result;
   for (const auto& [id, open] : m_open) {
     const TrackedJob& job = *open;
-    if (!job.HasBegun()) {
+    if (!HasBegunForCertain(m_workers, job)) {
       ++result[job.Spec().m_queue];
     }
   }
--- a/tests/correctness/PoolLostOrders.cpp
+++ b/tests/correctness/PoolLostOrders.cpp
@@ -53,6 +53,25 @@
     1 + 2000);
 }
 
+/// A job whose only start was in doubt was not counted among the waiting ones,
+/// for as long as the doubt lasted (MIXED).
+TEST(PoolLostOrders, JobWhoseStartIsInDoubtIsCountedAsWaiting)
+{
+  PoolFixture fixture({ PoolWorker("w1") });
+  fixture.ReportAllIdle();
+  fixture.Add(PoolJob("job", kPatientQueue, { PoolStep(1) }));
+  const auto start = fixture.Plan().m_starts.at(0);
+  EXPECT_EQ(fixture.m_scheduler.WaitingJobs()[kPatientQueue], 0U);
+  fixture.m_scheduler.DeadlineOfStart(fixture.m_now, start);
+  fixture.m_now += milliseconds(750);
+  fixture.m_scheduler.DeadlineOfStart(fixture.m_now, start);
+  EXPECT_EQ(fixture.m_scheduler.WaitingJobs()[kPatientQueue], 1U);
+  fixture.m_scheduler.OnNoAnswer(start.m_worker);
+  EXPECT_EQ(fixture.m_scheduler.WaitingJobs()[kPatientQueue], 1U);
+  fixture.Confirm({ start });
+  EXPECT_EQ(fixture.m_scheduler.WaitingJobs()[kPatientQueue], 0U);
+}
+
 TEST(PoolLostOrders, StartWithoutAReplyKeepsItsCapacityAndItsTask)
 {
   PoolFixture fixture({ PoolWorker("w1"), PoolWorker("w2") });
