--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -30,3 +30,5 @@
 g++ -std=c++20 -O2 -Ireview/cell-2 -o "$out/failing-tasks" review/11/Case.cpp review/cell-2/Cell.cpp
 wait $compiled
 echo "built $out/failing-tasks"
+g++ -std=c++20 -O2 -Ireview/cell-2 -o "$out/wide-gang" review/14/Case.cpp review/cell-2/Cell.cpp
+echo "built $out/wide-gang"
