--- a/review/11/Case.cpp
+++ b/review/11/Case.cpp
@@ -3,7 +3,7 @@
 // broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the
 // environment the two submissions are left out. The cell is that of the second
 // review.
-#include "Cell.h"
+#include "../cell-2/Cell.h"
 
 #include <cstdlib>
 #include <iostream>
--- a/review/14/Case.cpp
+++ b/review/14/Case.cpp
@@ -2,7 +2,7 @@
 // ordinary submissions. Usage: wide-gang RECORD Ends with 1 if the rule was
 // broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the
 // environment the gang is left out. The cell is that of the second review.
-#include "Cell.h"
+#include "../cell-2/Cell.h"
 
 #include <cstdlib>
 #include <iostream>
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -27,8 +27,8 @@
 grep -q '"sound"' "$changed"
 g++ -std=c++20 -O2 -o "$out/platform" "$changed" -levent &
 compiled=$!
-g++ -std=c++20 -O2 -Ireview/cell-2 -o "$out/failing-tasks" review/11/Case.cpp review/cell-2/Cell.cpp
+g++ -std=c++20 -O2 -o "$out/failing-tasks" review/11/Case.cpp review/cell-2/Cell.cpp
 wait $compiled
 echo "built $out/failing-tasks"
-g++ -std=c++20 -O2 -Ireview/cell-2 -o "$out/wide-gang" review/14/Case.cpp review/cell-2/Cell.cpp
+g++ -std=c++20 -O2 -o "$out/wide-gang" review/14/Case.cpp review/cell-2/Cell.cpp
 echo "built $out/wide-gang"
