Log which workers the pool avoids, and for which runs

What operators saw: nothing.

Cause: AttributeFailure and StopStuck changed when a worker gets tasks again without a line.

Change: worker_suspect names the worker, the reason (failed or stuck), the job and step of the last such run and the time for which the worker is avoided; lacewing_suspect_workers_total counts them by reason.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -723,6 +723,7 @@
   }
   LogUnrunnable(actions);
   LogGivenUp(actions);
+  LogSuspects(actions);
   if (m_scheduler.HasUnsaved()) {
     m_hooks.m_onUnsaved();
   }
@@ -772,6 +773,23 @@
   }
 }
 
+void
+PoolLeader::LogSuspects(const pool::Actions& aActions)
+{
+  for (const pool::SuspectWorker& suspect : aActions.m_suspects) {
+    const std::string_view reason = NameOf(suspect.m_reason);
+    m_context.m_metrics.Add(observe::Metric::SuspectWorkers, { reason });
+    m_context.m_log.Write(
+      settings::LogLevel::Info,
+      "worker_suspect",
+      { { "worker", suspect.m_worker.Value() },
+        { "reason", std::string(reason) },
+        { "request", suspect.m_job.Value() },
+        { "step", static_cast<std::int64_t>(suspect.m_step) },
+        { "avoided_ms", ToMilliseconds(suspect.m_avoided) } });
+  }
+}
+
 void
 PoolLeader::LookUp(const JobId& aJob, JobSource aSource)
 {
--- a/src/edge/PoolLeader.h
+++ b/src/edge/PoolLeader.h
@@ -167,6 +167,7 @@
   void LogUnrunnable(const pool::Actions& aActions);
   /// Logs why runs were given up whose end no worker has reported.
   void LogGivenUp(const pool::Actions& aActions);
+  void LogSuspects(const pool::Actions& aActions);
   /// Reads an unknown job and its progress, until it is found or is known not
   /// to exist.
   void LookUp(const JobId& aJob, JobSource aSource);
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -61,6 +61,7 @@
   { Metric::JobViewAgeSeconds, "lacewing_job_view_age_seconds", Histogram, "seconds", "", "How old the leader's view of the stored jobs and cancellations was as the store's next answer renewed it.", "above 2 s" },
   { Metric::RelayOrders, "lacewing_relay_orders_total", Counter, "orders", "verdict", "Orders of the pool's leader for workers that this process has received as a relay, by verdict: accepted, late, superseded or repeated.", "late grows for 10 s" },
   { Metric::UnrunnableJobs, "lacewing_unrunnable_jobs_total", Counter, "jobs", "reason", "Jobs of the pool that hold up no others since they can't run, by reason: fails_everywhere (a step failed on several workers and nothing of it is done) or too_large (a gang that all usable workers together can't hold).", "grows for 1 minute" },
+  { Metric::SuspectWorkers, "lacewing_suspect_workers_total", Counter, "workers", "reason", "Times that a worker of the pool became suspect, or stayed so after a further failure, by reason: failed (runs on it fail) or stuck (a run on it made no progress).", "grows for 1 minute" },
   { Metric::ClientOverload, "lacewing_client_overload_total", Counter, "connections and requests", "listener,action", "Clients that exceeded the limits of a listener (callers, probe, peers or relay), by action: closed (a connection) or refused (a request, with 503).", "grows" },
 };
 // clang-format on
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -42,6 +42,7 @@
   JobViewAgeSeconds,
   RelayOrders,
   UnrunnableJobs,
+  SuspectWorkers,
   ClientOverload,
 };
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -20,6 +20,7 @@
 #include "pool/PlanPacer.h"
 #include "pool/PoolConfig.h"
 #include "pool/RuntimeModel.h"
+#include "pool/SuspectWorker.h"
 #include "pool/TrackedJob.h"
 #include "pool/WorkerRecord.h"
 
@@ -88,6 +89,8 @@
   std::vector<JobId> m_tooLargeJobs;
   /// Runs that were given up since the last plan.
   std::vector<GivenUpRun> m_givenUp;
+  /// Workers that became suspect since the last plan, or stay so.
+  std::vector<SuspectWorker> m_suspects;
   std::size_t m_considered = 0; ///< steps
 };
 
@@ -585,6 +588,11 @@
                         TrackedJob& aJob,
                         const TaskRef& aTask,
                         WorkerRecord& aWorker);
+  /// Has it logged that the worker is avoided because of the task.
+  void ReportSuspect(Time aNow,
+                     const WorkerRecord& aWorker,
+                     const TaskRef& aTask,
+                     Suspicion aReason);
   void OnReportedRun(Time aNow, WorkerRecord& aWorker, const ReportedRun& aRun);
   void Identify(Time aNow, WorkerRecord& aWorker, const ReportedRun& aRun);
   std::vector<std::pair<TaskRef, WorkerId>> UnknownRunsOf(
@@ -678,10 +686,11 @@
   Duration m_longestViewAge{};
   Time m_loadedAt = Time::max();
   Time m_began{};
-  std::vector<StopTask> m_stops;     ///< decided since the last plan
-  std::vector<JobId> m_failingJobs;  ///< likewise, found
-  std::vector<GivenUpRun> m_givenUp; ///< likewise
-  RuntimeRatio m_runtimeRatio;       ///< of all workers
+  std::vector<StopTask> m_stops;         ///< decided since the last plan
+  std::vector<JobId> m_failingJobs;      ///< likewise, found
+  std::vector<GivenUpRun> m_givenUp;     ///< likewise
+  std::vector<SuspectWorker> m_suspects; ///< likewise
+  RuntimeRatio m_runtimeRatio;           ///< of all workers
   RuntimeModel m_runtimes;
   int m_openPatientRequests =
     0; ///< to the policy service, in flight, for patient steps
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -269,9 +269,27 @@
   }
   if (!failures.IsAtFault()) {
     aWorker.m_failures.OnFailure(aNow, step);
+    if (aWorker.m_failures.AvoidUntil() > aNow) {
+      ReportSuspect(aNow, aWorker, aTask, Suspicion::Failed);
+    }
   }
 }
 
+void
+PoolScheduler::ReportSuspect(Time aNow,
+                             const WorkerRecord& aWorker,
+                             const TaskRef& aTask,
+                             Suspicion aReason)
+{
+  SuspectWorker& suspect = m_suspects.emplace_back();
+  suspect.m_worker = aWorker.m_info.m_id;
+  suspect.m_job = aTask.m_job;
+  suspect.m_step = aTask.m_step;
+  suspect.m_reason = aReason;
+  suspect.m_avoided =
+    std::max(aWorker.m_failures.AvoidUntil(), aWorker.m_avoidUntil) - aNow;
+}
+
 void
 PoolScheduler::OnReportedRun(Time aNow,
                              WorkerRecord& aWorker,
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -67,6 +67,7 @@
   m_lookups.clear();
   actions.m_failingJobs = std::exchange(m_failingJobs, {});
   actions.m_givenUp = std::exchange(m_givenUp, {});
+  actions.m_suspects = std::exchange(m_suspects, {});
   if (AwaitsFirstInventories(aNow) || !MayStart(aNow)) {
     actions.m_stops = std::exchange(m_stops, {});
     return actions;
@@ -771,6 +772,7 @@
       Stop(aNow, worker, task, StopReason::Stuck);
       worker.m_avoidUntil =
         std::max(worker.m_avoidUntil, aNow + kStuckAvoidance);
+      ReportSuspect(aNow, worker, task, Suspicion::Stuck);
     }
   }
 }
