Weigh failing steps by workers, and suspect workers for different jobs only

Each worker saw failures of one job only, two in a row were enough, and the pause doubled up to 16 s with each further one.

Change: pool/FailureEvidence weighs a step by the workers on which its latest run failed and those on which it was done. A worker becomes suspect by failures of different jobs in a row; those of one job keep that job away from it. The rule that a job counts once exists once (core/LatestDistinct) and sched::WorkerHealth uses it too. A suspect worker pauses for one or two seconds, less than work may stand still, and then takes one task or gang at a time until one is done. Suspicion against more than half of a service's workers is not believed. Stuck runs are weighed likewise: they took each worker out of use for 4 s, and a job that makes no progress anywhere did so to the whole pool.

Why it works: whatever one or several hopeless jobs do, the workers' pauses end before three seconds, and evidence from most workers points at the jobs.

--- a/src/edge/PoolLeader.cpp
+++ b/src/edge/PoolLeader.cpp
@@ -733,12 +733,16 @@
 void
 PoolLeader::LogUnrunnable(const pool::Actions& aActions)
 {
-  for (const JobId& job : aActions.m_failingJobs) {
+  for (const pool::FailingStep& failing : aActions.m_failingSteps) {
     m_context.m_metrics.Add(observe::Metric::UnrunnableJobs,
                             { "fails_everywhere" });
-    m_context.m_log.Write(settings::LogLevel::Info,
-                          "job_fails_everywhere",
-                          { { "request", job.Value() } });
+    m_context.m_log.Write(
+      settings::LogLevel::Info,
+      "job_fails_everywhere",
+      { { "request", failing.m_job.Value() },
+        { "step", static_cast<std::int64_t>(failing.m_step) },
+        { "failing_workers", static_cast<std::int64_t>(failing.m_failing) },
+        { "sound_workers", static_cast<std::int64_t>(failing.m_sound) } });
   }
   for (const JobId& job : aActions.m_tooLargeJobs) {
     m_context.m_metrics.Add(observe::Metric::UnrunnableJobs, { "too_large" });
--- a/src/pool/FailureEvidence.cpp
+++ b/src/pool/FailureEvidence.cpp
@@ -6,67 +6,115 @@
 
 namespace {
 
-/// A step that has failed on so many different workers, and of which nothing is
-/// done, is at fault. Few workers fail at a time, so that tasks of a sound step
-/// rarely meet two of them before another task is done.
+/// Few workers fail at a time, so that tasks of a sound step rarely meet two of
+/// them before another task is done.
 constexpr std::size_t kWorkersOfFaultyStep = 2;
-/// Failures in a row after which a worker gets no tasks for a while. A single
-/// failure is mostly the fault of the task itself; two in a row on one worker
-/// are rare.
-constexpr std::size_t kFailuresToAvoid = 2;
-/// First backoff of a worker on which tasks fail; it doubles with each further
-/// failure.
-constexpr Duration kFirstAvoidance = seconds(2);
-/// Limits the backoff, so that a worker that has recovered is used again.
-constexpr std::size_t kMaxAvoidanceDoublings = 3;
+/// A single failure is mostly the fault of the task itself; two in a row of one
+/// step on one worker are rare.
+constexpr std::uint32_t kFailuresToKeepAway = 2;
+/// Different jobs that make a worker suspect.
+constexpr std::size_t kJobsToSuspect = 2;
+/// How long a worker gets no tasks once it is suspect.
+constexpr Duration kFirstAvoidance = seconds(1);
+/// The same after a further failure, and for a single step that fails there.
+/// Work that has no other worker must not stand still for longer.
+constexpr Duration kLongestAvoidance = seconds(2);
 
 } // namespace
 
 bool
-StepFailures::OnFailure(const WorkerId& aWorker, std::size_t aWorkers)
+StepFailures::OnFailure(Time aNow, WorkerSlot aWorker, std::size_t aWorkers)
 {
-  if (std::ranges::find(m_workers, aWorker) == m_workers.end() &&
-      m_workers.size() < kWorkersOfFaultyStep) {
-    m_workers.push_back(aWorker);
+  SetSound(aWorker, false);
+  auto found = std::ranges::find(m_failing, aWorker, &FailingWorker::m_worker);
+  if (found == m_failing.end()) {
+    found = m_failing.insert(found, FailingWorker{ aWorker });
   }
+  ++found->m_inRow;
+  found->m_latest = aNow;
   const bool wasAtFault = m_atFault;
-  m_atFault =
-    !m_done && m_workers.size() >= std::min(kWorkersOfFaultyStep, aWorkers);
+  m_atFault = m_failing.size() >= std::min(kWorkersOfFaultyStep, aWorkers) &&
+              m_failing.size() > m_soundCount;
   return m_atFault && !wasAtFault;
 }
 
 void
-StepFailures::OnDone()
+StepFailures::OnDone(WorkerSlot aWorker)
 {
-  m_done = true;
-  m_atFault = false;
+  SetSound(aWorker, true);
+  std::erase_if(m_failing, [&](const FailingWorker& aFailing) {
+    return aFailing.m_worker == aWorker;
+  });
+  m_atFault = m_atFault && m_failing.size() > m_soundCount;
 }
 
 void
-WorkerFailures::OnFailure(Time aNow, const StepId& aStep)
+StepFailures::SetSound(WorkerSlot aWorker, bool aSound)
 {
-  if (m_steps.size() < kFailuresToAvoid + kMaxAvoidanceDoublings) {
-    m_steps.push_back(aStep);
+  if (IsSound(aWorker) == aSound) {
+    return;
   }
-  if (m_steps.size() >= kFailuresToAvoid) {
-    const auto doublings = static_cast<int>(m_steps.size() - kFailuresToAvoid);
-    m_avoidUntil =
-      std::max(m_avoidUntil, aNow + kFirstAvoidance * (1 << doublings));
+  if (aWorker >= m_sound.size()) {
+    m_sound.resize(aWorker + 1);
   }
+  m_sound[aWorker] = aSound;
+  m_soundCount += aSound ? 1 : -1;
+}
+
+std::uint32_t
+StepFailures::MostTasksOn(Time aNow, WorkerSlot aWorker) const
+{
+  // A step that fails wherever it runs must not keep itself from all workers.
+  const auto found =
+    std::ranges::find(m_failing, aWorker, &FailingWorker::m_worker);
+  if (m_atFault || found == m_failing.end() ||
+      found->m_inRow < kFailuresToKeepAway) {
+    return kNoLimit;
+  }
+  return aNow < found->m_latest + kLongestAvoidance ? 0 : 1;
+}
+
+bool
+WorkerFailures::OnFailure(Time aNow, const JobId& aJob, Suspicion aKind)
+{
+  const bool wasSuspect = IsSuspect();
+  const bool wasAvoided = aNow < m_avoidUntil;
+  (aKind == Suspicion::Stuck ? m_stuck : m_failed).Add(aJob);
+  m_latest = aNow;
+  if (!IsSuspect()) {
+    return false;
+  }
+  const Duration avoidance = wasSuspect ? kLongestAvoidance : kFirstAvoidance;
+  m_avoidUntil = std::max(m_avoidUntil, aNow + avoidance);
+  return !wasAvoided;
 }
 
 void
 WorkerFailures::OnSuccess()
 {
-  m_steps.clear();
+  *this = {};
 }
 
 void
-WorkerFailures::Discard(const StepId& aStep)
+WorkerFailures::Discard(const JobId& aJob)
 {
-  if (std::erase(m_steps, aStep) > 0 && m_steps.size() < kFailuresToAvoid) {
+  m_failed.Remove(aJob);
+  m_stuck.Remove(aJob);
+  if (!IsSuspect()) {
     m_avoidUntil = {};
   }
 }
 
+bool
+WorkerFailures::IsSuspect() const
+{
+  return m_failed.Size() >= kJobsToSuspect || m_stuck.Size() > 0;
+}
+
+bool
+IsCredible(std::size_t aSuspects, std::size_t aWorkers)
+{
+  return aSuspects <= 1 || aSuspects * 2 <= aWorkers;
+}
+
 } // namespace lacewing::pool
--- a/src/pool/FailureEvidence.h
+++ b/src/pool/FailureEvidence.h
@@ -1,33 +1,70 @@
 /// Whose fault the failures of runs are: that of a worker on which tasks of
-/// sound jobs fail, or that of a step whose tasks fail on every worker.
+/// sound jobs fail, or that of a step whose tasks fail wherever they run.
+///
+/// Each worker counts once for a step, by how the latest run of the step ended
+/// there. A step is at fault while it fails on more workers than it is done on,
+/// and on two at least: then its failures count against no worker. A run that
+/// makes no progress counts like a failed one.
+///
+/// Failures of one job say as much about the job as about the worker. Two in a
+/// row keep this job away from the worker, and only failures of different jobs
+/// in a row make the worker suspect. A suspect worker gets no tasks for a
+/// while, at most for two seconds, and is then on trial: it gets one task at a
+/// time until one of them is done. Suspicion against most workers of a service
+/// is not believed, since few fail at a time.
 ///
 /// Does no I/O and reads no clock.
 #pragma once
 
+#include "core/LatestDistinct.h"
 #include "core/Time.h"
 #include "pool/Job.h"
+#include "pool/SuspectWorker.h"
 
 #include <cstdint>
-#include <utility>
+#include <limits>
 #include <vector>
 
 namespace lacewing::pool {
 
-/// Failures of one step's tasks; kept by the leader and not stored.
+/// Outcomes of one step's runs; kept by the leader and not stored.
 class StepFailures
 {
 public:
-  /// A run has failed on the worker. True if the step is found to be at fault
-  /// by this failure: its earlier failures no longer count against workers.
-  /// `aWorkers` is the number of workers in the pool.
-  bool OnFailure(const WorkerId& aWorker, std::size_t aWorkers);
-  /// A task is done, so its workers may be at fault for the failed ones.
-  void OnDone();
+  static constexpr std::uint32_t kNoLimit =
+    std::numeric_limits<std::uint32_t>::max();
+
+  /// A run has failed on the worker or was stuck there. True if the step is
+  /// found to be at fault by this: its earlier failures no longer count against
+  /// workers. `aWorkers` is the number of workers in the pool.
+  bool OnFailure(Time aNow, WorkerSlot aWorker, std::size_t aWorkers);
+  /// A task was done on the worker.
+  void OnDone(WorkerSlot aWorker);
   bool IsAtFault() const { return m_atFault; }
+  /// Number of workers on which the latest run of the step has failed.
+  std::size_t FailingWorkers() const { return m_failing.size(); }
+  /// Number of workers on which it was done.
+  std::size_t SoundWorkers() const { return m_soundCount; }
+  /// Number of tasks of the step that the worker may run at the same time.
+  std::uint32_t MostTasksOn(Time aNow, WorkerSlot aWorker) const;
 
 private:
-  std::vector<WorkerId> m_workers; ///< different ones on which runs failed
-  bool m_done = false;
+  struct FailingWorker
+  {
+    WorkerSlot m_worker = 0;
+    std::uint32_t m_inRow = 0;
+    Time m_latest{};
+  };
+
+  bool IsSound(WorkerSlot aWorker) const
+  {
+    return aWorker < m_sound.size() && m_sound[aWorker];
+  }
+  void SetSound(WorkerSlot aWorker, bool aSound);
+
+  std::vector<FailingWorker> m_failing;
+  std::vector<bool> m_sound; ///< by slot
+  std::size_t m_soundCount = 0;
   bool m_atFault = false;
 };
 
@@ -35,18 +72,30 @@
 class WorkerFailures
 {
 public:
-  using StepId = std::pair<JobId, std::uint32_t>;
-
-  void OnFailure(Time aNow, const StepId& aStep);
+  /// A run of the job has failed there or was stuck. A single stuck run makes
+  /// the worker suspect, since it holds its room until it is stopped. True if a
+  /// time without new tasks begins.
+  bool OnFailure(Time aNow, const JobId& aJob, Suspicion aKind);
   void OnSuccess();
-  /// Forgets the failures of a step that is at fault itself.
-  void Discard(const StepId& aStep);
+  /// Forgets the failures of a job that is at fault itself.
+  void Discard(const JobId& aJob);
+  bool IsSuspect() const;
+  /// When the latest failure was reported.
+  Time Latest() const { return m_latest; }
   /// The worker gets no new tasks before that time.
   Time AvoidUntil() const { return m_avoidUntil; }
 
 private:
-  std::vector<StepId> m_steps; ///< by run, since the last success
+  static constexpr std::size_t kMostJobs = 4;
+
+  LatestDistinct<JobId, kMostJobs> m_failed; ///< since the last success
+  LatestDistinct<JobId, kMostJobs> m_stuck;  ///< likewise
+  Time m_latest{};
   Time m_avoidUntil{};
 };
 
+/// True if so many suspects among the workers of a service are credible.
+bool
+IsCredible(std::size_t aSuspects, std::size_t aWorkers);
+
 } // namespace lacewing::pool
--- a/src/pool/Job.h
+++ b/src/pool/Job.h
@@ -17,6 +17,10 @@
 /// incarnation.
 using WorkerId = StringId<struct WorkerIdTag>;
 
+/// Number of a worker within one leadership, used as an index into tables of
+/// all workers.
+using WorkerSlot = std::uint32_t;
+
 /// One step: tasks of equal size that may run at the same time.
 struct StepSpec
 {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -74,6 +74,15 @@
   bool m_interactive = false;
 };
 
+/// A step that was found to fail wherever it runs.
+struct FailingStep
+{
+  JobId m_job;
+  std::uint32_t m_step = 0;
+  std::size_t m_failing = 0; ///< workers on which its latest run has failed
+  std::size_t m_sound = 0;   ///< workers on which it was done
+};
+
 struct Actions
 {
   std::vector<StartTask> m_starts;
@@ -81,9 +90,8 @@
   std::vector<AdviceRequest> m_adviceRequests;
   /// Jobs that run on workers and are not known here; to be looked up.
   std::vector<JobId> m_lookups;
-  /// Jobs of which a step was found to fail on every worker: its failures do
-  /// not count against workers.
-  std::vector<JobId> m_failingJobs;
+  /// Their failures do not count against workers.
+  std::vector<FailingStep> m_failingSteps;
   /// Jobs with a gang that does not fit on all usable workers together, even if
   /// they were empty. No capacity is reserved for it.
   std::vector<JobId> m_tooLargeJobs;
@@ -342,10 +350,11 @@
   struct PlacementOption
   {
     WorkerRecord* m_worker = nullptr;
-    /// Not on the preferred rack, reserved for a gang, its speed, and its free
-    /// millicores. The tightest fit keeps workers with much free capacity for
-    /// large tasks; interactive tasks go to the fastest workers first.
-    std::tuple<bool, bool, SpeedClass, std::int64_t> m_cost;
+    /// On trial, not on the preferred rack, reserved for a gang, its speed, and
+    /// its free millicores. The tightest fit keeps workers with much free
+    /// capacity for large tasks; interactive tasks go to the fastest workers
+    /// first.
+    std::tuple<bool, bool, bool, SpeedClass, std::int64_t> m_cost;
   };
 
   /// Workers that take only interactive tasks, reserved for gangs at the head
@@ -358,6 +367,13 @@
 
   using LeaseCheck = std::pair<Time, WorkerSlot>;
 
+  /// Workers of a service that would be available if none were suspect.
+  struct SuspectCount
+  {
+    std::size_t m_suspects = 0;
+    std::size_t m_workers = 0;
+  };
+
   /// An end that was reported before its job became known.
   struct HeldEnd
   {
@@ -393,6 +409,8 @@
   void StopBrokenGang(Time aNow, const Candidate& aCandidate);
   /// Lists the workers that can be given tasks in this plan.
   void ListUsable(Time aNow);
+  /// Services of which available workers are suspect.
+  std::map<ServiceId, SuspectCount> CountSuspects(Time aNow) const;
   /// True if the step needs no advice or has a valid ticket of a usable worker.
   bool HasAdvice(Time aNow, const Candidate& aCandidate) const;
   /// True if a plan can do nothing for the step until its open request is
@@ -419,10 +437,11 @@
                     Actions& aActions);
   /// True if the workers have room for a task of the step now, or for all
   /// members of a gang.
-  static bool HasRoomOn(const Candidate& aCandidate,
+  static bool HasRoomOn(Time aNow,
+                        const Candidate& aCandidate,
                         const std::vector<WorkerRecord*>& aWorkers);
   /// The same for all usable workers that are or may be permitted.
-  bool HasRoom(const Candidate& aCandidate);
+  bool HasRoom(Time aNow, const Candidate& aCandidate);
   /// True if the step has never had advice, or could start on workers for which
   /// it has no valid ticket.
   bool LacksOnlyAdvice(Time aNow, const Candidate& aCandidate);
@@ -468,7 +487,9 @@
   /// interactive) steps avoid only very slow workers.
   SpeedClass SpeedFor(const Candidate& aCandidate,
                       const WorkerRecord& aWorker) const;
-  static std::uint32_t TasksThatFitOn(const WorkerRecord& aWorker,
+  /// Tasks of the step that the worker may be given now.
+  static std::uint32_t TasksThatFitOn(Time aNow,
+                                      const WorkerRecord& aWorker,
                                       const Candidate& aCandidate);
   RunNumber NextRun(const TaskRecord& aTask) const;
   void CheckBarrier(Time aNow);
@@ -502,11 +523,13 @@
   /// A rack in which the workers have room for the whole gang; empty for a gang
   /// that need not be in one rack. Nothing if there is none.
   static std::optional<std::string> RackForGang(
+    Time aNow,
     const Candidate& aCandidate,
     const std::vector<WorkerRecord*>& aWorkers);
   bool PlaceGang(Time aNow, const Candidate& aCandidate, Actions& aActions);
   /// Leaves out slow workers if the others have room for the whole gang.
-  void PreferOneSpeed(const Candidate& aCandidate,
+  void PreferOneSpeed(Time aNow,
+                      const Candidate& aCandidate,
                       std::vector<WorkerRecord*>& aWorkers) const;
   void ReserveFor(const Candidate& aCandidate, std::set<WorkerId>& aReserved);
   /// True if the usable workers that are or may be permitted have room for the
@@ -583,11 +606,13 @@
                     const TaskRef& aTask,
                     RunNumber aRun,
                     WorkerRecord& aWorker);
-  /// Decides whether the failure counts against the worker or the job.
+  /// Decides whether a failed or stuck run counts against the worker or the
+  /// job.
   void AttributeFailure(Time aNow,
                         TrackedJob& aJob,
                         const TaskRef& aTask,
-                        WorkerRecord& aWorker);
+                        WorkerRecord& aWorker,
+                        Suspicion aKind);
   /// Has it logged that the worker is avoided because of the task.
   void ReportSuspect(Time aNow,
                      const WorkerRecord& aWorker,
@@ -686,11 +711,11 @@
   Duration m_longestViewAge{};
   Time m_loadedAt = Time::max();
   Time m_began{};
-  std::vector<StopTask> m_stops;         ///< decided since the last plan
-  std::vector<JobId> m_failingJobs;      ///< likewise, found
-  std::vector<GivenUpRun> m_givenUp;     ///< likewise
-  std::vector<SuspectWorker> m_suspects; ///< likewise
-  RuntimeRatio m_runtimeRatio;           ///< of all workers
+  std::vector<StopTask> m_stops;           ///< decided since the last plan
+  std::vector<FailingStep> m_failingSteps; ///< likewise, found
+  std::vector<GivenUpRun> m_givenUp;       ///< likewise
+  std::vector<SuspectWorker> m_suspects;   ///< likewise
+  RuntimeRatio m_runtimeRatio;             ///< of all workers
   RuntimeModel m_runtimes;
   int m_openPatientRequests =
     0; ///< to the policy service, in flight, for patient steps
--- a/src/pool/PoolSchedulerAdvice.cpp
+++ b/src/pool/PoolSchedulerAdvice.cpp
@@ -159,11 +159,11 @@
 {
   const StepRecord& step = aCandidate.Record();
   if (!aCandidate.m_queue->m_advice || step.m_adviceOpen ||
-      HasRoomOn(aCandidate, Eligible(aNow, aCandidate))) {
+      HasRoomOn(aNow, aCandidate, Eligible(aNow, aCandidate))) {
     return false;
   }
   const bool neverAsked = step.m_asked.empty();
-  return neverAsked || (HasQuotaFor(aCandidate) && HasRoom(aCandidate));
+  return neverAsked || (HasQuotaFor(aCandidate) && HasRoom(aNow, aCandidate));
 }
 
 bool
@@ -218,7 +218,7 @@
 }
 
 bool
-PoolScheduler::HasRoom(const Candidate& aCandidate)
+PoolScheduler::HasRoom(Time aNow, const Candidate& aCandidate)
 {
   if (!aCandidate.Spec().m_each.FitsIn(m_mostFree)) {
     return false;
@@ -231,23 +231,25 @@
   if (!aCandidate.Spec().m_gang) {
     // Mostly one of the first workers has room; the others are not looked at.
     return std::ranges::any_of(m_usable, [&](const WorkerRecord* aWorker) {
-      return mayTakeOne(aWorker) && TasksThatFitOn(*aWorker, aCandidate) > 0;
+      return mayTakeOne(aWorker) &&
+             TasksThatFitOn(aNow, *aWorker, aCandidate) > 0;
     });
   }
   std::vector<WorkerRecord*> workers;
   std::ranges::copy_if(m_usable, std::back_inserter(workers), mayTakeOne);
-  return HasRoomOn(aCandidate, workers);
+  return HasRoomOn(aNow, aCandidate, workers);
 }
 
 bool
-PoolScheduler::HasRoomOn(const Candidate& aCandidate,
+PoolScheduler::HasRoomOn(Time aNow,
+                         const Candidate& aCandidate,
                          const std::vector<WorkerRecord*>& aWorkers)
 {
   if (aCandidate.Spec().m_gang) {
-    return RackForGang(aCandidate, aWorkers).has_value();
+    return RackForGang(aNow, aCandidate, aWorkers).has_value();
   }
   return std::ranges::any_of(aWorkers, [&](const WorkerRecord* aWorker) {
-    return TasksThatFitOn(*aWorker, aCandidate) > 0;
+    return TasksThatFitOn(aNow, *aWorker, aCandidate) > 0;
   });
 }
 
--- a/src/pool/PoolSchedulerEnds.cpp
+++ b/src/pool/PoolSchedulerEnds.cpp
@@ -179,7 +179,7 @@
   }
   if (aEnd.m_how == RunEnd::Done) {
     aWorker.m_failures.OnSuccess();
-    step.m_failures.OnDone();
+    step.m_failures.OnDone(aWorker.m_slot);
     if (!spec.m_gang) {
       MarkDone(aNow, aJob, aEnd.m_task);
     } else {
@@ -233,7 +233,7 @@
                             RunNumber aRun,
                             WorkerRecord& aWorker)
 {
-  AttributeFailure(aNow, aJob, aTask, aWorker);
+  AttributeFailure(aNow, aJob, aTask, aWorker, Suspicion::Failed);
   const bool gang = aJob.Spec().m_steps[aTask.m_step].m_gang;
   StepRecord& step = aJob.Step(aTask.m_step);
   TaskRecord& counted = gang ? step.m_tasks.front() : aJob.Task(aTask);
@@ -257,21 +257,27 @@
 PoolScheduler::AttributeFailure(Time aNow,
                                 TrackedJob& aJob,
                                 const TaskRef& aTask,
-                                WorkerRecord& aWorker)
+                                WorkerRecord& aWorker,
+                                Suspicion aKind)
 {
-  const WorkerFailures::StepId step(aTask.m_job, aTask.m_step);
   StepFailures& failures = aJob.Step(aTask.m_step).m_failures;
-  if (failures.OnFailure(aWorker.m_info.m_id, m_workers.size())) {
-    m_failingJobs.push_back(aTask.m_job);
+  // A pool's only worker may be stuck itself; the step fails there for sure.
+  const std::size_t workers =
+    aKind == Suspicion::Stuck ? m_bySlot.size() + 1 : m_workers.size();
+  if (failures.OnFailure(aNow, aWorker.m_slot, workers)) {
+    m_failingSteps.push_back({ aTask.m_job,
+                               aTask.m_step,
+                               failures.FailingWorkers(),
+                               failures.SoundWorkers() });
     for (auto& [id, worker] : m_workers) {
-      worker.m_failures.Discard(step);
+      worker.m_failures.Discard(aTask.m_job);
     }
   }
-  if (!failures.IsAtFault()) {
-    aWorker.m_failures.OnFailure(aNow, step);
-    if (aWorker.m_failures.AvoidUntil() > aNow) {
-      ReportSuspect(aNow, aWorker, aTask, Suspicion::Failed);
-    }
+  if (failures.IsAtFault()) {
+    return;
+  }
+  if (aWorker.m_failures.OnFailure(aNow, aTask.m_job, aKind)) {
+    ReportSuspect(aNow, aWorker, aTask, aKind);
   }
 }
 
@@ -286,8 +292,7 @@
   suspect.m_job = aTask.m_job;
   suspect.m_step = aTask.m_step;
   suspect.m_reason = aReason;
-  suspect.m_avoided =
-    std::max(aWorker.m_failures.AvoidUntil(), aWorker.m_avoidUntil) - aNow;
+  suspect.m_avoided = aWorker.m_failures.AvoidUntil() - aNow;
 }
 
 void
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -26,8 +26,6 @@
 /// places tasks; long enough for all workers that respond at all.
 constexpr Duration kFirstInventoryWait = milliseconds(400);
 constexpr Duration kStuckCheckPeriod = milliseconds(500);
-/// How long a worker on which a task was stuck gets no new tasks.
-constexpr Duration kStuckAvoidance = seconds(4);
 
 Resources
 Times(const Resources& aEach, std::int64_t aCount)
@@ -65,7 +63,7 @@
   ListUsable(aNow);
   actions.m_lookups.assign(m_lookups.begin(), m_lookups.end());
   m_lookups.clear();
-  actions.m_failingJobs = std::exchange(m_failingJobs, {});
+  actions.m_failingSteps = std::exchange(m_failingSteps, {});
   actions.m_givenUp = std::exchange(m_givenUp, {});
   actions.m_suspects = std::exchange(m_suspects, {});
   if (AwaitsFirstInventories(aNow) || !MayStart(aNow)) {
@@ -372,9 +370,16 @@
   m_mostFree = {};
   m_largest.clear();
   auto largest = m_largest.end();
+  const std::map<ServiceId, SuspectCount> suspects = CountSuspects(aNow);
   for (WorkerRecord* worker : m_bySlot) {
-    if (worker == nullptr ||
-        !worker->CanAcceptTasks(aNow, ResponseAllowance())) {
+    if (worker == nullptr || !worker->IsAvailable(aNow, ResponseAllowance())) {
+      continue;
+    }
+    const auto ofService = suspects.find(worker->m_info.m_service);
+    worker->m_onTrial =
+      ofService != suspects.end() && worker->m_failures.IsSuspect() &&
+      IsCredible(ofService->second.m_suspects, ofService->second.m_workers);
+    if (worker->m_onTrial && aNow < worker->m_failures.AvoidUntil()) {
       continue;
     }
     m_usable.push_back(worker);
@@ -388,6 +393,31 @@
   }
 }
 
+std::map<ServiceId, PoolScheduler::SuspectCount>
+PoolScheduler::CountSuspects(Time aNow) const
+{
+  std::map<ServiceId, SuspectCount> result;
+  for (const WorkerRecord* worker : m_bySlot) {
+    if (worker != nullptr && worker->m_failures.IsSuspect() &&
+        worker->IsAvailable(aNow, ResponseAllowance())) {
+      ++result[worker->m_info.m_service].m_suspects;
+    }
+  }
+  for (const WorkerRecord* worker : m_bySlot) {
+    if (result.empty()) {
+      break;
+    }
+    if (worker == nullptr || !worker->IsAvailable(aNow, ResponseAllowance())) {
+      continue;
+    }
+    const auto ofService = result.find(worker->m_info.m_service);
+    if (ofService != result.end()) {
+      ++ofService->second.m_workers;
+    }
+  }
+  return result;
+}
+
 bool
 PoolScheduler::IsSuitable(const Candidate& aCandidate,
                           const WorkerRecord& aWorker)
@@ -424,12 +454,21 @@
 }
 
 std::uint32_t
-PoolScheduler::TasksThatFitOn(const WorkerRecord& aWorker,
+PoolScheduler::TasksThatFitOn(Time aNow,
+                              const WorkerRecord& aWorker,
                               const Candidate& aCandidate)
 {
   const StepSpec& spec = aCandidate.Spec();
   const std::uint32_t capacity = TasksThatFit(spec.m_each, aWorker.Free());
-  if (spec.m_maxPerWorker == 0) {
+  if (aWorker.m_onTrial) {
+    // One task, or one gang, shows whether it still fails.
+    const std::uint32_t most = spec.m_gang ? capacity : std::min(capacity, 1U);
+    return aWorker.IsTried() ? 0 : most;
+  }
+  const std::uint32_t most = std::min(
+    spec.m_maxPerWorker == 0 ? StepFailures::kNoLimit : spec.m_maxPerWorker,
+    aCandidate.Record().m_failures.MostTasksOn(aNow, aWorker.m_slot));
+  if (most == StepFailures::kNoLimit) {
     return capacity;
   }
   std::uint32_t present = 0;
@@ -440,9 +479,7 @@
        ++it) {
     ++present;
   }
-  return present >= spec.m_maxPerWorker
-           ? 0
-           : std::min(capacity, spec.m_maxPerWorker - present);
+  return present >= most ? 0 : std::min(capacity, most - present);
 }
 
 SpeedClass
@@ -528,7 +565,7 @@
     }
     Start(aNow, aCandidate, index, NextRun(task), *best->m_worker, aActions);
     std::get<std::int64_t>(best->m_cost) = best->m_worker->Free().m_millicores;
-    if (TasksThatFitOn(*best->m_worker, aCandidate) == 0) {
+    if (TasksThatFitOn(aNow, *best->m_worker, aCandidate) == 0) {
       *best = options.back();
       options.pop_back();
     }
@@ -546,13 +583,14 @@
     const bool reserved =
       !aReserved.empty() && aReserved.contains(worker->m_info.m_id);
     if ((reserved && !aCandidate.m_interactive) ||
-        TasksThatFitOn(*worker, aCandidate) == 0) {
+        TasksThatFitOn(aNow, *worker, aCandidate) == 0) {
       continue;
     }
     const bool wrongRack = !spec.m_preferredRack.empty() &&
                            worker->m_info.m_rack != spec.m_preferredRack;
     options.push_back({ worker,
-                        { wrongRack,
+                        { worker->m_onTrial,
+                          wrongRack,
                           reserved,
                           SpeedFor(aCandidate, *worker),
                           worker->Free().m_millicores } });
@@ -561,14 +599,15 @@
 }
 
 std::optional<std::string>
-PoolScheduler::RackForGang(const Candidate& aCandidate,
+PoolScheduler::RackForGang(Time aNow,
+                           const Candidate& aCandidate,
                            const std::vector<WorkerRecord*>& aWorkers)
 {
   const StepSpec& spec = aCandidate.Spec();
   std::map<std::string, std::uint32_t> capacity;
   for (const WorkerRecord* worker : aWorkers) {
     capacity[spec.m_sameRack ? worker->m_info.m_rack : std::string()] +=
-      TasksThatFitOn(*worker, aCandidate);
+      TasksThatFitOn(aNow, *worker, aCandidate);
   }
   const auto rack = std::ranges::find_if(
     capacity, [&](const auto& aItem) { return aItem.second >= spec.m_tasks; });
@@ -587,19 +626,20 @@
     return true; // waits for something other than capacity
   }
   std::vector<WorkerRecord*> eligible = Eligible(aNow, aCandidate);
-  const auto rack = RackForGang(aCandidate, eligible);
+  const auto rack = RackForGang(aNow, aCandidate, eligible);
   if (!rack) {
     return false;
   }
   std::erase_if(eligible, [&](const WorkerRecord* aWorker) {
     return spec.m_sameRack && aWorker->m_info.m_rack != *rack;
   });
-  PreferOneSpeed(aCandidate, eligible);
+  PreferOneSpeed(aNow, aCandidate, eligible);
   // Uses as few workers as possible, since the gang fails if any of them fails.
   std::ranges::sort(eligible, {}, [&](const WorkerRecord* aWorker) {
     return std::tuple(
+      aWorker->m_onTrial,
       SpeedFor(aCandidate, *aWorker),
-      -static_cast<std::int64_t>(TasksThatFitOn(*aWorker, aCandidate)),
+      -static_cast<std::int64_t>(TasksThatFitOn(aNow, *aWorker, aCandidate)),
       aWorker->Free().m_millicores);
   });
   RunNumber run = 0;
@@ -610,7 +650,7 @@
   }
   std::uint32_t index = 0;
   for (WorkerRecord* worker : eligible) {
-    std::uint32_t capacity = TasksThatFitOn(*worker, aCandidate);
+    std::uint32_t capacity = TasksThatFitOn(aNow, *worker, aCandidate);
     for (; capacity > 0 && index < tasks.size(); --capacity, ++index) {
       aCandidate.Record().m_tasks[index].m_checkpoint = checkpoint;
       Start(aNow, aCandidate, index, run, *worker, aActions);
@@ -652,7 +692,8 @@
 }
 
 void
-PoolScheduler::PreferOneSpeed(const Candidate& aCandidate,
+PoolScheduler::PreferOneSpeed(Time aNow,
+                              const Candidate& aCandidate,
                               std::vector<WorkerRecord*>& aWorkers) const
 {
   // A gang is as slow as its slowest member, and its other members hold their
@@ -662,7 +703,7 @@
   for (WorkerRecord* worker : aWorkers) {
     if (SpeedOf(worker->m_runtimeRatio, m_runtimeRatio) <= SpeedClass::Usual) {
       preferred.push_back(worker);
-      capacity += TasksThatFitOn(*worker, aCandidate);
+      capacity += TasksThatFitOn(aNow, *worker, aCandidate);
     }
   }
   if (capacity >= aCandidate.Spec().m_tasks) {
@@ -770,9 +811,9 @@
     }
     for (const TaskRef& task : stuck) {
       Stop(aNow, worker, task, StopReason::Stuck);
-      worker.m_avoidUntil =
-        std::max(worker.m_avoidUntil, aNow + kStuckAvoidance);
-      ReportSuspect(aNow, worker, task, Suspicion::Stuck);
+      if (TrackedJob* job = Find(task.m_job)) {
+        AttributeFailure(aNow, *job, task, worker, Suspicion::Stuck);
+      }
     }
   }
 }
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -46,10 +46,6 @@
   }
 };
 
-/// Number of a worker within one leadership, used as an index into tables of
-/// all workers.
-using WorkerSlot = std::uint32_t;
-
 /// Permission of the policy service to run a step on a worker.
 struct Ticket
 {
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -123,12 +123,25 @@
 
 bool
 WorkerRecord::CanAcceptTasks(Time aNow, Duration aAllowance) const
+{
+  return aNow >= m_failures.AvoidUntil() && IsAvailable(aNow, aAllowance);
+}
+
+bool
+WorkerRecord::IsTried() const
+{
+  return std::ranges::any_of(m_placements, [this](const auto& aItem) {
+    return aItem.second.m_since > m_failures.Latest();
+  });
+}
+
+bool
+WorkerRecord::IsAvailable(Time aNow, Duration aAllowance) const
 {
   return m_listed && IsDescribed() && m_recorded && m_adopted &&
          !MayHaveRestarted() && !m_info.m_draining && !m_evacuated &&
          aNow < m_lastResponse + kUnresponsiveAfter + aAllowance &&
-         aNow >= m_avoidUntil && aNow >= m_failures.AvoidUntil() &&
-         m_unknownRuns == 0;
+         aNow >= m_avoidUntil && m_unknownRuns == 0;
 }
 
 } // namespace lacewing::pool
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -172,6 +172,8 @@
   int m_unknownRuns = 0; ///< placements whose resources are not known
   Resources m_used;
   WorkerFailures m_failures;
+  /// In this plan it gets one task at a time, since it is suspect.
+  bool m_onTrial = false;
   RuntimeRatio m_runtimeRatio;
   Time m_avoidUntil{};
   std::uint64_t m_highestEnd = 0;
@@ -213,8 +215,12 @@
   {
     return m_describedIncarnation == m_info.m_incarnation;
   }
-  /// True if it can be given new tasks. `aAllowance` is the time by which this
-  /// process may read responses late.
+  /// True if a task was placed there since the latest failure.
+  bool IsTried() const;
+  /// True if it can be given new tasks unless it is suspect. `aAllowance` is
+  /// the time by which this process may read responses late.
+  bool IsAvailable(Time aNow, Duration aAllowance = Duration::zero()) const;
+  /// The same, and it is not avoided as suspect.
   bool CanAcceptTasks(Time aNow, Duration aAllowance = Duration::zero()) const;
 };
 
--- a/src/sched/WorkerHealth.cpp
+++ b/src/sched/WorkerHealth.cpp
@@ -30,12 +30,9 @@
                         const HealthOptions& aOptions,
                         std::uint64_t aJobSequence)
 {
-  if (std::find(m_failedJobs.begin(), m_failedJobs.end(), aJobSequence) !=
-      m_failedJobs.end()) {
+  if (!m_failedJobs.Add(aJobSequence)) {
     return;
   }
-  m_failedJobs[m_nextPlace] = aJobSequence;
-  m_nextPlace = (m_nextPlace + 1) % m_failedJobs.size();
   m_score = static_cast<float>(Score(aNow, aOptions) + 1);
   m_scoredAt = aNow;
 }
@@ -45,7 +42,7 @@
 {
   m_score = static_cast<float>(Score(aNow, aOptions) / 2);
   m_scoredAt = aNow;
-  m_failedJobs.fill(0);
+  m_failedJobs.Clear();
 }
 
 } // namespace lacewing::sched
--- a/src/sched/WorkerHealth.h
+++ b/src/sched/WorkerHealth.h
@@ -2,9 +2,9 @@
 /// over time.
 #pragma once
 
+#include "core/LatestDistinct.h"
 #include "core/Time.h"
 
-#include <array>
 #include <cstdint>
 
 namespace lacewing::sched {
@@ -19,7 +19,7 @@
 {
 public:
   /// Counts a failure; further failures of a job that was counted recently
-  /// change nothing. `aJobSequence` is unique for each job and not zero.
+  /// change nothing. `aJobSequence` is unique for each job.
   void OnFailure(Time aNow,
                  const HealthOptions& aOptions,
                  std::uint64_t aJobSequence);
@@ -29,8 +29,7 @@
   bool IsSuspect(Time aNow, const HealthOptions& aOptions) const;
 
 private:
-  std::array<std::uint64_t, 4> m_failedJobs{}; ///< latest different jobs
-  std::size_t m_nextPlace = 0;
+  LatestDistinct<std::uint64_t, 4> m_failedJobs; ///< since the last success
   float m_score = 0;
   Time m_scoredAt{};
 };
