Try a step that is known to fail with one task, in place of all its width

Cause: a step at fault was only kept from counting against workers; PlaceSingles gave it its whole width again. A successor knew nothing of what had failed before it.

Change: StepRecord::TasksToPlace gives a step at fault one task, that with the fewest attempts left, and twice as many for each task that is done meanwhile. The stored failed runs of more tasks than are done tell a successor that a step is at fault.

Why it works: attempts of one task decide a job, so that it ends as soon with one run at a time, and the rest of the pool is free from the moment when the step is found at fault.

--- a/src/pool/FailureEvidence.cpp
+++ b/src/pool/FailureEvidence.cpp
@@ -9,6 +9,8 @@
 /// Few workers fail at a time, so that tasks of a sound step rarely meet two of
 /// them before another task is done.
 constexpr std::size_t kWorkersOfFaultyStep = 2;
+/// Beyond it a step at fault has all its width again.
+constexpr std::uint32_t kMostTried = 1U << 16U;
 /// A single failure is mostly the fault of the task itself; two in a row of one
 /// step on one worker are rare.
 constexpr std::uint32_t kFailuresToKeepAway = 2;
@@ -33,8 +35,12 @@
   ++found->m_inRow;
   found->m_latest = aNow;
   const bool wasAtFault = m_atFault;
-  m_atFault = m_failing.size() >= std::min(kWorkersOfFaultyStep, aWorkers) &&
-              m_failing.size() > m_soundCount;
+  const std::size_t failing = m_failing.size() + m_restoredFailing;
+  m_atFault =
+    failing >= std::min(kWorkersOfFaultyStep, aWorkers) && FailsMostly();
+  if (m_atFault && !wasAtFault) {
+    m_mostTried = 1;
+  }
   return m_atFault && !wasAtFault;
 }
 
@@ -45,7 +51,19 @@
   std::erase_if(m_failing, [&](const FailingWorker& aFailing) {
     return aFailing.m_worker == aWorker;
   });
-  m_atFault = m_atFault && m_failing.size() > m_soundCount;
+  m_atFault = m_atFault && FailsMostly();
+  if (m_atFault) {
+    m_mostTried = std::min(m_mostTried * 2, kMostTried);
+  }
+}
+
+void
+StepFailures::Restore(std::size_t aFailedTasks, std::size_t aDoneTasks)
+{
+  if (aFailedTasks > aDoneTasks && aFailedTasks >= kWorkersOfFaultyStep) {
+    m_restoredFailing = kWorkersOfFaultyStep;
+    m_atFault = true;
+  }
 }
 
 void
--- a/src/pool/FailureEvidence.h
+++ b/src/pool/FailureEvidence.h
@@ -4,7 +4,9 @@
 /// Each worker counts once for a step, by how the latest run of the step ended
 /// there. A step is at fault while it fails on more workers than it is done on,
 /// and on two at least: then its failures count against no worker. A run that
-/// makes no progress counts like a failed one.
+/// makes no progress counts like a failed one. A step at fault is tried with
+/// few tasks: one until it is done or its attempts are used up, and twice as
+/// many with each task that is done meanwhile.
 ///
 /// Failures of one job say as much about the job as about the worker. Two in a
 /// row keep this job away from the worker, and only failures of different jobs
@@ -40,11 +42,16 @@
   bool OnFailure(Time aNow, WorkerSlot aWorker, std::size_t aWorkers);
   /// A task was done on the worker.
   void OnDone(WorkerSlot aWorker);
+  /// What an earlier leader has stored: the number of tasks with failed runs
+  /// that are not done, and of those that are. It does not tell the workers.
+  void Restore(std::size_t aFailedTasks, std::size_t aDoneTasks);
   bool IsAtFault() const { return m_atFault; }
   /// Number of workers on which the latest run of the step has failed.
   std::size_t FailingWorkers() const { return m_failing.size(); }
   /// Number of workers on which it was done.
   std::size_t SoundWorkers() const { return m_soundCount; }
+  /// Number of tasks that may be tried at the same time.
+  std::uint32_t MostTried() const { return m_atFault ? m_mostTried : kNoLimit; }
   /// Number of tasks of the step that the worker may run at the same time.
   std::uint32_t MostTasksOn(Time aNow, WorkerSlot aWorker) const;
 
@@ -61,10 +68,16 @@
     return aWorker < m_sound.size() && m_sound[aWorker];
   }
   void SetSound(WorkerSlot aWorker, bool aSound);
+  bool FailsMostly() const
+  {
+    return m_failing.size() + m_restoredFailing > m_soundCount;
+  }
 
   std::vector<FailingWorker> m_failing;
   std::vector<bool> m_sound; ///< by slot
   std::size_t m_soundCount = 0;
+  std::size_t m_restoredFailing = 0; ///< counts like failing workers
+  std::uint32_t m_mostTried = 1;
   bool m_atFault = false;
 };
 
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -540,11 +540,8 @@
   StepRecord& step = aCandidate.Record();
   step.m_blockedSince.reset();
   step.m_lacksCapacity = false;
-  for (std::uint32_t index = 0; index < step.m_tasks.size(); ++index) {
+  for (const std::uint32_t index : step.TasksToPlace()) {
     const TaskRecord& task = step.m_tasks[index];
-    if (!task.MayStart()) {
-      continue;
-    }
     if (!HasQuota(aCandidate.m_job->Spec().m_team, spec.m_each)) {
       return;
     }
@@ -636,13 +633,13 @@
   }
   // One task is enough for the job not to stand still, and the next one stays
   // in the order.
-  const auto task = std::ranges::find_if(step.m_tasks, &TaskRecord::MayStart);
-  if (task == step.m_tasks.end() || !HasOperationsFor(aCandidate, aActions)) {
+  const std::vector<std::uint32_t> tasks = step.TasksToPlace();
+  if (tasks.empty() || !HasOperationsFor(aCandidate, aActions)) {
     return;
   }
-  WorkerRecord& worker = *BestOption(*task, options)->m_worker;
-  const auto index = static_cast<std::uint32_t>(task - step.m_tasks.begin());
-  Start(aNow, aCandidate, index, NextRun(*task), worker, aActions);
+  const TaskRecord& task = step.m_tasks[tasks.front()];
+  WorkerRecord& worker = *BestOption(task, options)->m_worker;
+  Start(aNow, aCandidate, tasks.front(), NextRun(task), worker, aActions);
   NoteKeptRoom(aNow, aCandidate, aReservation, worker);
   step.m_blockedSince.reset();
   aActions.m_passedGangs.push_back(
--- a/src/pool/TrackedJob.cpp
+++ b/src/pool/TrackedJob.cpp
@@ -35,6 +35,43 @@
   return it == m_tickets.end() ? nullptr : &*it;
 }
 
+std::vector<std::uint32_t>
+StepRecord::TasksToPlace() const
+{
+  std::vector<std::uint32_t> result;
+  std::size_t retried = 0;
+  for (std::uint32_t index = 0; index < m_tasks.size(); ++index) {
+    const TaskRecord& task = m_tasks[index];
+    if (task.MayStart()) {
+      result.push_back(index);
+    }
+    const bool isRetry = !task.m_failedRuns.empty();
+    retried += task.m_state == TaskState::Placed && isRetry ? 1 : 0;
+  }
+  const std::uint32_t most = m_failures.MostTried();
+  if (most == StepFailures::kNoLimit) {
+    return result;
+  }
+  std::ranges::stable_sort(result, std::greater{}, [this](std::uint32_t aTask) {
+    return m_tasks[aTask].m_failedRuns.size();
+  });
+  std::size_t placed = m_placed;
+  std::size_t kept = 0;
+  for (const std::uint32_t index : result) {
+    // Runs that began before the step was at fault don't keep it from being
+    // tried again.
+    const bool isRetry = !m_tasks[index].m_failedRuns.empty();
+    if ((isRetry ? retried : placed) >= most) {
+      break;
+    }
+    retried += isRetry ? 1 : 0;
+    ++placed;
+    ++kept;
+  }
+  result.resize(kept);
+  return result;
+}
+
 TrackedJob::TrackedJob(Job aJob,
                        const QueueRule& aQueue,
                        Time aAccepted,
@@ -72,6 +109,13 @@
       ++m_steps[ref.m_step].m_done;
     }
   }
+  for (StepRecord& step : m_steps) {
+    const auto failed =
+      std::ranges::count_if(step.m_tasks, [](const TaskRecord& aTask) {
+        return aTask.m_state != TaskState::Done && !aTask.m_failedRuns.empty();
+      });
+    step.m_failures.Restore(static_cast<std::size_t>(failed), step.m_done);
+  }
   m_finalStateStored = IsOver();
 }
 
--- a/src/pool/TrackedJob.h
+++ b/src/pool/TrackedJob.h
@@ -78,6 +78,10 @@
   bool m_reportedTooLarge = false; ///< as larger than all usable workers
 
   std::size_t Waiting() const { return m_tasks.size() - m_done - m_placed; }
+  /// Tasks that may be placed now, in the order in which they are. Of a step at
+  /// fault these are few, and those with the most failures come first, so that
+  /// its attempts are soon used up or a task is done.
+  std::vector<std::uint32_t> TasksToPlace() const;
   bool WasAsked(WorkerSlot aWorker) const
   {
     return aWorker < m_asked.size() && m_asked[aWorker];
--- a/tests/correctness/PoolFailureEvidence.cpp
+++ b/tests/correctness/PoolFailureEvidence.cpp
@@ -69,6 +69,38 @@
   EXPECT_TRUE(failures.OnFailure(kStart, 1, kManyWorkers));
 }
 
+/// Guards against a step that takes all workers though it is known to fail, and
+/// against one that never gets them back.
+TEST(PoolFailureEvidence, StepAtFaultIsTriedWithOneTaskAndThenWithMore)
+{
+  StepFailures failures;
+  EXPECT_EQ(failures.MostTried(), StepFailures::kNoLimit);
+  for (const pool::WorkerSlot worker : { 1, 2, 3, 4, 5 }) {
+    failures.OnFailure(kStart, worker, kManyWorkers);
+  }
+  EXPECT_EQ(failures.MostTried(), 1U);
+  failures.OnDone(1);
+  EXPECT_EQ(failures.MostTried(), 2U);
+  failures.OnDone(6);
+  EXPECT_EQ(failures.MostTried(), 4U);
+  failures.OnDone(2);
+  EXPECT_EQ(failures.MostTried(), StepFailures::kNoLimit);
+}
+
+/// Guards against a successor that takes a sound step for one at fault.
+TEST(PoolFailureEvidence, RestoredStepIsAtFaultIfMoreHasFailedThanWasDone)
+{
+  StepFailures failing;
+  failing.Restore(3, 2);
+  EXPECT_TRUE(failing.IsAtFault());
+  failing.OnDone(1);
+  failing.OnDone(2);
+  EXPECT_FALSE(failing.IsAtFault());
+  StepFailures sound;
+  sound.Restore(3, 3);
+  EXPECT_FALSE(sound.IsAtFault());
+}
+
 /// Guards against the only worker of a pool that a hopeless step takes out of
 /// use.
 TEST(PoolFailureEvidence, StepIsAtFaultIfItFailsOnTheOnlyWorker)
--- a/tests/correctness/PoolHopelessJobs.cpp
+++ b/tests/correctness/PoolHopelessJobs.cpp
@@ -70,6 +70,47 @@
   CheckSeeds(options);
 }
 
+/// Failed tasks of a job that was known to be hopeless were started again at
+/// once and at full width, so that tasks which are a little larger found no
+/// room until its attempts were used up.
+TEST(PoolHopelessJobs, RetriesLeaveRoomForOthers)
+{
+  HopelessLoadOptions options;
+  options.m_attempts = 6;
+  options.m_ordinaryAfter = milliseconds(2500);
+  options.m_endsTogether = true;
+  for (options.m_seed = 1; options.m_seed <= kSeeds; ++options.m_seed) {
+    HopelessLoad load(options);
+    load.Run();
+    EXPECT_LT(load.LongestWait(), kLongestStandstill)
+      << "seed " << options.m_seed;
+    EXPECT_TRUE(load.AllDecided()) << "seed " << options.m_seed;
+    // The first runs of all tasks, and the attempts of one task of each job.
+    EXPECT_LE(load.FailedRuns(), 2 * (48 + 6)) << "seed " << options.m_seed;
+  }
+}
+
+/// A successor started the failed tasks of hopeless jobs at full width again.
+TEST(PoolHopelessJobs, SuccessorTriesWhatHasFailedBeforeWithOneTask)
+{
+  PoolFixture fixture({ PoolWorker("w1"), PoolWorker("w2") });
+  fixture.ReportAllIdle();
+  pool::JobProgress progress;
+  progress.m_state = pool::JobState::Running;
+  for (std::uint32_t task = 0; task < 4; ++task) {
+    progress.m_tasks[{ 0, task }] = { false, { 1 }, {} };
+  }
+  progress.m_tasks[{ 0, 2 }].m_failedRuns = { 1, 2 };
+  fixture.m_scheduler.AddJob(kStart,
+                             PoolJob("bad", kPatientQueue, { PoolStep(16) }),
+                             {},
+                             progress,
+                             pool::JobOrigin::Unseen);
+  const auto starts = fixture.Plan().m_starts;
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].m_task.m_index, 2U) << "has the fewest attempts left";
+}
+
 } // namespace
 
 } // namespace lacewing::fakes
--- a/tests/fakes/HopelessLoad.h
+++ b/tests/fakes/HopelessLoad.h
@@ -25,6 +25,10 @@
   std::uint32_t m_width = 48;     ///< tasks of each hopeless job
   std::uint32_t m_soundTasks = 0; ///< of each, that are done
   std::uint32_t m_attempts = 3;
+  /// When the ordinary jobs come, at the earliest after the hopeless ones.
+  Duration m_ordinaryAfter = milliseconds(500);
+  /// Runs of all hopeless jobs end at the same few times.
+  bool m_endsTogether = false;
   bool m_changesLeader = false;
   bool m_restartsWorker = false;
 };
@@ -52,9 +56,10 @@
   void Run()
   {
     constexpr Duration kStep = milliseconds(10);
-    constexpr Duration kLength = seconds(25);
+    constexpr Duration kLength = seconds(30);
     const Time hopelessAt = kStart + seconds(1);
-    const Time ordinaryAt = hopelessAt + Between(500, 7000);
+    const Time ordinaryAt =
+      hopelessAt + m_options.m_ordinaryAfter + Between(0, 6500);
     const Time restartAt = hopelessAt + Between(500, 7000);
     const Time changeAt = hopelessAt + Between(500, 7000);
     while (m_now < kStart + kLength) {
@@ -168,9 +173,10 @@
   void AddJob(const std::string& aId,
               const pool::QueueId& aQueue,
               std::uint32_t aTasks,
+              std::int64_t aMillicores,
               Duration aEstimate)
   {
-    pool::StepSpec step = PoolStep(aTasks, 2000);
+    pool::StepSpec step = PoolStep(aTasks, aMillicores);
     step.m_estimate = aEstimate;
     const pool::Job job = PoolJob(aId, aQueue, { step });
     m_jobs.emplace(job.m_id, job);
@@ -183,6 +189,7 @@
       AddJob("hopeless" + std::to_string(number),
              kPatientQueue,
              m_options.m_width,
+             2000,
              milliseconds(3400));
     }
   }
@@ -190,12 +197,24 @@
   void AddOrdinary()
   {
     for (int number = 0; number < 5; ++number) {
+      AddJob("quick" + std::to_string(number),
+             kUrgentQueue,
+             2,
+             2800,
+             milliseconds(800));
       AddJob(
-        "quick" + std::to_string(number), kUrgentQueue, 2, milliseconds(800));
-      AddJob("usual" + std::to_string(number), kPatientQueue, 2, seconds(2));
+        "usual" + std::to_string(number), kPatientQueue, 2, 2000, seconds(2));
     }
   }
 
+  Duration FailsAfter(const pool::TaskRef& aTask)
+  {
+    constexpr std::uint32_t kTimes = 16;
+    return m_options.m_endsTogether
+             ? milliseconds(2400) + milliseconds(370) * (aTask.m_index % kTimes)
+             : Between(2400, 8000);
+  }
+
   SimulatedRun Begin(const pool::StartTask& aStart)
   {
     const pool::TaskRef& task = aStart.m_task;
@@ -207,7 +226,7 @@
     }
     const bool sound = task.m_index < m_options.m_soundTasks;
     run.m_how = sound ? pool::RunEnd::Done : pool::RunEnd::Failed;
-    run.m_ends = m_now + (sound ? milliseconds(2400) : Between(2400, 8000));
+    run.m_ends = m_now + (sound ? milliseconds(2400) : FailsAfter(task));
     return run;
   }
 
@@ -289,8 +308,9 @@
     std::map<JobId, int> running;
     for (const auto& [id, worker] : m_workers) {
       for (const SimulatedRun& run : worker.m_runs) {
-        used += 2000;
-        ++running[run.m_start.m_task.m_job];
+        const pool::TaskRef& task = run.m_start.m_task;
+        used += m_jobs.at(task.m_job).m_steps[task.m_step].m_each.m_millicores;
+        ++running[task.m_job];
       }
     }
     const bool halfIdle = used * 2 < 32'000 * m_options.m_workers;
