--- a/src/core/LatestDistinct.h
+++ b/src/core/LatestDistinct.h
@@ -19,7 +19,7 @@
       return false;
     }
     if (m_size == Most) {
-      std::ranges::rotate(m_values, m_values.begin() + 1);
+      std::rotate(m_values.begin(), m_values.begin() + 1, m_values.end());
       --m_size;
     }
     m_values[m_size++] = aValue;
--- a/src/pool/GangReservation.cpp
+++ b/src/pool/GangReservation.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-Resources
-Times(const Resources& aEach, std::int64_t aCount)
-{
-  return { aEach.m_millicores * aCount,
-           aEach.m_memoryMib * aCount,
-           aEach.m_accelerators * aCount };
-}
-
 /// Follows how many members the workers have room for as runs end.
 class RoomForecast
 {
@@ -138,7 +130,7 @@
   for (const WorkerRoom* worker : forecast.WorkersToUse()) {
     const std::uint32_t members = std::min(left, forecast.MembersOn(*worker));
     left -= members;
-    const Resources needed = Times(aEach, members);
+    const Resources needed = ForTasks(aEach, members);
     std::vector<KeptRoom>& rooms = m_kept[worker->m_worker];
     for (KeptRoom& room : rooms) {
       room.m_spare -= needed;
--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -12,8 +12,8 @@
 /// Part of the steps of a plan that others than the head of the order have in
 /// turn.
 constexpr std::size_t kTurnShare = 4;
-/// Work that waits for room that is kept for a gang may take some of it after
-/// that time; users take longer for a fault.
+/// A job that finds only room which is kept for a gang may take some of it
+/// after this time; users count it as lost after twice as long.
 constexpr Duration kLongestStandstill = milliseconds(1500);
 /// Size of the range of run numbers that one leadership has for a task.
 constexpr RunNumber kRunsPerTerm = 1000;
@@ -28,14 +28,6 @@
 constexpr Duration kFirstInventoryWait = milliseconds(400);
 constexpr Duration kStuckCheckPeriod = milliseconds(500);
 
-Resources
-Times(const Resources& aEach, std::int64_t aCount)
-{
-  return { aEach.m_millicores * aCount,
-           aEach.m_memoryMib * aCount,
-           aEach.m_accelerators * aCount };
-}
-
 /// The larger amount of each resource.
 Resources
 Larger(const Resources& aOne, const Resources& aOther)
@@ -283,7 +275,7 @@
                  aTask.m_state == TaskState::Waiting;
         });
       m_unreportedUse[job.Spec().m_team] +=
-        Times(job.Spec().m_steps[step].m_each, count);
+        ForTasks(job.Spec().m_steps[step].m_each, count);
     }
   }
   // Use on these workers is at most their capacity.
@@ -453,17 +445,27 @@
                               const Candidate& aCandidate)
 {
   const StepSpec& spec = aCandidate.Spec();
-  const std::uint32_t capacity = TasksThatFit(spec.m_each, aWorker.Free());
-  if (aWorker.m_onTrial) {
-    // One task, or one gang, shows whether it still fails.
-    const std::uint32_t most = spec.m_gang ? capacity : std::min(capacity, 1U);
-    return aWorker.IsTried() ? 0 : most;
-  }
-  const std::uint32_t most = std::min(
-    spec.m_maxPerWorker == 0 ? StepFailures::kNoLimit : spec.m_maxPerWorker,
-    aCandidate.Record().m_failures.MostTasksOn(aNow, aWorker.m_slot));
+  const std::uint32_t room = std::min(TasksThatFit(spec.m_each, aWorker.Free()),
+                                      TasksLeftOn(aNow, aWorker, aCandidate));
+  if (!aWorker.m_onTrial) {
+    return room;
+  }
+  // One task, or one gang, shows whether it still fails.
+  const std::uint32_t trial = spec.m_gang ? room : std::min(room, 1U);
+  return aWorker.IsTried() ? 0 : trial;
+}
+
+std::uint32_t
+PoolScheduler::TasksLeftOn(Time aNow,
+                           const WorkerRecord& aWorker,
+                           const Candidate& aCandidate)
+{
+  const std::uint32_t perWorker = aCandidate.Spec().m_maxPerWorker;
+  const std::uint32_t most =
+    std::min(perWorker == 0 ? StepFailures::kNoLimit : perWorker,
+             aCandidate.Record().m_failures.MostTasksOn(aNow, aWorker.m_slot));
   if (most == StepFailures::kNoLimit) {
-    return capacity;
+    return most;
   }
   std::uint32_t present = 0;
   const TaskRef first{ aCandidate.m_job->Spec().m_id, aCandidate.m_step, 0 };
@@ -473,7 +475,7 @@
        ++it) {
     ++present;
   }
-  return present >= most ? 0 : std::min(capacity, most - present);
+  return most - std::min(most, present);
 }
 
 SpeedClass
@@ -493,7 +495,8 @@
   const StepSpec& spec = aCandidate.Spec();
   const std::int64_t least =
     spec.m_gang ? static_cast<std::int64_t>(spec.m_tasks) : 1;
-  return HasQuota(aCandidate.m_job->Spec().m_team, Times(spec.m_each, least));
+  return HasQuota(aCandidate.m_job->Spec().m_team,
+                  ForTasks(spec.m_each, least));
 }
 
 const TeamRule*
--- a/src/pool/WorkerRecord.cpp
+++ b/src/pool/WorkerRecord.cpp
@@ -56,6 +56,14 @@
                times(aEach.m_accelerators, aCapacity.m_accelerators) }));
 }
 
+Resources
+ForTasks(const Resources& aEach, std::int64_t aCount)
+{
+  return { aEach.m_millicores * aCount,
+           aEach.m_memoryMib * aCount,
+           aEach.m_accelerators * aCount };
+}
+
 bool
 Inventory::Lists(const TaskRef& aTask, RunNumber aRun) const
 {
--- a/src/pool/WorkerRecord.h
+++ b/src/pool/WorkerRecord.h
@@ -229,6 +229,10 @@
 std::uint32_t
 TasksThatFit(const Resources& aEach, const Resources& aCapacity);
 
+/// What that many tasks of that size need.
+Resources
+ForTasks(const Resources& aEach, std::int64_t aCount);
+
 /// A ticket of the policy service has to be valid for at least this long, to
 /// cover the delivery to the worker.
 inline constexpr Duration kTicketMargin = milliseconds(200);
--- a/tests/correctness/PoolFailureEvidence.cpp
+++ b/tests/correctness/PoolFailureEvidence.cpp
@@ -373,6 +373,30 @@
   EXPECT_GT(fixture.Plan().m_starts.size(), 1U);
 }
 
+/// A gang on trial must not exceed its limit of tasks on one worker.
+TEST(PoolFailureEvidence, GangOnASuspectWorkerKeepsItsLimitForEachWorker)
+{
+  PoolFixture fixture({ PoolWorker("w1"), PoolWorker("silent") });
+  fixture.ReportInventory(WorkerId("w1"), {}, {});
+  fixture.Add(PoolJob("one", kPatientQueue, { PoolStep(1) }));
+  fixture.Add(PoolJob("two", kPatientQueue, { PoolStep(1) }));
+  ReportEnds(fixture, fixture.Plan().m_starts, [](const pool::TaskRef&) {
+    return pool::RunEnd::Failed;
+  });
+  fixture.m_scheduler.CancelJob(kStart, JobId("one"));
+  fixture.m_scheduler.CancelJob(kStart, JobId("two"));
+  fixture.m_now += seconds(2);
+  fixture.ReportInventory(WorkerId("w1"), {}, {});
+  pool::StepSpec gang = PoolStep(3);
+  gang.m_gang = true;
+  gang.m_maxPerWorker = 2;
+  fixture.Add(PoolJob("gang", kPatientQueue, { gang }));
+  EXPECT_TRUE(fixture.Plan().m_starts.empty());
+  gang.m_tasks = 2;
+  fixture.Add(PoolJob("smaller", kPatientQueue, { gang }));
+  EXPECT_EQ(StartsOf(fixture.Plan(), JobId("smaller")), 2);
+}
+
 /// Load: one worker fails what it starts, of any job, while others are sound.
 TEST(PoolFailureEvidence, WorkerThatFailsTasksOfSoundJobsIsAvoided)
 {
