Look at all workers for a passing task only where there may be room

Cause: since each step that found no place beside the room kept for a gang looked at all its workers a second time, in every plan, also in a full pool.

Change: PassReservation ends at once if no usable worker had room for a task as the plan began, or if the job has something running, which is the common case under load.

--- a/src/pool/PoolSchedulerPlan.cpp
+++ b/src/pool/PoolSchedulerPlan.cpp
@@ -619,9 +619,15 @@
                                Actions& aActions)
 {
   StepRecord& step = aCandidate.Record();
+  step.m_lacksCapacity = true;
+  // In a full pool most steps end here, before all workers are looked at.
+  if (aCandidate.m_job->HasRunning() ||
+      !aCandidate.Spec().m_each.FitsIn(m_mostFree)) {
+    step.m_blockedSince.reset();
+    return;
+  }
   std::vector<PlacementOption> options =
     PlacementOptions(aNow, aCandidate, aReservation, KeptRoom::Taken);
-  step.m_lacksCapacity = true;
   if (options.empty()) {
     step.m_blockedSince.reset();
     return;
@@ -631,7 +637,7 @@
   }
   const Duration blocked = aNow - *step.m_blockedSince;
   if (blocked < kLongestStandstill || aNow >= aReservation.m_firmFrom ||
-      aCandidate.m_job->HasRunning() || !IsHalfIdle(aCandidate)) {
+      !IsHalfIdle(aCandidate)) {
     return;
   }
   // One task is enough for the job not to stand still, and the next one stays
