--- a/src/pool/PoolSchedulerGangs.cpp
+++ b/src/pool/PoolSchedulerGangs.cpp
@@ -11,6 +11,9 @@
 
 /// Number of gangs at the head of the order for which room is kept.
 constexpr int kReservingGangs = 2;
+/// A job that finds only room which is kept for a gang may take some of it
+/// after this time; users count it as lost after twice as long.
+constexpr Duration kLongestStandstill = milliseconds(1500);
 /// A run that is over its expected time is expected to take this part of the
 /// time that it has taken so far.
 constexpr int kOverdueParts = 4;
@@ -277,4 +280,61 @@
   }
 }
 
+void
+PoolScheduler::PassReservation(Time aNow,
+                               const Candidate& aCandidate,
+                               Reservation& aReservation,
+                               Actions& aActions)
+{
+  StepRecord& step = aCandidate.Record();
+  step.m_lacksCapacity = true;
+  // In a full pool most steps end here, before all workers are looked at.
+  if (aCandidate.m_job->HasRunning() ||
+      !aCandidate.Spec().m_each.FitsIn(m_mostFree)) {
+    step.m_blockedSince.reset();
+    return;
+  }
+  std::vector<PlacementOption> options =
+    PlacementOptions(aNow, aCandidate, aReservation, KeptRoom::Taken);
+  if (options.empty()) {
+    step.m_blockedSince.reset();
+    return;
+  }
+  if (!step.m_blockedSince) {
+    step.m_blockedSince = aNow;
+  }
+  const Duration blocked = aNow - *step.m_blockedSince;
+  if (blocked < kLongestStandstill || aNow >= aReservation.m_firmFrom ||
+      !IsHalfIdle(aCandidate)) {
+    return;
+  }
+  // One task is enough for the job not to stand still, and the next one stays
+  // in the order.
+  const std::vector<std::uint32_t> tasks = step.TasksToPlace();
+  if (tasks.empty() || !HasOperationsFor(aCandidate, aActions)) {
+    return;
+  }
+  const TaskRecord& task = step.m_tasks[tasks.front()];
+  WorkerRecord& worker = *BestOption(task, options)->m_worker;
+  Start(aNow, aCandidate, tasks.front(), NextRun(task), worker, aActions);
+  NoteKeptRoom(aNow, aCandidate, aReservation, worker);
+  step.m_blockedSince.reset();
+  aActions.m_passedGangs.push_back(
+    { aCandidate.m_job->Spec().m_id, aCandidate.m_step, blocked });
+}
+
+bool
+PoolScheduler::IsHalfIdle(const Candidate& aCandidate) const
+{
+  std::int64_t used = 0;
+  std::int64_t capacity = 0;
+  for (const WorkerRecord* worker : m_usable) {
+    if (worker->m_info.m_service == aCandidate.m_queue->m_service) {
+      used += worker->m_used.m_millicores;
+      capacity += worker->m_info.m_capacity.m_millicores;
+    }
+  }
+  return used * 2 < capacity;
+}
+
 } // namespace lacewing::pool
