Close what holds too much before a request is refused for it

Callers saw: beside a crowd that sends chunked bodies and connects again, the load balancer's probe got 503 from a daemon that was ready.

Cause: a listener counts received bytes at once and closes what is in excess a turn of the loop later. A request that arrived in between was refused for bytes of connections that were about to be closed. Log lines at the refusal: 61 connections for a limit of 20, 60 of them new with 2.0 to 2.3 MB for a limit of 1.97 MB, none handled, closing pending.

Change: before a refusal those that hold most are closed, as far as they may be. The checks of a request's input move out of OnRequest, which had grown long.

The new test of HttpServerShed fails without the change.

--- a/src/net/ConnectionBook.cpp
+++ b/src/net/ConnectionBook.cpp
@@ -136,25 +136,40 @@
 ConnectionBook::Excess() const
 {
   std::vector<Item> closable = Closable();
+  const auto kept = closable.begin() + static_cast<std::ptrdiff_t>(
+                                         std::min(Surplus(), closable.size()));
   std::vector<Id> result;
   std::size_t bytes = m_bytes;
-  const auto close = [&](std::size_t aIndex) {
-    bytes -= closable[aIndex].second->m_received;
-    result.push_back(closable[aIndex].first);
-  };
-  const std::size_t surplus = std::min(Surplus(), closable.size());
-  for (std::size_t index = 0; index < surplus; ++index) {
-    close(index);
+  for (auto item = closable.begin(); item != kept; ++item) {
+    bytes -= item->second->m_received;
+    result.push_back(item->first);
   }
-  closable.erase(closable.begin(),
-                 closable.begin() + static_cast<std::ptrdiff_t>(surplus));
-  std::ranges::sort(closable, std::greater{}, [](const Item& aItem) {
+  closable.erase(closable.begin(), kept);
+  const std::vector<Id> largest = Largest(std::move(closable), bytes);
+  result.insert(result.end(), largest.begin(), largest.end());
+  return result;
+}
+
+std::vector<ConnectionBook::Id>
+ConnectionBook::ExcessOfBytes() const
+{
+  return Largest(Closable(), m_bytes);
+}
+
+std::vector<ConnectionBook::Id>
+ConnectionBook::Largest(std::vector<Item> aClosable, std::size_t aBytes) const
+{
+  std::ranges::sort(aClosable, std::greater{}, [](const Item& aItem) {
     return aItem.second->m_received;
   });
-  for (std::size_t index = 0;
-       index < closable.size() && bytes > m_limits.m_maxBytes;
-       ++index) {
-    close(index);
+  std::vector<Id> result;
+  for (const auto& [id, connection] : aClosable) {
+    // To close one that holds nothing would bring nothing.
+    if (aBytes <= m_limits.m_maxBytes || connection->m_received == 0) {
+      break;
+    }
+    aBytes -= connection->m_received;
+    result.push_back(id);
   }
   return result;
 }
--- a/src/net/ConnectionBook.h
+++ b/src/net/ConnectionBook.h
@@ -54,6 +54,8 @@
   /// most go first. If they hold too much: those that hold most. None whose
   /// request is being handled.
   std::vector<Id> Excess() const;
+  /// Only those to close because they hold too much.
+  std::vector<Id> ExcessOfBytes() const;
   /// True if the connection must end with the response to its request: there
   /// are too many, and its client sends requests ahead. Ask before
   /// `OnResponse`.
@@ -75,6 +77,10 @@
 
   /// Connections that may be closed, in the order in which they are.
   std::vector<Item> Closable() const;
+  /// Of `aClosable`, those that hold most, until `aBytes` are no longer too
+  /// many.
+  std::vector<Id> Largest(std::vector<Item> aClosable,
+                          std::size_t aBytes) const;
   /// Connections above the number, without those that end by themselves.
   std::size_t Surplus() const;
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <bit>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace lacewing::net {
@@ -159,6 +160,40 @@
   return request;
 }
 
+/// What is wrong with a request, whoever handles it.
+std::optional<Error>
+InputError(evhttp_request* aEvent,
+           const HttpRequest& aRequest,
+           const HttpServerLimits& aLimits)
+{
+  const std::size_t headerCount = HeaderCount(aEvent);
+  if (headerCount > aLimits.m_maxHeaderCount) {
+    return Error{ Verdict::NotRun,
+                  ErrorCode::TooLarge,
+                  "request has " + std::to_string(headerCount) +
+                    " headers; at most " +
+                    std::to_string(aLimits.m_maxHeaderCount) + " are taken" };
+  }
+  if (!HasTextTarget(aRequest)) {
+    return Error{ Verdict::NotRun,
+                  ErrorCode::BadInput,
+                  "path or query of '" + aRequest.m_path +
+                    "' is not valid UTF-8" };
+  }
+  return std::nullopt;
+}
+
+HttpResponse
+MemoryRefusal()
+{
+  HttpResponse response =
+    ErrorResponse({ Verdict::NotRun,
+                    ErrorCode::Unavailable,
+                    "the requests under way take too much memory" });
+  response.m_headers["Retry-After"] = kRetryAfterSeconds;
+  return response;
+}
+
 void
 Send(evhttp_request* aRequest, const HttpResponse& aResponse, bool aClose)
 {
@@ -308,13 +343,32 @@
 {
   m_shedding = false;
   for (const ConnectionBook::Id id : m_state->m_book.Excess()) {
+    // One that came in this turn has no object of evhttp's yet, and is left the
+    // time to send its request.
     const auto it = m_accepted.find(id);
-    if (it == m_accepted.end() || it->second->m_connection == nullptr) {
-      continue;
+    if (it != m_accepted.end() && it->second->m_connection != nullptr) {
+      Close(id);
     }
+  }
+}
+
+void
+HttpServer::ShedBytes()
+{
+  for (const ConnectionBook::Id id : m_state->m_book.ExcessOfBytes()) {
+    Identify(id);
+    Close(id);
+  }
+}
+
+void
+HttpServer::Close(ConnectionBook::Id aId)
+{
+  const auto it = m_accepted.find(aId);
+  if (it != m_accepted.end()) {
     m_state->m_onOverload(OverloadAction::ConnectionClosed);
     evhttp_connection_free(it->second->m_connection);
-    Forget(id);
+    Forget(aId);
   }
 }
 
@@ -385,37 +439,20 @@
   const HttpRequest request = ToRequest(aRequest);
   const ConnectionBook::Id id = self->Count(connection, request);
   if (self->m_state->m_book.IsFull()) {
-    self->m_state->m_onOverload(OverloadAction::RequestRefused);
-    HttpResponse response =
-      ErrorResponse({ Verdict::NotRun,
-                      ErrorCode::Unavailable,
-                      "the requests under way take too much memory" });
-    response.m_headers["Retry-After"] = kRetryAfterSeconds;
-    self->m_state->m_book.OnResponse(id);
-    Send(aRequest, response, true);
-    return;
+    // Connections in excess are closed a turn of the loop later only.
+    self->ShedBytes();
   }
-  const std::size_t headerCount = HeaderCount(aRequest);
-  if (headerCount > self->m_limits.m_maxHeaderCount) {
+  if (self->m_state->m_book.IsFull()) {
+    self->m_state->m_onOverload(OverloadAction::RequestRefused);
     self->m_state->m_book.OnResponse(id);
-    Send(
-      aRequest,
-      ErrorResponse(
-        { Verdict::NotRun,
-          ErrorCode::TooLarge,
-          "request has " + std::to_string(headerCount) + " headers; at most " +
-            std::to_string(self->m_limits.m_maxHeaderCount) + " are taken" }),
-      closing);
+    Send(aRequest, MemoryRefusal(), true);
     return;
   }
-  if (!HasTextTarget(request)) {
+  const std::optional<Error> error =
+    InputError(aRequest, request, self->m_limits);
+  if (error) {
     self->m_state->m_book.OnResponse(id);
-    Send(aRequest,
-         ErrorResponse(
-           { Verdict::NotRun,
-             ErrorCode::BadInput,
-             "path or query of '" + request.m_path + "' is not valid UTF-8" }),
-         closing);
+    Send(aRequest, ErrorResponse(*error), closing);
     return;
   }
   const auto state = self->m_state;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -106,6 +106,9 @@
                            const HttpRequest& aRequest);
   /// Closes connections that are in excess.
   void Shed();
+  /// Closes those that hold too much, before a request is refused for them.
+  void ShedBytes();
+  void Close(ConnectionBook::Id aId);
   void ShedSoon();
   static void OnRequest(evhttp_request* aRequest, void* aSelf);
   static void OnClosed(evhttp_connection* aConnection, void* aSelf);
--- a/tests/correctness/ConnectionBook.cpp
+++ b/tests/correctness/ConnectionBook.cpp
@@ -119,6 +119,19 @@
   EXPECT_EQ(book.Excess(), Ids{ large });
 }
 
+/// Guards against closing clients that hold nothing for those that hold too
+/// much and can't be closed.
+TEST(ConnectionBook, ConnectionThatHoldsNothingIsNotClosedForBytes)
+{
+  ConnectionBook book({ 10, 1000 });
+  const auto busy = book.Open();
+  book.OnRequest(busy, 0, 2000);
+  book.Open();
+  const auto holding = book.Open();
+  book.OnReceived(holding, 100);
+  EXPECT_EQ(book.ExcessOfBytes(), Ids{ holding });
+}
+
 /// Guards against a used connection that keeps out new ones as long as these
 /// are few.
 TEST(ConnectionBook, UsedConnectionIsClosedBeforeANewOne)
--- a/tests/error/HttpServerShed.cpp
+++ b/tests/error/HttpServerShed.cpp
@@ -61,14 +61,14 @@
   int m_socket;
 };
 
-/// A server that takes few connections and replies when it is told to.
+/// A server that takes few connections or bytes and replies when it is told to.
 class SmallServer
 {
 public:
-  explicit SmallServer(std::size_t aConnections)
+  explicit SmallServer(const ConnectionLimits& aLimits)
     : m_address(fakes::FreeAddress())
     , m_server(m_loop,
-               { .m_connections = { .m_maxConnections = aConnections } },
+               { .m_connections = aLimits },
                [this](const HttpRequest&, const HttpReply& aReply) {
                  m_replies.push_back(aReply);
                })
@@ -104,7 +104,7 @@
 /// a client which connects while the server is busy.
 TEST(HttpServerShed, RequestThatCameWithItsConnectionIsAnswered)
 {
-  SmallServer server(2);
+  SmallServer server({ .m_maxConnections = 2 });
   Client client(server.At());
   client.Send(kRequest);
   server.Run();
@@ -121,7 +121,7 @@
 TEST(HttpServerShed, NewClientIsAnsweredBesideThoseThatSendAhead)
 {
   constexpr std::size_t kConnections = 4;
-  SmallServer server(kConnections);
+  SmallServer server({ .m_maxConnections = kConnections });
   const std::string requests = std::string(kRequest) + kRequest + kRequest;
   std::list<Client> crowd;
   for (std::size_t count = 0; count < kConnections; ++count) {
@@ -140,6 +140,28 @@
   EXPECT_TRUE(client.Read().starts_with("HTTP/1.1 200"));
 }
 
+/// A crowd and the load balancer send in the same turn of the loop: the load
+/// balancer was refused for bytes of connections that were to be closed.
+TEST(HttpServerShed, RequestIsNotRefusedForConnectionsThatAreToBeClosed)
+{
+  constexpr std::size_t kBytes = std::size_t{ 64 } * 1024;
+  constexpr std::size_t kCrowd = 16;
+  SmallServer server({ .m_maxBytes = kBytes });
+  const std::string unfinished =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" +
+    std::string(2 * kBytes / kCrowd, 'x');
+  std::list<Client> crowd;
+  for (std::size_t count = 0; count < kCrowd; ++count) {
+    crowd.emplace_back(server.At()).Send(unfinished);
+  }
+  Client client(server.At());
+  client.Send(kRequest);
+  server.Run();
+  server.ReplyToAll();
+  server.Run();
+  EXPECT_TRUE(client.Read().starts_with("HTTP/1.1 200"));
+}
+
 } // namespace
 
 } // namespace lacewing::net
