Don't close older connections in place of those that have just come

Callers saw: a client that had just connected to a daemon beside a crowd that connects again and again was closed before its request was read.

Cause: what came in the present turn of the loop can't be closed yet, since evhttp tells its object for a connection a turn later, but it counted. Older connections were closed in its place, and the client about to send its request was often the only one.

Change: such connections don't count in their first turn. The next turn counts them, and looks again.

--- a/src/net/ConnectionBook.cpp
+++ b/src/net/ConnectionBook.cpp
@@ -120,7 +120,7 @@
 }
 
 std::size_t
-ConnectionBook::Surplus() const
+ConnectionBook::Surplus(std::size_t aJustCome) const
 {
   const auto ending = static_cast<std::size_t>(
     std::ranges::count_if(m_connections, [](const auto& aItem) {
@@ -129,15 +129,17 @@
   const std::size_t bound =
     m_limits.m_maxConnections +
     std::min(ending, m_limits.m_maxConnections / kEndingPart);
-  return m_connections.size() - std::min(m_connections.size(), bound);
+  const std::size_t counted = m_connections.size() - aJustCome;
+  return counted - std::min(counted, bound);
 }
 
 std::vector<ConnectionBook::Id>
-ConnectionBook::Excess() const
+ConnectionBook::Excess(std::size_t aJustCome) const
 {
   std::vector<Item> closable = Closable();
-  const auto kept = closable.begin() + static_cast<std::ptrdiff_t>(
-                                         std::min(Surplus(), closable.size()));
+  const auto kept =
+    closable.begin() +
+    static_cast<std::ptrdiff_t>(std::min(Surplus(aJustCome), closable.size()));
   std::vector<Id> result;
   std::size_t bytes = m_bytes;
   for (auto item = closable.begin(); item != kept; ++item) {
--- a/src/net/ConnectionBook.h
+++ b/src/net/ConnectionBook.h
@@ -52,8 +52,10 @@
   /// requests ahead, then new ones above half of the number, then the least
   /// recently used ones, and other new ones last. Of new ones, those that hold
   /// most go first. If they hold too much: those that hold most. None whose
-  /// request is being handled.
-  std::vector<Id> Excess() const;
+  /// request is being handled. Of the connections, `aJustCome` have had no time
+  /// to send a request; they do not count, or an older one would be closed in
+  /// the place of each.
+  std::vector<Id> Excess(std::size_t aJustCome = 0) const;
   /// Only those to close because they hold too much.
   std::vector<Id> ExcessOfBytes() const;
   /// True if the connection must end with the response to its request: there
@@ -82,7 +84,7 @@
   std::vector<Id> Largest(std::vector<Item> aClosable,
                           std::size_t aBytes) const;
   /// Connections above the number, without those that end by themselves.
-  std::size_t Surplus() const;
+  std::size_t Surplus(std::size_t aJustCome) const;
 
   ConnectionLimits m_limits;
   std::map<Id, Connection> m_connections;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -342,11 +342,16 @@
 HttpServer::Shed()
 {
   m_shedding = false;
-  for (const ConnectionBook::Id id : m_state->m_book.Excess()) {
-    // One that came in this turn has no object of evhttp's yet, and is left the
-    // time to send its request.
+  // One that came in this turn has no object of evhttp's yet, and is left the
+  // time to send its request.
+  const auto hasJustCome = [](const auto& aItem) {
+    return aItem.second->m_connection == nullptr;
+  };
+  const auto justCome =
+    static_cast<std::size_t>(std::ranges::count_if(m_accepted, hasJustCome));
+  for (const ConnectionBook::Id id : m_state->m_book.Excess(justCome)) {
     const auto it = m_accepted.find(id);
-    if (it != m_accepted.end() && it->second->m_connection != nullptr) {
+    if (it != m_accepted.end() && !hasJustCome(*it)) {
       Close(id);
     }
   }
--- a/tests/correctness/ConnectionBook.cpp
+++ b/tests/correctness/ConnectionBook.cpp
@@ -119,6 +119,20 @@
   EXPECT_EQ(book.Excess(), Ids{ large });
 }
 
+/// Guards against closing a client that is about to send its request, in the
+/// place of a crowd that connects at the same time.
+TEST(ConnectionBook, ConnectionsThatHaveJustComeDoNotCount)
+{
+  ConnectionBook book({ 4, 1000 });
+  const auto client = book.Open();
+  constexpr std::size_t kCrowd = 8;
+  for (std::size_t count = 0; count < kCrowd; ++count) {
+    book.Open();
+  }
+  EXPECT_EQ(book.Excess(kCrowd), Ids{});
+  EXPECT_EQ(book.Excess().front(), client);
+}
+
 /// Guards against closing clients that hold nothing for those that hold too
 /// much and can't be closed.
 TEST(ConnectionBook, ConnectionThatHoldsNothingIsNotClosedForBytes)
