--- a/tests/correctness/PoolFailureEvidence.cpp
+++ b/tests/correctness/PoolFailureEvidence.cpp
@@ -232,24 +232,14 @@
 /// that is idle otherwise.
 TEST(PoolFailureEvidence, JobsThatFailEverywhereLeaveThePoolUsable)
 {
-  std::vector<pool::WorkerInfo> workers;
-  for (const char* name : { "w1", "w2", "w3", "w4" }) {
-    workers.push_back(PoolWorker(name));
-  }
-  PoolFixture fixture(workers);
+  PoolFixture fixture(FourWorkers());
   fixture.ReportAllIdle();
   fixture.Add(PoolJob("bad1", kPatientQueue, { PoolStep(16) }));
   fixture.Add(PoolJob("bad2", kPatientQueue, { PoolStep(16) }));
   const auto starts = fixture.Plan().m_starts;
   ASSERT_EQ(starts.size(), 32U);
-  std::map<WorkerId, std::vector<pool::ReportedEnd>> ends;
-  for (const pool::StartTask& start : starts) {
-    auto& ofWorker = ends[start.m_worker];
-    ofWorker.push_back(EndOf(start, ofWorker.size() + 1, pool::RunEnd::Failed));
-  }
-  for (const auto& [worker, failed] : ends) {
-    fixture.ReportInventory(worker, {}, failed);
-  }
+  ReportEnds(
+    fixture, starts, [](const pool::TaskRef&) { return pool::RunEnd::Failed; });
   fixture.Add(PoolJob("good", kUrgentQueue, { PoolStep(32) }));
   const auto actions = fixture.Plan();
   EXPECT_EQ(StartsOf(actions, JobId("good")), 32);
